core: entry and agent as deterministic state machines

Cause: an empty repository; every promise of the users rests on decisions that must be testable without sockets or clocks. Change: workspace, typed messages, dispatch ledger, slot book, placement, admission, quotas, health, permits, configuration chain, both cores.

--- /dev/null
+++ b/lib/src/counters.rs
@@ -0,0 +1,101 @@
+//! Counts that a core keeps and the telemetry thread publishes.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Counts since the start of the process.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Counters {
+    /// Jobs answered `complete`.
+    pub complete: u64,
+    /// Jobs answered `failed`.
+    pub failed: u64,
+    /// Requests answered `refused`.
+    pub refused: u64,
+    /// Tasks handed out.
+    pub dispatched: u64,
+    /// Dispatches proven never to have started.
+    pub not_started: u64,
+    /// Messages by kind, both ways.
+    pub messages: BTreeMap<String, u64>,
+    /// Messages for tasks that led to no useful answer.
+    pub wasted: u64,
+}
+
+/// Kind of the messages that only show life.
+pub const HEARTBEAT: &str = "heartbeat";
+
+impl Counters {
+    /// Counts a message.
+    pub fn message(&mut self, kind: &str) {
+        if let Some(n) = self.messages.get_mut(kind) {
+            *n += 1;
+        } else {
+            self.messages.insert(kind.to_owned(), 1);
+        }
+    }
+
+    /// Messages that serve tasks: all but heartbeats, reports and configuration.
+    pub fn task_messages(&self) -> u64 {
+        const CONTROL: [&str; 6] = [HEARTBEAT, "report", "config", "hello", "welcome", "goodbye"];
+        let task = self.messages.iter();
+        task.filter(|(kind, _)| !CONTROL.contains(&kind.as_str()))
+            .map(|(_, n)| n)
+            .sum()
+    }
+}
+
+/// Names the kind of a message in counts.
+pub trait Kind {
+    /// The name.
+    fn kind(&self) -> &'static str;
+}
+
+impl Kind for crate::message::EntryMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Welcome(_) => "welcome",
+            Self::Dispatch(_) => "dispatch",
+            Self::Revoke(_) => "revoke",
+            Self::Demand(_) => "demand",
+            Self::Reserve(_) => "reserve",
+            Self::GiveBack(_) => "give_back",
+            Self::Heartbeat { .. } => HEARTBEAT,
+            Self::Config(_) => "config",
+            Self::Claim(_) => "claim",
+            Self::Release(_) => "release",
+            Self::Settle { .. } => "settle",
+            Self::Goodbye => "goodbye",
+        }
+    }
+}
+
+impl Kind for crate::message::AgentMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Reconciled(_) => "reconciled",
+            Self::Refused { .. } => "refused",
+            Self::Finished { .. } => "finished",
+            Self::Lend(_) => "lend",
+            Self::Recall(_) => "recall",
+            Self::Heartbeat { .. } => HEARTBEAT,
+            Self::Claimed { .. } => "claimed",
+            Self::Leaving => "leaving",
+            Self::Goodbye => "goodbye",
+        }
+    }
+}
+
+impl Kind for crate::message::PeerMessage {
+    fn kind(&self) -> &'static str {
+        match self {
+            Self::Hello(_) => "hello",
+            Self::Report(_) => "report",
+            Self::FetchConfig | Self::Config(_) => "config",
+            Self::CancelJob { .. } => "cancel",
+            Self::Goodbye => "goodbye",
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/entry_jobs.rs
@@ -0,0 +1,381 @@
+//! The entry's jobs: from submission to the one answer.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::admission::{AdmissionContext, Estimate};
+use crate::entry::{EntryCore, JobRequest, Progress, Reply, Submission};
+use crate::ids::{Incarnation, JobId, JobSeq, RequestId, TeamName};
+use crate::job::{Answer, Failure, JobSpec, RefusalReason, TaskOutcome};
+use crate::job_table::{Job, Phase, WaitingTask};
+use crate::journal::StepKind;
+use crate::message::PeerMessage;
+use crate::permit::{StoredAnswer, request_digest};
+
+impl EntryCore {
+    /// Lets a submission through the filter chain and makes it a job, or refuses it.
+    pub(crate) fn submit(&mut self, submission: Submission) {
+        let request = submission.request;
+        let Some(team) = self.team_of(&submission.key_sha256) else {
+            let reason = if self.config.is_current() {
+                Answer::refused(RefusalReason::UnknownTeam)
+            } else {
+                let soon = Duration::from_secs(1);
+                Answer::refused_until(RefusalReason::ConfigurationBehind, soon)
+            };
+            self.refuse(request, reason);
+            return;
+        };
+        let spec = JobSpec {
+            team,
+            tasks: submission.tasks,
+            deadline: submission.deadline,
+            repeatable: submission.repeatable,
+            permit: submission.permit,
+            trace: submission.trace,
+        };
+        let estimate = self.estimate(&spec);
+        match self.check_filters(&spec, estimate) {
+            Ok(()) => self.admit(request, spec, estimate),
+            Err(answer) => {
+                self.note_quota_refusal(&spec, &answer);
+                self.refuse(request, answer);
+            }
+        }
+    }
+
+    fn check_filters(&self, spec: &JobSpec, estimate: Estimate) -> Result<(), Answer> {
+        let cx = AdmissionContext {
+            now: self.now,
+            document: self.config.document().map(|d| &**d),
+            config_current: self.config.is_current(),
+            draining: self.draining_since.is_some(),
+            targets: &self.targets,
+            quotas: &self.quotas,
+            waiting_tasks: self.jobs.waiting().tasks,
+            estimate,
+        };
+        self.filters.iter().try_for_each(|f| f.check(spec, &cx))
+    }
+
+    fn note_quota_refusal(&mut self, spec: &JobSpec, answer: &Answer) {
+        if let Answer::Refused { refusal } = answer
+            && matches!(refusal.reason, RefusalReason::OverQuota { .. })
+        {
+            let tasks = spec.tasks.len() as u32;
+            self.quotas.refuse(&spec.team, tasks, self.now);
+        }
+    }
+
+    /// Expects that all waiting work of the fleet shares all open slots.
+    fn estimate(&self, spec: &JobSpec) -> Estimate {
+        let slots = self.targets.open_slots().max(1);
+        let times = spec
+            .tasks
+            .iter()
+            .map(|t| self.run_times.estimate(&spec.team, t));
+        let mut work = Duration::ZERO;
+        let mut longest = Duration::ZERO;
+        for time in times {
+            work += time.mean;
+            longest = longest.max(time.mean);
+        }
+        let ahead = self.jobs.waiting_work() + self.peers_waiting_work();
+        Estimate {
+            wait: ahead / slots,
+            run: longest.max(work / slots),
+        }
+    }
+
+    fn refuse(&mut self, request: RequestId, answer: Answer) {
+        self.counters.refused += 1;
+        let next_permit = None;
+        self.reply(
+            request,
+            Reply::Answer {
+                answer,
+                next_permit,
+            },
+        );
+    }
+
+    fn admit(&mut self, request: RequestId, spec: JobSpec, estimate: Estimate) {
+        let seq = self.next_job;
+        self.next_job += 1;
+        let id = JobId {
+            entry: self.options.incarnation,
+            seq,
+        };
+        let tasks = spec.tasks.len() as u32;
+        self.quotas.admit(&spec.team, tasks);
+        self.journal.begin(seq, &spec.team, self.now);
+        let estimate_ms = estimate.response().as_millis() as u64;
+        let admitted = StepKind::Admitted { tasks, estimate_ms };
+        self.journal.add(seq, self.now, || admitted);
+        let job = self.new_job(id, request, spec);
+        self.jobs.insert(job);
+        self.claim_permit(seq);
+    }
+
+    fn new_job(&self, id: JobId, request: RequestId, spec: JobSpec) -> Job {
+        let phase = if spec.permit.is_some() {
+            Phase::Claiming
+        } else {
+            Phase::Open
+        };
+        Job {
+            id,
+            request,
+            arrived: self.now,
+            deadline: self.now + spec.deadline,
+            phase,
+            results: vec![None; spec.tasks.len()],
+            ended: 0,
+            in_flight: 0,
+            waiting: self.longest_last(&spec),
+            claim: None,
+            spec,
+        }
+    }
+
+    /// The longest tasks are handed out first, so that none of them starts alone at the end.
+    fn longest_last(&self, spec: &JobSpec) -> Vec<WaitingTask> {
+        let waiting = |(index, task)| WaitingTask {
+            index: index as u16,
+            expected: self.run_times.estimate(&spec.team, task).mean,
+        };
+        let mut tasks: Vec<WaitingTask> = spec.tasks.iter().enumerate().map(waiting).collect();
+        tasks.sort_by_key(|t| (t.expected, std::cmp::Reverse(t.index)));
+        tasks
+    }
+
+    /// Takes in the end of a task that may have run.
+    pub(crate) fn task_ended(
+        &mut self,
+        seq: JobSeq,
+        index: u16,
+        target: &Arc<str>,
+        outcome: TaskOutcome,
+    ) {
+        let now = self.now;
+        self.journal.add(seq, now, || StepKind::Ended {
+            task: index,
+            target: target.clone(),
+            outcome: outcome_name(&outcome).to_owned(),
+        });
+        let Some(job) = self.jobs.get_mut(seq) else {
+            return;
+        };
+        job.in_flight -= 1;
+        job.ended += 1;
+        match outcome {
+            TaskOutcome::Succeeded(result) => {
+                job.results[index as usize] = Some(result);
+                if job.ended as usize == job.results.len() {
+                    self.complete(seq);
+                }
+            }
+            TaskOutcome::Failed(message) => {
+                self.fail(
+                    seq,
+                    Failure::TaskFailed {
+                        task: index,
+                        message,
+                    },
+                );
+            }
+            TaskOutcome::Lost => {
+                let target = target.clone();
+                self.fail(
+                    seq,
+                    Failure::TargetLost {
+                        task: index,
+                        target,
+                    },
+                );
+            }
+        }
+    }
+
+    fn complete(&mut self, seq: JobSeq) {
+        let Some(job) = self.jobs.get_mut(seq) else {
+            return;
+        };
+        let results: Vec<Arc<str>> = job.results.drain(..).flatten().collect();
+        let job_text = job.id.to_string();
+        self.answer(
+            seq,
+            Answer::Complete {
+                job: job_text,
+                results,
+            },
+        );
+    }
+
+    /// Ends a job badly, and says truly whether any of it may have run.
+    pub(crate) fn fail(&mut self, seq: JobSeq, reason: Failure) {
+        let Some(job) = self.jobs.get(seq) else {
+            return;
+        };
+        let answer = if job.may_have_run() {
+            Answer::failed(job.id, reason, true)
+        } else {
+            refusal_for(job.id, reason)
+        };
+        self.answer(seq, answer);
+    }
+
+    /// Gives a job its one answer, stops what still runs of it and frees its permit if nothing
+    /// ran.
+    pub(crate) fn answer(&mut self, seq: JobSeq, answer: Answer) {
+        let Some(job) = self.jobs.remove(seq) else {
+            return;
+        };
+        self.count_answer(&job, &answer);
+        if job.in_flight > 0 {
+            self.revoke_job(seq);
+        }
+        self.settle_permit(&job, &answer);
+        self.quotas.end(&job.spec.team, job.spec.tasks.len() as u32);
+        let status = answer_status(&answer).to_owned();
+        self.journal
+            .add(seq, self.now, || StepKind::Answered { status });
+        let next_permit = job
+            .spec
+            .permit
+            .as_ref()
+            .and_then(|_| self.mint_permit(&job.spec.team));
+        let reply = Reply::Answer {
+            answer,
+            next_permit,
+        };
+        self.reply(job.request, reply);
+    }
+
+    fn count_answer(&mut self, job: &Job, answer: &Answer) {
+        match answer {
+            Answer::Complete { .. } => self.counters.complete += 1,
+            Answer::Failed { .. } => {
+                self.counters.failed += 1;
+                self.counters.wasted += u64::from(job.ended) * 2;
+            }
+            Answer::Refused { .. } => self.counters.refused += 1,
+        }
+    }
+
+    /// Answers jobs whose deadline has come.
+    pub(crate) fn end_due_jobs(&mut self) {
+        for seq in self.jobs.due(self.now) {
+            self.fail(seq, Failure::DeadlinePassed);
+        }
+    }
+
+    pub(crate) fn fail_all_for_stop(&mut self) {
+        for seq in self.jobs.seqs() {
+            self.fail(seq, Failure::EntryStopped);
+        }
+    }
+
+    /// A caller that goes away cancels its job.
+    pub(crate) fn caller_gone(&mut self, request: RequestId) {
+        if let Some(seq) = self.jobs.by_request(request) {
+            self.fail(seq, Failure::Cancelled);
+        }
+    }
+
+    /// Cancels a job here, or passes the wish on to the entry that holds it.
+    pub(crate) fn cancel(&mut self, request: JobRequest) {
+        let done = match self.team_of(&request.key_sha256) {
+            Some(team) if request.job.entry == self.options.incarnation => {
+                self.cancel_for(&team, request.job.seq)
+            }
+            Some(team) => self.pass_cancel_on(request.job, team),
+            None => false,
+        };
+        self.reply(request.request, Reply::Cancelled(done));
+    }
+
+    /// Cancels a job if it belongs to the team.
+    pub(crate) fn cancel_for(&mut self, team: &TeamName, seq: JobSeq) -> bool {
+        let owned = self.jobs.get(seq).is_some_and(|j| j.spec.team == *team);
+        if owned {
+            self.fail(seq, Failure::Cancelled);
+        }
+        owned
+    }
+
+    fn pass_cancel_on(&mut self, job: JobId, team: TeamName) -> bool {
+        let Some(session) = self.peer_session(job.entry) else {
+            return false;
+        };
+        self.to_peer(session, PeerMessage::CancelJob { job, team });
+        true
+    }
+
+    /// Tells a caller how far its job is.
+    pub(crate) fn job_state(&mut self, request: JobRequest) {
+        let team = self.team_of(&request.key_sha256);
+        let here = request.job.entry == self.options.incarnation;
+        let job = self.jobs.get(request.job.seq).filter(|_| here);
+        let progress = job
+            .filter(|j| Some(&j.spec.team) == team.as_ref())
+            .map(|j| Progress {
+                tasks: j.spec.tasks.len() as u32,
+                waiting: j.waiting.len() as u32,
+                in_flight: j.in_flight,
+                ended: j.ended,
+            });
+        self.reply(request.request, Reply::Progress(progress));
+    }
+
+    /// Tells an operator what happened to a job.
+    pub(crate) fn explain(&mut self, request: RequestId, job: JobId) {
+        let here = job.entry == self.options.incarnation;
+        let story = self.journal.story(job.seq).filter(|_| here).cloned();
+        self.reply(request, Reply::Story(story));
+    }
+
+    /// The digest that binds a job's permit to what it asks for.
+    pub(crate) fn digest_of(job: &Job) -> u64 {
+        request_digest(&job.spec.team, &job.spec.tasks)
+    }
+
+    /// What the registrar keeps of an answer.
+    pub(crate) fn stored(answer: &Answer) -> StoredAnswer {
+        StoredAnswer::of(answer)
+    }
+
+    /// Name of a target for messages to people.
+    pub(crate) fn target_name(&self, target: Incarnation) -> Arc<str> {
+        match self.targets.get(target) {
+            Some(t) => t.name.clone(),
+            None => Arc::from("unknown"),
+        }
+    }
+}
+
+/// A job of which nothing ran is refused rather than failed.
+fn refusal_for(id: JobId, reason: Failure) -> Answer {
+    match reason {
+        Failure::DeadlinePassed => Answer::refused(RefusalReason::DeadlinePassed),
+        Failure::Cancelled => Answer::refused(RefusalReason::Cancelled),
+        Failure::EntryStopped => Answer::refused(RefusalReason::Stopping),
+        other => Answer::failed(id, other, false),
+    }
+}
+
+fn outcome_name(outcome: &TaskOutcome) -> &'static str {
+    match outcome {
+        TaskOutcome::Succeeded(_) => "succeeded",
+        TaskOutcome::Failed(_) => "failed",
+        TaskOutcome::Lost => "lost",
+    }
+}
+
+fn answer_status(answer: &Answer) -> &'static str {
+    match answer {
+        Answer::Complete { .. } => "complete",
+        Answer::Failed { .. } => "failed",
+        Answer::Refused { .. } => "refused",
+    }
+}
--- /dev/null
+++ b/lib/src/entry_permits.rs
@@ -0,0 +1,179 @@
+//! The entry's side of permits: making them, claiming them, and telling how it went.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+
+use crate::entry::{EntryCore, PermitRequest, Reply};
+use crate::ids::{Incarnation, JobSeq, TeamName};
+use crate::job::{Answer, Failure, RefusalReason};
+use crate::job_table::{Job, Phase};
+use crate::journal::StepKind;
+use crate::message::{Claim, EntryMessage};
+use crate::permit::{ClaimAnswer, Permit, StoredAnswer};
+
+/// Most permits made at once.
+const MOST_PERMITS: u32 = 100;
+/// When to ask again about a request that is running.
+const ASK_AGAIN: Duration = Duration::from_millis(500);
+
+impl EntryCore {
+    /// Makes permits for a team.
+    pub(crate) fn mint_permits(&mut self, request: PermitRequest) {
+        let count = request.count.clamp(1, MOST_PERMITS);
+        let permits = match self.team_of(&request.key_sha256) {
+            Some(team) => (0..count).filter_map(|_| self.mint_permit(&team)).collect(),
+            None => Vec::new(),
+        };
+        self.reply(request.request, Reply::Permits(permits));
+    }
+
+    /// Makes a permit at a registrar that is connected and stays. None if there is none.
+    pub(crate) fn mint_permit(&mut self, team: &TeamName) -> Option<String> {
+        let open = self.targets.iter().filter(|(_, t)| t.is_open());
+        let mut registrars: Vec<Incarnation> = open.map(|(id, _)| id).collect();
+        if registrars.is_empty() {
+            return None;
+        }
+        registrars.sort_unstable();
+        let registrar = registrars[self.rng.random_range(0..registrars.len())];
+        let offset = self.targets.get(registrar)?.clock_offset_ms;
+        let life = self.now + self.options.permit_life;
+        let permit = Permit {
+            id: self.new_permit_id(),
+            registrar,
+            expires_ms: (life.as_millis() as i64 + offset).max(0) as u64,
+            team: team.clone(),
+        };
+        Some(permit.to_text(&self.options.secret))
+    }
+
+    /// Asks the registrar whether a job may run, if it has a permit.
+    pub(crate) fn claim_permit(&mut self, seq: JobSeq) {
+        let Some(job) = self.jobs.get(seq) else {
+            return;
+        };
+        let Some(text) = &job.spec.permit else {
+            return;
+        };
+        let permit = Permit::from_text(text, &self.options.secret)
+            .ok()
+            .filter(|p| p.team == job.spec.team);
+        let Some(permit) = permit else {
+            self.answer(seq, Answer::refused(RefusalReason::PermitInvalid));
+            return;
+        };
+        let claim = Claim {
+            permit: permit.id,
+            expires_ms: permit.expires_ms,
+            job: job.id,
+            digest: Self::digest_of(job),
+        };
+        self.send_claim(seq, permit.registrar, claim);
+    }
+
+    fn send_claim(&mut self, seq: JobSeq, registrar: Incarnation, claim: Claim) {
+        let reachable = self
+            .targets
+            .get(registrar)
+            .is_some_and(|t| t.session.is_some());
+        if !reachable {
+            let reason = RefusalReason::PermitUnreachable;
+            self.answer(seq, Answer::refused_until(reason, ASK_AGAIN));
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(seq) {
+            job.claim = Some(ClaimTicket {
+                registrar,
+                claim: claim.clone(),
+            });
+        }
+        self.to_agent(registrar, EntryMessage::Claim(claim));
+    }
+
+    /// Takes in a registrar's answer.
+    pub(crate) fn claimed(&mut self, claim: Claim, answer: ClaimAnswer) {
+        let seq = claim.job.seq;
+        let waits = self.jobs.get(seq).is_some_and(|job| {
+            job.phase == Phase::Claiming && job.claim.as_ref().is_some_and(|c| c.claim == claim)
+        });
+        if !waits {
+            return;
+        }
+        if answer == ClaimAnswer::Granted {
+            self.journal.add(seq, self.now, || StepKind::PermitGranted);
+            self.jobs.open(seq);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(seq) {
+            job.claim = None;
+        }
+        let id = claim.job;
+        let answer = match answer {
+            ClaimAnswer::Granted => return,
+            ClaimAnswer::Running => {
+                Answer::refused_until(RefusalReason::EarlierSubmissionRunning, ASK_AGAIN)
+            }
+            ClaimAnswer::Unknown => Answer::failed(id, Failure::EarlierSubmissionUnknown, true),
+            ClaimAnswer::Ended(StoredAnswer::Whole(answer)) => *answer,
+            ClaimAnswer::Ended(StoredAnswer::TooLarge) => {
+                Answer::failed(id, Failure::EarlierSubmissionUnknown, true)
+            }
+            ClaimAnswer::OtherRequest => Answer::refused(RefusalReason::PermitInvalid),
+            ClaimAnswer::Void => Answer::refused(RefusalReason::PermitVoid),
+        };
+        self.answer(seq, answer);
+    }
+
+    /// A registrar can't be reached: requests that wait for it are refused; they did not run.
+    pub(crate) fn refuse_claims_at(&mut self, registrar: Incarnation) {
+        for seq in self.jobs.seqs() {
+            let waits = self.jobs.get(seq).is_some_and(|job| {
+                job.phase == Phase::Claiming
+                    && job.claim.as_ref().is_some_and(|c| c.registrar == registrar)
+            });
+            if waits {
+                let reason = RefusalReason::PermitUnreachable;
+                self.answer(seq, Answer::refused_until(reason, ASK_AGAIN));
+            }
+        }
+    }
+
+    /// Tells the registrar how a claimed job ended: free again if nothing of it ran.
+    pub(crate) fn settle_permit(&mut self, job: &Job, answer: &Answer) {
+        let Some(ticket) = &job.claim else {
+            return;
+        };
+        let registrar = ticket.registrar;
+        let claim = ticket.claim.clone();
+        let ran = job.may_have_run();
+        let connected = self
+            .targets
+            .get(registrar)
+            .is_some_and(|t| t.session.is_some());
+        if ran {
+            let answer = Self::stored(answer);
+            self.to_agent(registrar, EntryMessage::Settle { claim, answer });
+        } else if connected {
+            self.to_agent(registrar, EntryMessage::Release(claim));
+        } else {
+            self.unreleased.entry(registrar).or_default().push(claim);
+        }
+    }
+
+    /// Frees permits whose release could not be sent before.
+    pub(crate) fn release_leftover_claims(&mut self, registrar: Incarnation) {
+        for claim in self.unreleased.remove(&registrar).unwrap_or_default() {
+            self.to_agent(registrar, EntryMessage::Release(claim));
+        }
+    }
+}
+
+/// A claim that was sent, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ClaimTicket {
+    /// The registrar.
+    pub registrar: Incarnation,
+    /// The claim.
+    pub claim: Claim,
+}
--- /dev/null
+++ b/lib/src/events.rs
@@ -0,0 +1,104 @@
+//! Numbered log events. docs/EVENTS.md is the catalogue; a test holds it against this table.
+
+use log::Level;
+
+/// The number and meaning of an event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventInfo {
+    /// The event.
+    pub code: EventCode,
+    /// Number in the catalogue.
+    pub number: u16,
+    /// How loud it is.
+    pub level: Level,
+    /// What has happened.
+    pub text: &'static str,
+}
+
+/// Something worth a line in the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogEvent {
+    /// What has happened.
+    pub code: EventCode,
+    /// To whom, and details.
+    pub detail: String,
+}
+
+impl LogEvent {
+    /// An event about `detail`.
+    pub fn new(code: EventCode, detail: impl Into<String>) -> Self {
+        let detail = detail.into();
+        Self { code, detail }
+    }
+
+    /// Writes the event to the log.
+    pub fn emit(&self) {
+        let info = self.code.info();
+        log::log!(target: "trestleknot", info.level, event = info.number; "{}: {}", info.text, self.detail);
+    }
+}
+
+macro_rules! catalogue {
+    ($($code:ident = $number:literal, $level:ident, $text:literal;)*) => {
+        /// Names of the events.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+        pub enum EventCode {
+            $(#[doc = $text] $code,)*
+        }
+
+        /// All events, by number.
+        pub const CATALOGUE: &[EventInfo] = &[
+            $(EventInfo {
+                code: EventCode::$code,
+                number: $number,
+                level: Level::$level,
+                text: $text,
+            },)*
+        ];
+    };
+}
+
+catalogue! {
+    Started = 1001, Info, "process started";
+    Draining = 1002, Info, "drain began";
+    Drained = 1003, Info, "drain ended";
+    DrainCut = 1004, Warn, "drain reached its limit";
+    ConfigInForce = 1101, Info, "configuration in force";
+    ConfigLost = 1102, Info, "configuration change lost its race";
+    ConfigBehind = 1103, Warn, "a newer configuration is known than held";
+    ConfigGap = 1104, Warn, "log records expired unread";
+    SnapshotSent = 1105, Info, "configuration head written to the log again";
+    LogDown = 1201, Warn, "log service does not answer";
+    LogUp = 1202, Info, "log service answers again";
+    ListDown = 1203, Warn, "VM list does not answer";
+    ListUp = 1204, Info, "VM list answers again";
+    AgentJoined = 1301, Info, "agent session opened";
+    AgentLost = 1302, Warn, "agent session lost";
+    AgentLeaving = 1303, Info, "target is leaving";
+    AgentGone = 1304, Warn, "agent life is over";
+    AgentRefused = 1305, Warn, "agent refused at hello";
+    SessionGap = 1306, Warn, "session closed for a missing frame";
+    PeerJoined = 1401, Info, "peer session opened";
+    PeerLost = 1402, Warn, "peer session lost";
+    TargetSetAside = 1501, Warn, "target set aside for its failures";
+    TargetProbed = 1502, Info, "target gets a probe";
+    TargetReturned = 1503, Info, "target allowed more work";
+    TargetDown = 1504, Warn, "target refuses connections";
+    TargetUp = 1505, Info, "target accepts connections again";
+    EntryJoined = 1601, Info, "entry session opened";
+    EntryLost = 1602, Warn, "entry session lost";
+    EntryForgotten = 1603, Warn, "entry gone for long, its dispatches forgotten";
+    MalformedFrame = 1701, Warn, "session closed for a malformed frame";
+    StrangerRefused = 1702, Warn, "connection without the fleet secret refused";
+    RingFull = 1703, Error, "ring between threads is full";
+}
+
+impl EventCode {
+    /// Its entry in the catalogue.
+    pub fn info(self) -> &'static EventInfo {
+        CATALOGUE
+            .iter()
+            .find(|info| info.code == self)
+            .expect("the macro lists every code")
+    }
+}
