daemons: threads and rings around the cores, HTTP, WebSocket, telemetry

Cause: the cores decide, but nothing carries their events and actions. Change: bounded rings, links with a two-way proof of the fleet secret, ntex for callers, platform and targets, settings, metrics and spans.

--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -18,7 +18,7 @@
     AgentHello, AgentMessage, Capacity, Dispatch, DispatchFate, DispatchRefusal, EntryMessage,
     Frame, PROTOCOL_VERSION, Welcome,
 };
-use crate::outbox::Links;
+use crate::outbox::{Links, Passed};
 use crate::permit::Registrar;
 use crate::slot_book::{SlotBook, SlotNotice};
 
@@ -267,7 +267,9 @@
     }
 
     fn entry_connected(&mut self, session: SessionId) {
-        self.links.open(session, EntryLink::default(), self.now);
+        let passed = Passed::default();
+        self.links
+            .open(session, EntryLink::default(), passed, self.now);
         let hello = AgentHello {
             protocol: PROTOCOL_VERSION,
             name: self.options.name.clone(),
@@ -497,6 +499,9 @@
         self.down_until = Some(self.now + self.down_pause);
         self.down_pause = (self.down_pause * 2).min(MOST_DOWN);
         self.slots.set_usable(false);
+        for notice in self.slots.recall_all() {
+            self.send_notice(notice);
+        }
     }
 
     fn target_is_up(&mut self) {
@@ -634,10 +639,14 @@
 
     fn balance_slots(&mut self) {
         for notice in self.slots.balance() {
-            match notice {
-                SlotNotice::Lend(session, n) => self.to_session(session, AgentMessage::Lend(n)),
-                SlotNotice::Recall(session, n) => self.to_session(session, AgentMessage::Recall(n)),
-            }
+            self.send_notice(notice);
+        }
+    }
+
+    fn send_notice(&mut self, notice: SlotNotice) {
+        match notice {
+            SlotNotice::Lend(session, n) => self.to_session(session, AgentMessage::Lend(n)),
+            SlotNotice::Recall(session, n) => self.to_session(session, AgentMessage::Recall(n)),
         }
     }
 
@@ -689,6 +698,11 @@
         self.runs.len()
     }
 
+    /// Slots of the target.
+    pub fn slots(&self) -> u32 {
+        self.options.capacity.slots
+    }
+
     /// Configuration that the agent has heard of.
     pub fn config(&self) -> ConfigStamp {
         self.config
--- /dev/null
+++ b/lib/src/agent_daemon.rs
@@ -0,0 +1,406 @@
+//! An agent as a process: its threads and the rings between them.
+//!
+//! Threads: core, links, target, telemetry, operators' HTTP.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime};
+
+use futures_util::FutureExt as _;
+use tokio::sync::oneshot;
+
+use crate::agent::{AgentAction, AgentCore, AgentEvent, AgentOptions, Renewal, RunId, Start};
+use crate::core_thread::{self, Admitted, Next, Router};
+use crate::entry_daemon::AGENT_PATH;
+use crate::events::{EventCode, LogEvent};
+use crate::http_platform::HttpTarget;
+use crate::ids::Incarnation;
+use crate::links::{self, LinkCommand, LinkEvent, LinkTraffic, Links, Manners};
+use crate::message::{AgentMessage, Capacity, EntryMessage};
+use crate::permit::FleetSecret;
+use crate::platform::TargetService;
+use crate::ring::{RingRx, RingTx, TaskWaker, ring};
+use crate::settings::AgentSettings;
+use crate::telemetry::{Levels, Report, Telemetry, TelemetryParts};
+use crate::trace::{SpanRecord, TraceContext};
+use crate::worker_threads::{
+    CORE_RING, Factory, OUT_RING, REPORT_RING, ServerEnd, push_or_wait, report, run_system,
+    serve_metrics, spawn, waker_of,
+};
+
+/// How often levels are reported.
+const LEVELS_EVERY: Duration = Duration::from_secs(1);
+/// How long sessions have to write their last words.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+enum AgentInput {
+    Event(AgentEvent),
+    Entry(LinkEvent<EntryMessage>),
+    Halt,
+}
+
+enum TargetCommand {
+    Start(Start),
+    Renew(Renewal),
+    Stop(RunId),
+}
+
+/// A running agent.
+pub struct AgentDaemon {
+    /// This life.
+    pub incarnation: Incarnation,
+    /// Where operators reach it.
+    pub operator_address: SocketAddr,
+    control: Mutex<RingTx<AgentInput>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+/// What an agent is started with.
+pub struct AgentStart {
+    /// Settings, checked.
+    pub settings: AgentSettings,
+    /// This life.
+    pub incarnation: Incarnation,
+    /// Bound socket for operators.
+    pub operators: TcpListener,
+    /// The target.
+    pub target: Factory<Rc<dyn TargetService>>,
+}
+
+/// The target of the settings, over HTTP.
+pub fn http_target(
+    settings: &AgentSettings,
+    incarnation: Incarnation,
+) -> Factory<Rc<dyn TargetService>> {
+    let url = settings.target_url.clone();
+    Box::new(move || {
+        async move {
+            let target: Rc<dyn TargetService> = Rc::new(HttpTarget::new(&url, incarnation).await);
+            target
+        }
+        .boxed_local()
+    })
+}
+
+impl AgentDaemon {
+    /// Starts an agent's threads.
+    pub fn start(start: AgentStart) -> io::Result<Self> {
+        let AgentStart {
+            settings,
+            incarnation,
+            operators,
+            target,
+        } = start;
+        let operator_address = operators.local_addr()?;
+        let mut threads = Vec::new();
+        let (parts_tx, parts_rx) = std::sync::mpsc::sync_channel::<CoreParts>(1);
+        let core = spawn("core", move || {
+            if let Ok(parts) = parts_rx.recv() {
+                parts.run();
+            }
+        })?;
+        let (control, control_rx) = ring(CORE_RING, waker_of(&core));
+        let (run_events, run_events_rx) = ring(CORE_RING, waker_of(&core));
+        let (entry_events, entry_events_rx) = ring(CORE_RING, waker_of(&core));
+
+        let TelemetryParts { telemetry, page } =
+            Telemetry::new(&settings.name, settings.otlp_url.as_deref());
+        let (rings_tx, rings_rx) = std::sync::mpsc::sync_channel::<Vec<_>>(1);
+        let telemetry_thread = spawn("telemetry", move || {
+            if let Ok(rings) = rings_rx.recv() {
+                telemetry.run(rings);
+            }
+        })?;
+        let (core_reports, core_reports_rx) = ring(REPORT_RING, waker_of(&telemetry_thread));
+        let (span_reports, span_reports_rx) = ring(REPORT_RING, waker_of(&telemetry_thread));
+        rings_tx
+            .send(vec![core_reports_rx, span_reports_rx])
+            .map_err(|_| io::Error::other("telemetry thread is gone"))?;
+        threads.push(telemetry_thread);
+
+        let (end_tx, end_rx) = oneshot::channel();
+        threads.push(spawn("http", move || {
+            run_system("http", async move {
+                if let Err(e) = serve_metrics(operators, page, end_rx).await {
+                    log::error!("operators can't be served: {e}");
+                }
+            });
+        })?);
+
+        let target_waker = TaskWaker::default();
+        let (target_tx, target_rx) = ring(OUT_RING, Arc::new(target_waker.clone()));
+        threads.push(spawn("target", move || {
+            run_system("target", async move {
+                let runner = Runner {
+                    target: target().await,
+                    events: RefCell::new(run_events),
+                    spans: RefCell::new(span_reports),
+                };
+                Rc::new(runner).serve(target_rx, target_waker).await;
+            });
+        })?);
+
+        let traffic = Arc::new(LinkTraffic::default());
+        let links_traffic = traffic.clone();
+        let secret = FleetSecret::new(&settings.fleet_secret);
+        let link_waker = TaskWaker::default();
+        let (link_tx, link_rx) = ring(OUT_RING, Arc::new(link_waker.clone()));
+        threads.push(spawn("links", move || {
+            let served = links::run_local(async move {
+                let manners = Manners {
+                    our_first: None,
+                    await_first: false,
+                    path: AGENT_PATH,
+                };
+                let links: Rc<Links<AgentMessage, EntryMessage, AgentInput>> = Links::new(
+                    secret,
+                    manners,
+                    entry_events,
+                    AgentInput::Entry,
+                    links_traffic,
+                );
+                links.serve(link_rx, link_waker).await;
+                tokio::time::sleep(LAST_WORDS).await;
+            });
+            if let Err(e) = served {
+                log::error!("links can't be served: {e}");
+            }
+        })?);
+
+        let options = AgentOptions {
+            name: settings.name.as_str().into(),
+            incarnation,
+            hall: settings.hall.as_str().into(),
+            capacity: Capacity {
+                slots: settings.slots,
+                memory_mib: settings.memory_mib,
+                accelerators: settings.accelerators,
+            },
+            entries: settings.entries.iter().map(SocketAddr::to_string).collect(),
+            drain_limit: Duration::from_millis(settings.drain_limit_ms),
+        };
+        let router = AgentRouter {
+            links: link_tx,
+            target: target_tx,
+            reports: core_reports,
+            traffic,
+            server_end: Some(end_tx),
+            levels_at: Instant::now(),
+        };
+        let parts = CoreParts {
+            core: AgentCore::new(options),
+            inputs: vec![control_rx, run_events_rx, entry_events_rx],
+            router,
+        };
+        parts_tx
+            .send(parts)
+            .map_err(|_| io::Error::other("core thread is gone"))?;
+        threads.push(core);
+        let detail = format!("agent {} {incarnation:016x}", settings.name);
+        LogEvent::new(EventCode::Started, detail).emit();
+        Ok(Self {
+            incarnation,
+            operator_address,
+            control: Mutex::new(control),
+            threads,
+        })
+    }
+
+    fn send(&self, input: AgentInput) {
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        push_or_wait(&mut control, input);
+    }
+
+    /// Begins an orderly stop.
+    pub fn drain(&self) {
+        self.send(AgentInput::Event(AgentEvent::Drain));
+    }
+
+    /// Ends at once, as a crash would.
+    pub fn kill(self) {
+        self.send(AgentInput::Halt);
+        self.join();
+    }
+
+    /// Whether all threads have ended.
+    pub fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+
+    /// Waits for the end.
+    pub fn join(self) {
+        let Self {
+            threads, control, ..
+        } = self;
+        for thread in threads {
+            let _ = thread.join();
+        }
+        drop(control);
+    }
+}
+
+struct CoreParts {
+    core: AgentCore,
+    inputs: Vec<RingRx<AgentInput>>,
+    router: AgentRouter,
+}
+
+impl CoreParts {
+    fn run(mut self) {
+        for action in self.core.start() {
+            self.router.route(action);
+        }
+        core_thread::run(self.core, self.inputs, &mut self.router);
+        if let Some(end) = self.router.server_end.take() {
+            let _ = end.send(ServerEnd::Cut);
+        }
+    }
+}
+
+struct AgentRouter {
+    links: RingTx<LinkCommand<AgentMessage>>,
+    target: RingTx<TargetCommand>,
+    reports: RingTx<Report>,
+    traffic: Arc<LinkTraffic>,
+    server_end: Option<oneshot::Sender<ServerEnd>>,
+    levels_at: Instant,
+}
+
+impl Router<AgentCore> for AgentRouter {
+    type Input = AgentInput;
+
+    fn admit(&mut self, input: AgentInput) -> Admitted<AgentEvent> {
+        Admitted::Event(match input {
+            AgentInput::Event(event) => event,
+            AgentInput::Entry(LinkEvent::Opened { session, .. }) => {
+                AgentEvent::EntryConnected(session)
+            }
+            AgentInput::Entry(LinkEvent::Frame { session, frame }) => {
+                AgentEvent::EntryFrame { session, frame }
+            }
+            AgentInput::Entry(LinkEvent::Closed(session)) => AgentEvent::EntryClosed(session),
+            AgentInput::Halt => return Admitted::Halt,
+        })
+    }
+
+    fn route(&mut self, action: AgentAction) -> Next {
+        match action {
+            AgentAction::KnowEntry(address) => {
+                push_or_wait(&mut self.links, LinkCommand::Dial(address));
+            }
+            AgentAction::SendEntry { session, frame } => {
+                push_or_wait(&mut self.links, LinkCommand::Send { session, frame });
+            }
+            AgentAction::CloseEntry(session) => {
+                push_or_wait(&mut self.links, LinkCommand::Close(session));
+            }
+            AgentAction::Start(start) => {
+                push_or_wait(&mut self.target, TargetCommand::Start(start));
+            }
+            AgentAction::Renew(renewal) => {
+                push_or_wait(&mut self.target, TargetCommand::Renew(renewal));
+            }
+            AgentAction::StopRun(run) => {
+                push_or_wait(&mut self.target, TargetCommand::Stop(run));
+            }
+            AgentAction::Log(event) => event.emit(),
+            AgentAction::Stop => return Next::Stop,
+        }
+        Next::Continue
+    }
+
+    fn observe(&mut self, core: &AgentCore) {
+        if self.levels_at.elapsed() < LEVELS_EVERY {
+            return;
+        }
+        self.levels_at = Instant::now();
+        let levels = Levels {
+            counters: core.counters().clone(),
+            in_flight: core.running() as u64,
+            slots: u64::from(core.slots()),
+            config_version: core.config().version,
+            link_bytes: [
+                ("sent", self.traffic.bytes_sent.load(Ordering::Relaxed)),
+                (
+                    "received",
+                    self.traffic.bytes_received.load(Ordering::Relaxed),
+                ),
+            ]
+            .into(),
+            ..Levels::default()
+        };
+        report(&mut self.reports, Report::Levels(Box::new(levels)));
+    }
+}
+
+/// Runs tasks on the target.
+struct Runner {
+    target: Rc<dyn TargetService>,
+    events: RefCell<RingTx<AgentInput>>,
+    spans: RefCell<RingTx<Report>>,
+}
+
+impl Runner {
+    async fn serve(self: Rc<Self>, mut commands: RingRx<TargetCommand>, waker: TaskWaker) {
+        loop {
+            while let Some(command) = commands.pop() {
+                let runner = self.clone();
+                ntex::rt::spawn(async move { runner.obey(command).await });
+            }
+            if commands.is_finished() {
+                return;
+            }
+            waker.0.notified().await;
+        }
+    }
+
+    async fn obey(&self, command: TargetCommand) {
+        match command {
+            TargetCommand::Start(start) => self.run(start).await,
+            TargetCommand::Renew(renewal) => self.target.renew(renewal).await,
+            TargetCommand::Stop(run) => self.target.stop(run).await,
+        }
+    }
+
+    async fn run(&self, mut start: Start) {
+        let run = start.run;
+        let parent: Option<TraceContext> = start.trace.as_ref().and_then(|t| t.parse().ok());
+        let context = parent.map(|p| p.child());
+        start.trace = context.map(|c| c.to_string().into());
+        let detail = format!("{} task {}", start.job, start.task);
+        let began = SystemTime::now();
+        let end = self.target.run(start).await;
+        if let Some(context) = context {
+            let span = SpanRecord {
+                name: "agent",
+                context,
+                parent,
+                start: began,
+                end: SystemTime::now(),
+                detail,
+            };
+            report(&mut self.spans.borrow_mut(), Report::Span(span));
+        }
+        self.tell(AgentInput::Event(AgentEvent::RunEnded { run, end }))
+            .await;
+    }
+
+    /// Tells the core, waiting while its ring is full.
+    async fn tell(&self, input: AgentInput) {
+        let mut input = input;
+        loop {
+            let pushed = self.events.borrow_mut().push(input);
+            match pushed {
+                Ok(()) => return,
+                Err(_) if self.events.borrow().is_abandoned() => return,
+                Err(back) => input = back,
+            }
+            ntex::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+}
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -232,10 +232,21 @@
     ReadVmList,
     /// Write a line to the log.
     Log(LogEvent),
+    /// A job was answered `complete`: how long it took.
+    Measured(Measure),
     /// The drain has ended: stop the process.
     Stop,
 }
 
+/// How long a job took, against the ideal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Measure {
+    /// From arrival to answer.
+    pub response: Duration,
+    /// The larger of the longest task and the work over all open slots.
+    pub ideal: Duration,
+}
+
 /// How often time has to be told to a core at the least.
 pub const TICK: Duration = Duration::from_millis(20);
 
@@ -445,6 +456,16 @@
         &self.targets
     }
 
+    /// Tasks that wait.
+    pub fn waiting_tasks(&self) -> u32 {
+        self.jobs.waiting().tasks
+    }
+
+    /// Jobs between admission and answer.
+    pub fn jobs_held(&self) -> usize {
+        self.jobs.len()
+    }
+
     /// Configuration, for tests and measuring programs.
     pub fn config(&self) -> &ConfigChain {
         &self.config
--- a/lib/src/entry_jobs.rs
+++ b/lib/src/entry_jobs.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::admission::{AdmissionContext, Estimate};
-use crate::entry::{EntryCore, JobRequest, Progress, Reply, Submission};
+use crate::entry::{EntryAction, EntryCore, JobRequest, Measure, Progress, Reply, Submission};
 use crate::ids::{Incarnation, JobId, JobSeq, RequestId, TeamName};
 use crate::job::{Answer, Failure, JobSpec, RefusalReason, TaskOutcome};
 use crate::job_table::{Job, Phase, WaitingTask};
@@ -133,6 +133,8 @@
             ended: 0,
             in_flight: 0,
             waiting: self.longest_last(&spec),
+            longest_run: Duration::ZERO,
+            total_run: Duration::ZERO,
             claim: None,
             spec,
         }
@@ -202,6 +204,12 @@
             return;
         };
         let results: Vec<Arc<str>> = job.results.drain(..).flatten().collect();
+        let slots = self.targets.open_slots().max(1);
+        let measure = Measure {
+            response: self.now.saturating_sub(job.arrived),
+            ideal: job.longest_run.max(job.total_run / slots),
+        };
+        self.out.push(EntryAction::Measured(measure));
         let job_text = job.id.to_string();
         self.answer(
             seq,
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -8,7 +8,7 @@
 use crate::frame_order::FrameOrder;
 use crate::ids::{Incarnation, SessionId};
 use crate::message::{Frame, PROTOCOL_VERSION, PeerHello, PeerMessage, PeerReport};
-use crate::outbox::PeerLink;
+use crate::outbox::{Passed, PeerLink};
 
 /// Shortest time between reports to one peer.
 const LEAST_REPORT_EVERY: Duration = Duration::from_millis(100);
@@ -39,7 +39,11 @@
             waiting_work_ms: 0,
             reported_at: self.now,
         };
-        self.peers.open(session, link, self.now);
+        let passed = Passed {
+            sent: 1,
+            received: 1,
+        };
+        self.peers.open(session, link, passed, self.now);
         self.hear_peer_config(session, hello.config);
         self.send_report(session);
     }
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -17,7 +17,7 @@
     AgentConfig, AgentHello, AgentMessage, Dispatch, DispatchFate, DispatchRefusal, EntryMessage,
     Frame, PROTOCOL_VERSION, SettledDispatch, Welcome,
 };
-use crate::outbox::AgentLink;
+use crate::outbox::{AgentLink, Passed};
 use crate::target_table::{Outstanding, Target};
 
 /// A quiet session gets a heartbeat after this.
@@ -50,7 +50,11 @@
             self.agents.close(old);
             self.out.push(EntryAction::CloseAgent(old));
         }
-        self.agents.open(session, AgentLink, self.now);
+        let passed = Passed {
+            sent: 0,
+            received: 1,
+        };
+        self.agents.open(session, AgentLink, passed, self.now);
         self.note_clock(id, hello.uptime_ms);
         self.config.heard_of(hello.config);
         if hello.leaving {
@@ -260,9 +264,11 @@
     }
 
     fn observe_run_time(&mut self, id: Incarnation, job: JobSeq, task: TaskIndex, took: Duration) {
-        let Some(job) = self.jobs.get(job) else {
+        let Some(job) = self.jobs.get_mut(job) else {
             return;
         };
+        job.longest_run = job.longest_run.max(took);
+        job.total_run += took;
         let spec = &job.spec.tasks[task as usize];
         let expected = self.run_times.estimate(&job.spec.team, spec).mean;
         let ratio = took.as_secs_f64() / expected.max(LEAST_JUDGED).as_secs_f64();
--- a/lib/src/frame_order.rs
+++ b/lib/src/frame_order.rs
@@ -9,6 +9,11 @@
 }
 
 impl FrameSender {
+    /// A session on which `sent` frames have been sent.
+    pub fn after(sent: u64) -> Self {
+        Self { sent }
+    }
+
     /// Numbers the next frame.
     pub fn frame<M>(&mut self, messages: Vec<M>) -> Frame<M> {
         self.sent += 1;
@@ -37,6 +42,11 @@
 }
 
 impl FrameReceiver {
+    /// A session on which `received` frames have been received.
+    pub fn after(received: u64) -> Self {
+        Self { received }
+    }
+
     /// Judges a frame by its number.
     pub fn accept(&mut self, n: u64) -> FrameOrder {
         if n <= self.received {
--- a/lib/src/job_table.rs
+++ b/lib/src/job_table.rs
@@ -50,6 +50,10 @@
     pub in_flight: u32,
     /// Tasks that wait, the longest last.
     pub waiting: Vec<WaitingTask>,
+    /// Run time of its longest task so far.
+    pub longest_run: Duration,
+    /// Run time of all its tasks so far.
+    pub total_run: Duration,
     /// The claim on its permit, once sent.
     pub claim: Option<ClaimTicket>,
 }
--- /dev/null
+++ b/lib/src/link_auth.rs
@@ -0,0 +1,89 @@
+//! Proof of the fleet secret on a new connection, both ways, before any frame.
+//!
+//! The accepting side sends a nonce, the dialling side answers with a keyed hash of it and a
+//! nonce of its own, and gets a keyed hash back. Nobody learns the secret from listening; the
+//! link itself is not encrypted (docs/PROTOCOL.md says what that leaves open).
+
+use futures_util::{Sink, SinkExt as _, Stream, StreamExt as _};
+use rand::Rng as _;
+use snafu::{OptionExt as _, ResultExt as _, Snafu, ensure};
+use tokio_tungstenite::tungstenite::{Error as WsError, Message};
+
+use crate::permit::FleetSecret;
+
+const NONCE_LEN: usize = 16;
+const SEAL_LEN: usize = 32;
+const DIAL_PURPOSE: &str = "dial";
+const ACCEPT_PURPOSE: &str = "accept";
+
+/// Why a connection was not accepted.
+#[derive(Debug, Snafu)]
+pub enum AuthError {
+    /// The connection broke.
+    #[snafu(display("connection broke during the handshake: {source}"))]
+    Broken {
+        /// Cause.
+        #[snafu(source(from(WsError, Box::new)))]
+        source: Box<WsError>,
+    },
+    /// The connection ended.
+    #[snafu(display("connection ended during the handshake"))]
+    Ended,
+    /// The other side does not know the secret.
+    #[snafu(display("the other side does not hold the fleet secret"))]
+    Stranger,
+}
+
+/// What the handshake needs of a WebSocket.
+pub trait Socket:
+    Sink<Message, Error = WsError> + Stream<Item = Result<Message, WsError>> + Unpin
+{
+}
+
+impl<S> Socket for S where
+    S: Sink<Message, Error = WsError> + Stream<Item = Result<Message, WsError>> + Unpin
+{
+}
+
+fn nonce() -> [u8; NONCE_LEN] {
+    rand::rng().random()
+}
+
+/// The accepting side: true peers get through.
+pub async fn accept(socket: &mut impl Socket, secret: &FleetSecret) -> Result<(), AuthError> {
+    let ours = nonce();
+    send(socket, ours.to_vec()).await?;
+    let reply = receive(socket).await?;
+    ensure!(reply.len() == SEAL_LEN + NONCE_LEN, StrangerSnafu);
+    let (seal, theirs) = reply.split_at(SEAL_LEN);
+    ensure!(secret.verify(DIAL_PURPOSE, &ours, seal), StrangerSnafu);
+    send(socket, secret.seal(ACCEPT_PURPOSE, theirs).to_vec()).await
+}
+
+/// The dialling side.
+pub async fn dial(socket: &mut impl Socket, secret: &FleetSecret) -> Result<(), AuthError> {
+    let theirs = receive(socket).await?;
+    let ours = nonce();
+    let mut reply = secret.seal(DIAL_PURPOSE, &theirs).to_vec();
+    reply.extend_from_slice(&ours);
+    send(socket, reply).await?;
+    let seal = receive(socket).await?;
+    ensure!(
+        seal.len() == SEAL_LEN && secret.verify(ACCEPT_PURPOSE, &ours, &seal),
+        StrangerSnafu
+    );
+    Ok(())
+}
+
+async fn send(socket: &mut impl Socket, bytes: Vec<u8>) -> Result<(), AuthError> {
+    let message = Message::Binary(bytes.into());
+    socket.send(message).await.context(BrokenSnafu)
+}
+
+async fn receive(socket: &mut impl Socket) -> Result<Vec<u8>, AuthError> {
+    let message = socket.next().await.context(EndedSnafu)?;
+    match message.context(BrokenSnafu)? {
+        Message::Binary(bytes) => Ok(bytes.to_vec()),
+        _ => StrangerSnafu.fail(),
+    }
+}
--- a/lib/src/outbox.rs
+++ b/lib/src/outbox.rs
@@ -57,16 +57,25 @@
     }
 }
 
+/// Frames that a driver has exchanged before the core takes a session over.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Passed {
+    /// Sent by this side.
+    pub sent: u64,
+    /// Received from the other side.
+    pub received: u64,
+}
+
 /// A frame for a session.
 pub type SessionFrame<M> = (SessionId, Frame<M>);
 
 impl<M, S> Links<M, S> {
-    /// Adds a session.
-    pub fn open(&mut self, session: SessionId, state: S, now: Now) {
+    /// Adds a session on which some frames, the hellos, have passed already.
+    pub fn open(&mut self, session: SessionId, state: S, passed: Passed, now: Now) {
         let link = Link {
             state,
-            sender: FrameSender::default(),
-            receiver: FrameReceiver::default(),
+            sender: FrameSender::after(passed.sent),
+            receiver: FrameReceiver::after(passed.received),
             heard_at: now,
             messages: Vec::new(),
         };
--- a/lib/src/slot_book.rs
+++ b/lib/src/slot_book.rs
@@ -161,6 +161,19 @@
         notices
     }
 
+    /// Asks for all lent slots back, for a target that can't use them.
+    pub fn recall_all(&mut self) -> Vec<SlotNotice> {
+        let mut notices = Vec::new();
+        for (session, borrower) in &mut self.borrowers {
+            let n = borrower.lent - borrower.recalled;
+            if n > 0 {
+                borrower.recalled += n;
+                notices.push(SlotNotice::Recall(*session, n));
+            }
+        }
+        notices
+    }
+
     /// Lends one free slot: to a waiting task first, else ahead of need.
     fn next_borrower(&mut self) -> Option<SessionId> {
         let session = self
