--- /dev/null
+++ b/cli/src/fleet_status.rs
@@ -0,0 +1,221 @@
+//! `status` and `explain`.
+
+use std::process::ExitCode;
+
+use clap::ArgMatches;
+use comfy_table::Table;
+use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
+use trestleknot_lib::journal::{Step, StepKind, Story};
+use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
+
+use crate::client::{block_on, get_json, new_client, no_answer};
+use crate::error::CliResult;
+
+fn addresses(args: &ArgMatches) -> Vec<String> {
+    let entries = args.get_many::<String>("entry");
+    entries.expect("clap demands it").cloned().collect()
+}
+
+/// What an entry said of itself, or why it said nothing.
+struct EntryReport {
+    address: String,
+    status: CliResult<EntryStatus>,
+}
+
+/// Shows the fleet as its entries see it. Fails if any entry does not answer or is behind.
+pub fn status(args: &ArgMatches) -> CliResult<ExitCode> {
+    let reports = ask_all(addresses(args));
+    let all_well = reports.iter().all(|r| is_well(&r.status));
+    if args.get_flag("json") {
+        print_json(&reports);
+    } else {
+        anstream::println!("{}", entry_table(&reports));
+        anstream::println!("{}", target_table(&reports));
+    }
+    Ok(if all_well {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+fn is_well(status: &CliResult<EntryStatus>) -> bool {
+    status.as_ref().is_ok_and(|s| s.config_current)
+}
+
+fn ask_all(addresses: Vec<String>) -> Vec<EntryReport> {
+    block_on(async move {
+        let client = new_client().await;
+        let mut reports = Vec::new();
+        for address in addresses {
+            let status = get_json(&client, &format!("http://{address}/status")).await;
+            reports.push(EntryReport { address, status });
+        }
+        reports
+    })
+}
+
+fn print_json(reports: &[EntryReport]) {
+    let entries: Vec<serde_json::Value> = reports
+        .iter()
+        .map(|report| match &report.status {
+            Ok(status) => serde_json::json!({ "address": report.address, "status": status }),
+            Err(e) => serde_json::json!({ "address": report.address, "error": e.to_string() }),
+        })
+        .collect();
+    let text = serde_json::to_string_pretty(&entries).expect("a status can be written");
+    anstream::println!("{text}");
+}
+
+fn new_table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(UTF8_HORIZONTAL_ONLY);
+    table.set_header(header.to_vec());
+    table
+}
+
+fn entry_table(reports: &[EntryReport]) -> Table {
+    let mut table = new_table(&[
+        "entry",
+        "state",
+        "config",
+        "placement",
+        "jobs",
+        "waiting",
+        "complete",
+        "failed",
+        "refused",
+        "peers",
+    ]);
+    for report in reports {
+        match &report.status {
+            Ok(s) => {
+                table.add_row(entry_row(s));
+            }
+            Err(e) => {
+                table.add_row(vec![report.address.clone(), e.to_string()]);
+            }
+        }
+    }
+    table
+}
+
+fn entry_row(s: &EntryStatus) -> Vec<String> {
+    let state = match (s.draining, s.config_current) {
+        (true, _) => "draining",
+        (false, true) => "ready",
+        (false, false) => "configuration behind",
+    };
+    vec![
+        s.name.to_string(),
+        state.to_owned(),
+        s.config.version.to_string(),
+        s.placement.to_string(),
+        s.jobs.to_string(),
+        s.waiting_tasks.to_string(),
+        s.counters.complete.to_string(),
+        s.counters.failed.to_string(),
+        s.counters.refused.to_string(),
+        s.peers.len().to_string(),
+    ]
+}
+
+/// Targets as the first entry that answers sees them, with the tasks of all entries.
+fn target_table(reports: &[EntryReport]) -> Table {
+    let mut table = new_table(&["target", "hall", "state", "slots", "running", "slowness"]);
+    let statuses: Vec<&EntryStatus> = reports
+        .iter()
+        .filter_map(|r| r.status.as_ref().ok())
+        .collect();
+    let Some(first) = statuses.first() else {
+        return table;
+    };
+    for target in &first.targets {
+        let of_name = statuses.iter().flat_map(|s| &s.targets);
+        let running: u32 = of_name
+            .filter(|t| t.name == target.name)
+            .map(|t| t.in_flight)
+            .sum();
+        table.add_row(target_row(target, running));
+    }
+    table
+}
+
+fn target_row(target: &TargetStatus, running: u32) -> Vec<String> {
+    vec![
+        target.name.to_string(),
+        target.hall.to_string(),
+        state_name(target.state).to_owned(),
+        target.slots.to_string(),
+        running.to_string(),
+        format!("{:.2}", target.slowness),
+    ]
+}
+
+fn state_name(state: TargetState) -> &'static str {
+    match state {
+        TargetState::Live => "live",
+        TargetState::Leaving => "leaving",
+        TargetState::SetAside => "set aside",
+        TargetState::Unreachable => "unreachable",
+    }
+}
+
+/// Shows what happened to a job, asking entries until one knows it.
+pub fn explain(args: &ArgMatches) -> CliResult<ExitCode> {
+    let job = args
+        .get_one::<String>("job")
+        .expect("clap demands it")
+        .clone();
+    let entries = addresses(args);
+    let story = block_on(async move {
+        let client = new_client().await;
+        let mut last = no_answer(&job, "no entry was asked".to_owned());
+        for address in entries {
+            last = get_json::<Story>(&client, &format!("http://{address}/explain/{job}")).await;
+            if last.is_ok() {
+                break;
+            }
+        }
+        last
+    })?;
+    if args.get_flag("json") {
+        let text = serde_json::to_string_pretty(&story).expect("a story can be written");
+        anstream::println!("{text}");
+    } else {
+        print_story(&story);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn print_story(story: &Story) {
+    anstream::println!("team {}", story.team);
+    for step in &story.steps {
+        anstream::println!("{}", step_line(step));
+    }
+    if story.left_out > 0 {
+        anstream::println!("({} more steps)", story.left_out);
+    }
+}
+
+fn step_line(step: &Step) -> String {
+    let what = match &step.what {
+        StepKind::Admitted { tasks, estimate_ms } => {
+            format!("admitted with {tasks} tasks, expected to take {estimate_ms} ms")
+        }
+        StepKind::PermitGranted => "permit granted".to_owned(),
+        StepKind::Dispatched { task, target } => format!("task {task} handed to {target}"),
+        StepKind::NotStarted {
+            task,
+            target,
+            reason,
+        } => format!("task {task} not started by {target}: {reason}"),
+        StepKind::Ended {
+            task,
+            target,
+            outcome,
+        } => format!("task {task} on {target} {outcome}"),
+        StepKind::Answered { status } => format!("answered {status}"),
+    };
+    format!("{:>7} ms  {what}", step.at_ms)
+}
--- /dev/null
+++ b/cli/src/logging.rs
@@ -0,0 +1,31 @@
+//! Log lines: numbered events on standard error.
+
+use clap::ArgMatches;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::{JsonLayout, TextLayout};
+
+/// Target of our own events; libraries only show warnings and errors.
+const OWN_TARGET: &str = "trestleknot";
+
+/// Starts logging as the command line asks. Daemons tell more than commands do.
+pub fn start(matches: &ArgMatches) {
+    let Some((name, args)) = matches.subcommand() else {
+        return;
+    };
+    let is_daemon = matches!(name, "entry" | "agent" | "stand-ins");
+    let default = if is_daemon { "info" } else { "error" };
+    let level = args.get_one::<String>("log-level");
+    let level = level.map_or(default, String::as_str);
+    let spec = format!("error,{OWN_TARGET}={level}");
+    let filter = RustLogFilterBuilder::from_spec(spec).build();
+    let builder = logforth::starter_log::stderr().filter(filter);
+    let as_json = args
+        .get_one::<String>("log-format")
+        .is_some_and(|f| f == "json");
+    let builder = if as_json {
+        builder.layout(JsonLayout::default())
+    } else {
+        builder.layout(TextLayout::default())
+    };
+    builder.apply();
+}
--- a/lib/src/http_api.rs
+++ b/lib/src/http_api.rs
@@ -21,7 +21,7 @@
 use crate::events::{EventCode, LogEvent};
 use crate::http_answer::response_for;
 use crate::ids::{JobId, RequestId};
-use crate::job::{Answer, RefusalReason, TaskSpec};
+use crate::job::{Answer, Failure, RefusalReason, TaskSpec};
 use crate::ring::RingTx;
 use crate::telemetry::{MetricsPage, Report};
 use crate::trace::{SpanRecord, TRACEPARENT, TraceContext};
@@ -53,8 +53,13 @@
     next_request: Cell<RequestId>,
 }
 
-/// The core's ring is full, or the core has stopped.
-struct Unavailable;
+/// Why the core gave no answer.
+enum Unavailable {
+    /// Its ring is full: it has not seen the request.
+    NotAsked,
+    /// It has stopped: what it did with the request is not known.
+    Lost,
+}
 
 impl Gateway {
     /// Takes the rings of one worker from the pool.
@@ -81,8 +86,8 @@
             .asks
             .borrow_mut()
             .push(EntryInput::Ask(Ask { event, reply }));
-        pushed.map_err(|_| Unavailable)?;
-        rx.await.map_err(|_| Unavailable)
+        pushed.map_err(|_| Unavailable::NotAsked)?;
+        rx.await.map_err(|_| Unavailable::Lost)
     }
 
     fn tell(&self, event: EntryEvent) {
@@ -162,6 +167,16 @@
     )
 }
 
+/// The answer to a submission that the core has seen and will say nothing of any more.
+fn lost() -> HttpResponse {
+    let answer = Answer::Failed {
+        job: String::new(),
+        reason: Failure::EntryStopped,
+        may_have_run: true,
+    };
+    response_for(&answer, None)
+}
+
 fn malformed(message: impl ToString) -> HttpResponse {
     let message = message.to_string();
     refused(RefusalReason::Malformed { message })
@@ -211,7 +226,8 @@
             answer,
             next_permit,
         }) => response_for(&answer, next_permit.as_deref()),
-        _ => unavailable(),
+        Err(Unavailable::NotAsked) => unavailable(),
+        Ok(_) | Err(Unavailable::Lost) => lost(),
     }
 }
 
@@ -254,7 +270,7 @@
     match gateway.ask(request, event).await {
         Ok(Reply::Cancelled(true)) => HttpResponse::new(StatusCode::ACCEPTED),
         Ok(_) => refused(RefusalReason::UnknownJob),
-        Err(Unavailable) => unavailable(),
+        Err(_) => unavailable(),
     }
 }
 
@@ -277,7 +293,7 @@
     match gateway.ask(request, event).await {
         Ok(Reply::Progress(Some(progress))) => HttpResponse::Ok().json(&progress),
         Ok(_) => refused(RefusalReason::UnknownJob),
-        Err(Unavailable) => unavailable(),
+        Err(_) => unavailable(),
     }
 }
 
@@ -331,7 +347,7 @@
     match gateway.ask(request, event).await {
         Ok(Reply::Story(Some(story))) => HttpResponse::Ok().json(&story),
         Ok(_) => refused(RefusalReason::UnknownJob),
-        Err(Unavailable) => unavailable(),
+        Err(_) => unavailable(),
     }
 }
 
--- a/lib/src/http_platform.rs
+++ b/lib/src/http_platform.rs
@@ -31,6 +31,10 @@
 /// Header that carries the trace context.
 const TRACEPARENT: &str = "traceparent";
 
+/// Connections at a time. Not 0, "no limit": the pool of ntex 3.12 then never wakes a request
+/// that has waited for another connection to be made.
+pub const MOST_CONNECTIONS: usize = 100_000;
+
 const LOG: &str = "log service";
 const LIST: &str = "VM list";
 
@@ -73,7 +77,9 @@
 /// A client that opens a connection for each request, so that none is ever sent again because
 /// a pooled connection turned out stale.
 async fn fresh_client(limit: Millis) -> Client {
-    let connector = Connector::new().keep_alive(Seconds::ZERO).limit(0);
+    let connector = Connector::new()
+        .keep_alive(Seconds::ZERO)
+        .limit(MOST_CONNECTIONS);
     Client::builder()
         .connector::<()>(connector)
         .response_timeout(limit)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod admission;
 pub mod agent;
 pub mod agent_daemon;
+pub mod apply;
 pub mod codec;
 pub mod config_chain;
 pub mod config_document;
--- a/lib/src/ring.rs
+++ b/lib/src/ring.rs
@@ -36,7 +36,8 @@
 
 /// The producing end.
 pub struct RingTx<T> {
-    producer: Producer<T>,
+    /// Taken only when this end is dropped.
+    producer: Option<Producer<T>>,
     waker: Arc<dyn Wake>,
 }
 
@@ -48,20 +49,32 @@
 /// A ring of `capacity` items whose consumer is woken by `waker`.
 pub fn ring<T>(capacity: usize, waker: Arc<dyn Wake>) -> (RingTx<T>, RingRx<T>) {
     let (producer, consumer) = RingBuffer::new(capacity);
+    let producer = Some(producer);
     (RingTx { producer, waker }, RingRx { consumer })
 }
 
+/// Lets the consumer see that nothing more will come.
+impl<T> Drop for RingTx<T> {
+    fn drop(&mut self) {
+        drop(self.producer.take());
+        self.waker.wake();
+    }
+}
+
 impl<T> RingTx<T> {
     /// Adds an item and wakes the consumer, or gives the item back if there is no room.
     pub fn push(&mut self, item: T) -> Result<(), T> {
-        let pushed = self.producer.push(item);
+        let Some(producer) = &mut self.producer else {
+            return Err(item);
+        };
+        let pushed = producer.push(item);
         self.waker.wake();
         pushed.map_err(|PushError::Full(item)| item)
     }
 
     /// Whether the consumer is gone.
     pub fn is_abandoned(&self) -> bool {
-        self.producer.is_abandoned()
+        self.producer.as_ref().is_none_or(Producer::is_abandoned)
     }
 }
 
