core: rename senders, so that clippy is clean

Cause: clippy denied five names. Change: to_agent, to_peer, to_entry become send_agent, send_peer, send_entry; Telemetry::new, which returns parts, becomes build.

--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -248,7 +248,7 @@
         self.out.push(AgentAction::Log(LogEvent::new(code, detail)));
     }
 
-    fn to_session(&mut self, session: SessionId, message: AgentMessage) {
+    fn send(&mut self, session: SessionId, message: AgentMessage) {
         self.counters.message(message.kind());
         if let Some(link) = self.links.get_mut(session) {
             link.last_sent = self.now;
@@ -256,9 +256,9 @@
         self.links.push(session, message);
     }
 
-    fn to_entry(&mut self, entry: Incarnation, message: AgentMessage) {
+    fn send_entry(&mut self, entry: Incarnation, message: AgentMessage) {
         if let Some(session) = self.sessions.get(&entry).copied() {
-            self.to_session(session, message);
+            self.send(session, message);
         }
     }
 
@@ -280,7 +280,7 @@
             config: self.config,
             leaving: self.draining_since.is_some(),
         };
-        self.to_session(session, AgentMessage::Hello(hello));
+        self.send(session, AgentMessage::Hello(hello));
     }
 
     fn entry_frame(&mut self, session: SessionId, frame: Frame<EntryMessage>) {
@@ -329,7 +329,7 @@
             }
             EntryMessage::Claim(claim) => {
                 let answer = self.registrar.claim(&claim, self.uptime_ms());
-                self.to_session(session, AgentMessage::Claimed { claim, answer });
+                self.send(session, AgentMessage::Claimed { claim, answer });
             }
             EntryMessage::Release(claim) => self.registrar.release(&claim),
             EntryMessage::Settle { claim, answer } => self.registrar.settle(&claim, answer),
@@ -357,7 +357,7 @@
         }
         let fates = self.ledger.reconcile(entry, resume, &welcome.outstanding);
         if !fates.is_empty() {
-            self.to_session(session, AgentMessage::Reconciled(fates));
+            self.send(session, AgentMessage::Reconciled(fates));
         }
         self.slots.open(session, welcome.placement);
         if welcome.config.version > self.config.version {
@@ -431,7 +431,7 @@
             .decide(entry, seq, DispatchFate::Refused(reason));
         self.slots.give_back(session, 1);
         let free = self.slots.free();
-        self.to_session(session, AgentMessage::Refused { seq, reason, free });
+        self.send(session, AgentMessage::Refused { seq, reason, free });
     }
 
     fn start_run(&mut self, entry: Incarnation, dispatch: Dispatch) {
@@ -474,7 +474,7 @@
                 self.ledger
                     .decide(entry, seq, DispatchFate::Refused(reason));
                 let free = self.slots.free();
-                self.to_entry(entry, AgentMessage::Refused { seq, reason, free });
+                self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
             }
             RunEnd::Ended(outcome) => {
                 self.target_is_up();
@@ -486,7 +486,7 @@
                     run_ms: took.as_millis() as u32,
                     free: self.slots.free(),
                 };
-                self.to_entry(entry, message);
+                self.send_entry(entry, message);
             }
         }
     }
@@ -519,7 +519,7 @@
                 Some(DispatchFate::Running) => self.stop_dispatch(entry, seq),
                 Some(DispatchFate::Refused(reason)) => {
                     let free = self.slots.free();
-                    self.to_entry(entry, AgentMessage::Refused { seq, reason, free });
+                    self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
                 }
                 _ => {}
             }
@@ -597,7 +597,7 @@
                     free: self.slots.free(),
                     config: self.config,
                 };
-                self.to_session(session, message);
+                self.send(session, message);
             }
         }
     }
@@ -645,8 +645,8 @@
 
     fn send_notice(&mut self, notice: SlotNotice) {
         match notice {
-            SlotNotice::Lend(session, n) => self.to_session(session, AgentMessage::Lend(n)),
-            SlotNotice::Recall(session, n) => self.to_session(session, AgentMessage::Recall(n)),
+            SlotNotice::Lend(session, n) => self.send(session, AgentMessage::Lend(n)),
+            SlotNotice::Recall(session, n) => self.send(session, AgentMessage::Recall(n)),
         }
     }
 
@@ -661,7 +661,7 @@
             format!("{} tasks run", self.runs.len()),
         );
         for session in self.links.sessions() {
-            self.to_session(session, AgentMessage::Leaving);
+            self.send(session, AgentMessage::Leaving);
         }
     }
 
@@ -680,7 +680,7 @@
             return;
         }
         for session in self.links.sessions() {
-            self.to_session(session, AgentMessage::Goodbye);
+            self.send(session, AgentMessage::Goodbye);
         }
         self.log(EventCode::Drained, &*self.options.name.clone());
         self.flush();
--- a/lib/src/agent_daemon.rs
+++ b/lib/src/agent_daemon.rs
@@ -109,7 +109,7 @@
         let (entry_events, entry_events_rx) = ring(CORE_RING, waker_of(&core));
 
         let TelemetryParts { telemetry, page } =
-            Telemetry::new(&settings.name, settings.otlp_url.as_deref());
+            Telemetry::build(&settings.name, settings.otlp_url.as_deref());
         let (rings_tx, rings_rx) = std::sync::mpsc::sync_channel::<Vec<_>>(1);
         let telemetry_thread = spawn("telemetry", move || {
             if let Ok(rings) = rings_rx.recv() {
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -368,7 +368,7 @@
         self.out.push(EntryAction::Reply { request, reply });
     }
 
-    pub(crate) fn to_agent(&mut self, target: Incarnation, message: EntryMessage) {
+    pub(crate) fn send_agent(&mut self, target: Incarnation, message: EntryMessage) {
         let now = self.now;
         let session = self.targets.update(target, |t| {
             t.last_sent = now;
@@ -380,7 +380,7 @@
         }
     }
 
-    pub(crate) fn to_peer(&mut self, session: SessionId, message: PeerMessage) {
+    pub(crate) fn send_peer(&mut self, session: SessionId, message: PeerMessage) {
         self.counters.message(crate::counters::Kind::kind(&message));
         self.peers.push(session, message);
     }
@@ -434,10 +434,10 @@
 
     fn say_goodbye(&mut self) {
         for target in self.targets.sorted_ids() {
-            self.to_agent(target, EntryMessage::Goodbye);
+            self.send_agent(target, EntryMessage::Goodbye);
         }
         for session in self.peers.sessions() {
-            self.to_peer(session, PeerMessage::Goodbye);
+            self.send_peer(session, PeerMessage::Goodbye);
         }
     }
 
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -156,7 +156,7 @@
         };
 
         let TelemetryParts { telemetry, page } =
-            Telemetry::new(&settings.name, settings.otlp_url.as_deref());
+            Telemetry::build(&settings.name, settings.otlp_url.as_deref());
         let (report_rx_tx, report_rx_rx) = std::sync::mpsc::sync_channel::<Vec<_>>(1);
         let telemetry_thread = spawn("telemetry", move || {
             if let Ok(rings) = report_rx_rx.recv() {
--- a/lib/src/entry_jobs.rs
+++ b/lib/src/entry_jobs.rs
@@ -316,7 +316,7 @@
         let Some(session) = self.peer_session(job.entry) else {
             return false;
         };
-        self.to_peer(session, PeerMessage::CancelJob { job, team });
+        self.send_peer(session, PeerMessage::CancelJob { job, team });
         true
     }
 
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -75,7 +75,7 @@
             PeerMessage::Report(report) => self.peer_report(session, report),
             PeerMessage::FetchConfig => {
                 if let Some(state) = self.config.state().cloned() {
-                    self.to_peer(session, PeerMessage::Config(state));
+                    self.send_peer(session, PeerMessage::Config(state));
                 }
             }
             PeerMessage::Config(state) => {
@@ -116,7 +116,7 @@
         let newer = stamp.version > self.config.stamp().version;
         let none_held = self.config.document().is_none();
         if newer || none_held || self.config.has_gap() {
-            self.to_peer(session, PeerMessage::FetchConfig);
+            self.send_peer(session, PeerMessage::FetchConfig);
         }
     }
 
@@ -193,7 +193,7 @@
         if let Some(link) = self.peers.get_mut(session) {
             link.reported_at = self.now;
         }
-        self.to_peer(session, PeerMessage::Report(report));
+        self.send_peer(session, PeerMessage::Report(report));
     }
 
     /// Tells all peers at once that the configuration has changed.
--- a/lib/src/entry_permits.rs
+++ b/lib/src/entry_permits.rs
@@ -88,7 +88,7 @@
                 claim: claim.clone(),
             });
         }
-        self.to_agent(registrar, EntryMessage::Claim(claim));
+        self.send_agent(registrar, EntryMessage::Claim(claim));
     }
 
     /// Takes in a registrar's answer.
@@ -153,9 +153,9 @@
             .is_some_and(|t| t.session.is_some());
         if ran {
             let answer = Self::stored(answer);
-            self.to_agent(registrar, EntryMessage::Settle { claim, answer });
+            self.send_agent(registrar, EntryMessage::Settle { claim, answer });
         } else if connected {
-            self.to_agent(registrar, EntryMessage::Release(claim));
+            self.send_agent(registrar, EntryMessage::Release(claim));
         } else {
             self.unreleased.entry(registrar).or_default().push(claim);
         }
@@ -164,7 +164,7 @@
     /// Frees permits whose release could not be sent before.
     pub(crate) fn release_leftover_claims(&mut self, registrar: Incarnation) {
         for claim in self.unreleased.remove(&registrar).unwrap_or_default() {
-            self.to_agent(registrar, EntryMessage::Release(claim));
+            self.send_agent(registrar, EntryMessage::Release(claim));
         }
     }
 }
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -92,7 +92,7 @@
             config: self.config.stamp(),
             entries: self.known_entries(),
         };
-        self.to_agent(id, EntryMessage::Welcome(welcome));
+        self.send_agent(id, EntryMessage::Welcome(welcome));
     }
 
     pub(crate) fn send_agent_config(&mut self, id: Incarnation) {
@@ -101,7 +101,7 @@
                 stamp: self.config.stamp(),
                 lease_ms: document.lease_ms,
             };
-            self.to_agent(id, EntryMessage::Config(config));
+            self.send_agent(id, EntryMessage::Config(config));
         }
     }
 
@@ -186,7 +186,7 @@
         let back = self.targets.take_credits(id, n);
         self.counters.wasted += 2;
         if back > 0 {
-            self.to_agent(id, EntryMessage::GiveBack(back));
+            self.send_agent(id, EntryMessage::GiveBack(back));
         }
     }
 
@@ -300,7 +300,7 @@
         if allowance == 0 {
             let back = self.targets.take_credits(id, u32::MAX);
             if back > 0 {
-                self.to_agent(id, EntryMessage::GiveBack(back));
+                self.send_agent(id, EntryMessage::GiveBack(back));
             }
         }
     }
@@ -369,7 +369,7 @@
             if matches!(signal.message, EntryMessage::GiveBack(_)) {
                 self.counters.wasted += 3;
             }
-            self.to_agent(signal.target, signal.message);
+            self.send_agent(signal.target, signal.message);
         }
     }
 
@@ -409,7 +409,7 @@
                 task: task.index,
                 target: name,
             });
-        self.to_agent(target, EntryMessage::Dispatch(dispatch));
+        self.send_agent(target, EntryMessage::Dispatch(dispatch));
     }
 
     /// Stops what still runs of a job that has been answered, in one message an agent.
@@ -431,7 +431,7 @@
                 }
             });
             self.counters.wasted += 1;
-            self.to_agent(id, EntryMessage::Revoke(seqs));
+            self.send_agent(id, EntryMessage::Revoke(seqs));
         }
     }
 
@@ -460,7 +460,7 @@
             .collect();
         for id in quiet {
             let settled_below = self.targets.get(id).map_or(0, Target::settled_below);
-            self.to_agent(id, EntryMessage::Heartbeat { settled_below });
+            self.send_agent(id, EntryMessage::Heartbeat { settled_below });
         }
     }
 
--- a/lib/src/telemetry.rs
+++ b/lib/src/telemetry.rs
@@ -165,7 +165,7 @@
 
 impl Telemetry {
     /// Telemetry of the process `name`; spans go to `otlp`, the base address of a collector.
-    pub fn new(name: &str, otlp: Option<&str>) -> TelemetryParts {
+    pub fn build(name: &str, otlp: Option<&str>) -> TelemetryParts {
         let registry = Registry::new();
         let exporter = opentelemetry_prometheus::exporter()
             .with_registry(registry.clone())
