core: mend what pairs of faults found; keep the head in the log by its age

Cause: random pairs of faults. (1) after all records expired the head was written again only at its interval, so a death in between lost it; (2) an agent that woke from a pause started what had queued up, although it was told to leave meanwhile. Change: log batches tell the oldest kept offset, and the head is written again at once when it has expired; an agent that stood still for longer than a silent session closes its sessions before it looks at the backlog.

--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -215,7 +215,7 @@
 
     /// Takes in an event and returns what is to be done, in order. `now` never goes back.
     pub fn handle(&mut self, now: Now, event: AgentEvent) -> Vec<AgentAction> {
-        self.now = self.now.max(now);
+        self.note_pause(now);
         if self.stopped {
             return Vec::new();
         }
@@ -232,6 +232,21 @@
         std::mem::take(&mut self.out)
     }
 
+    /// After standing still for longer than a silent session, what has queued up meanwhile is
+    /// stale: the sessions are closed before any of it is looked at, so that no dispatch of
+    /// then starts now. On the next session each is reconciled as never seen.
+    fn note_pause(&mut self, now: Now) {
+        let stood_still = now.saturating_sub(self.now) > SESSION_SILENCE;
+        self.now = self.now.max(now);
+        if !stood_still {
+            return;
+        }
+        for session in self.links.sessions() {
+            self.out.push(AgentAction::CloseEntry(session));
+            self.entry_closed(session);
+        }
+    }
+
     /// The first actions of this life.
     pub fn start(&mut self) -> Vec<AgentAction> {
         let entries = self.options.entries.iter().cloned();
--- a/lib/src/config_chain.rs
+++ b/lib/src/config_chain.rs
@@ -80,6 +80,8 @@
 pub struct LogBatch {
     /// Where the read began: the offset asked for, or the oldest that is still kept.
     pub from: LogOffset,
+    /// The oldest offset that is still kept.
+    pub oldest: LogOffset,
     /// Records in order.
     pub records: Vec<StoredRecord>,
     /// Where to read on.
@@ -117,6 +119,7 @@
     /// Offset and time of the newest record that holds the head.
     anchor: Option<LogOffset>,
     anchored_at: Now,
+    oldest: LogOffset,
     read_from: LogOffset,
     gap: Option<Gap>,
 }
@@ -230,6 +233,7 @@
         if self.held.is_none() && batch.from == 0 {
             self.install(empty_state());
         }
+        self.oldest = batch.oldest;
         let mut seen = Vec::new();
         let mut at = 0;
         while let Some(stored) = batch.records.get(at) {
@@ -349,18 +353,20 @@
         Some(ChangeFate::LostRace { head })
     }
 
-    /// Whether the head was last written to the log so long ago that retention may drop it.
+    /// Whether the head was last written to the log so long ago that retention may drop it, or
+    /// has dropped out of it already.
     pub fn needs_snapshot(&self, now: Now, every: std::time::Duration) -> bool {
         let held = self
             .held
             .as_ref()
             .is_some_and(|h| h.state.stamp.version > 0);
-        held && (self.anchor.is_none() || now.saturating_sub(self.anchored_at) >= every)
+        let expired = self.anchor.is_none_or(|anchor| anchor < self.oldest);
+        held && (expired || now.saturating_sub(self.anchored_at) >= every)
     }
 
     /// Puts the next snapshot off, because one was just sent.
     pub fn snapshot_sent(&mut self, now: Now) {
-        self.anchor = self.anchor.or(Some(self.read_from));
+        self.anchor = Some(self.read_from);
         self.anchored_at = now;
     }
 }
--- a/lib/src/memory_platform.rs
+++ b/lib/src/memory_platform.rs
@@ -66,10 +66,15 @@
         lock(&self.state).appends
     }
 
-    /// Drops all but the newest `records`.
-    pub fn expire_to(&self, records: usize) {
+    /// Offset that the next append gets.
+    pub fn end(&self) -> LogOffset {
+        lock(&self.state).next
+    }
+
+    /// Drops the records below an offset.
+    pub fn expire_below(&self, offset: LogOffset) {
         let mut state = lock(&self.state);
-        while state.records.len() > records {
+        while state.records.front().is_some_and(|r| r.offset < offset) {
             state.records.pop_front();
         }
     }
@@ -91,6 +96,7 @@
             .collect();
         Ok(LogBatch {
             from,
+            oldest: first,
             next: records
                 .last()
                 .map_or(state.next.max(from), |r| r.offset + 1),
--- a/lib/testutils/src/faults.rs
+++ b/lib/testutils/src/faults.rs
@@ -43,7 +43,7 @@
     LogSlow,
     /// Appends take effect without a reply.
     LogRepliesLost,
-    /// All records of the log expire.
+    /// All records of the log expire that are older than its retention.
     LogExpires,
     /// The VM list shows what was.
     ListStale,
--- a/lib/testutils/src/promises.rs
+++ b/lib/testutils/src/promises.rs
@@ -58,7 +58,10 @@
 fn check_answer(fleet: &VirtualFleet, request: &Request, broken: &mut Vec<String>) {
     let name = &request.name;
     if request.answers.len() > 1 {
-        broken.push(format!("{name} was answered {} times", request.answers.len()));
+        broken.push(format!(
+            "{name} was answered {} times",
+            request.answers.len()
+        ));
     }
     let Some(timed) = request.answers.first() else {
         if fleet.entry_lives_on(request) {
@@ -88,9 +91,15 @@
         }
         // A resubmission shares its tasks' payloads with the first try, so only a request of
         // its own shows by them that nothing of it ran.
-        Answer::Refused { .. } | Answer::Failed { may_have_run: false, .. } if !shared => {
+        Answer::Refused { .. }
+        | Answer::Failed {
+            may_have_run: false,
+            ..
+        } if !shared => {
             if started > 0 {
-                broken.push(format!("{name} was told that nothing ran, but {started} tasks did"));
+                broken.push(format!(
+                    "{name} was told that nothing ran, but {started} tasks did"
+                ));
             }
         }
         _ => {}
@@ -109,7 +118,11 @@
     if stamps.windows(2).any(|pair| pair[0] != pair[1]) {
         broken.push(format!("entries hold different configurations: {stamps:?}"));
     }
-    let ready = |index: usize| fleet.entry(index).is_none_or(|core| core.config().is_current());
+    let ready = |index: usize| {
+        fleet
+            .entry(index)
+            .is_none_or(|core| core.config().is_current())
+    };
     if !(0..entries).all(ready) {
         broken.push("an entry still does not hold the configuration in force".to_owned());
     }
--- a/lib/testutils/src/virtual_fleet.rs
+++ b/lib/testutils/src/virtual_fleet.rs
@@ -42,6 +42,10 @@
 const CLOCK_STEP: Duration = Duration::from_secs(3_600);
 /// The few seconds after which a leaving target gets no new work.
 const LEAVING_GRACE: Duration = Duration::from_secs(3);
+/// How often entries write the head to the log again.
+const SNAPSHOT_EVERY: Duration = Duration::from_secs(1);
+/// How long the log keeps records when they expire.
+const LOG_RETENTION: Duration = Duration::from_millis(2_500);
 /// How far the VM list lags.
 const LIST_LAG: Duration = Duration::from_secs(2);
 /// Key of the one team.
@@ -220,6 +224,7 @@
     /// The VM list.
     pub vms: MemoryVmList,
     stale_list: Option<Vec<VmRecord>>,
+    log_ends: BTreeMap<Duration, u64>,
     log_delay: Duration,
     /// Requests by number.
     pub requests: BTreeMap<RequestId, Request>,
@@ -272,6 +277,7 @@
             log: MemoryLog::default(),
             vms: MemoryVmList::default(),
             stale_list: None,
+            log_ends: BTreeMap::new(),
             log_delay: LATENCY,
             requests: BTreeMap::new(),
             starts: Vec::new(),
@@ -349,6 +355,7 @@
             text: text.into(),
             author: "test".to_owned(),
         });
+        self.note_log_end();
         self.step(Step::ConfigAppended, Where::default());
     }
 
@@ -406,8 +413,9 @@
         self.tell_entry(entry, EntryEvent::Drain);
     }
 
-    /// Tells an agent to leave in order.
+    /// Tells an agent to leave in order. The VM list shows it at once.
     pub fn drain_agent(&mut self, agent: usize) {
+        self.vms.put(target_vm(agent, VmState::Leaving));
         self.drained_agents.insert(agent, self.now);
         self.step(Step::DrainBegun, Where { entry: 0, agent });
         let place = self.agent_place(agent);
@@ -495,7 +503,7 @@
             placement: Some(self.plan.placement),
             permit_life: Duration::from_secs(300),
             drain_limit: Duration::from_secs(30),
-            snapshot_every: Duration::from_secs(20),
+            snapshot_every: SNAPSHOT_EVERY,
             seed: self.plan.seed,
         };
         let process = &mut self.entries[index];
@@ -537,12 +545,7 @@
         self.targets[index].down = false;
         self.drained_agents.remove(&index);
         let place = Place { index, life };
-        self.vms.put(VmRecord {
-            name: format!("target-{index}").into(),
-            role: VmRole::Target,
-            state: VmState::Live,
-            agent_address: None,
-        });
+        self.vms.put(target_vm(index, VmState::Live));
         self.after(Duration::ZERO, Happening::TickAgent(place));
         for entry in 0..self.plan.entries {
             let agent = index;
@@ -623,6 +626,7 @@
             EntryAction::AppendLog(record) => {
                 // No answer is expected.
                 let _ = self.log.append_now(record);
+                self.note_log_end();
             }
             EntryAction::ReadVmList => {
                 let list = match &self.stale_list {
@@ -848,7 +852,8 @@
     fn dial(&mut self, entry: usize, agent: usize) {
         let both_live = self.entries[entry].core.is_some() && self.agents[agent].core.is_some();
         let now = self.now;
-        let paused = self.entries[entry].paused_until > now || self.agents[agent].paused_until > now;
+        let paused =
+            self.entries[entry].paused_until > now || self.agents[agent].paused_until > now;
         let link = self.link(entry, agent);
         if link.session.is_some() {
             return;
@@ -867,7 +872,8 @@
         let opened_before = std::mem::replace(&mut link.opened_before, true);
         link.last_arrival = [Duration::ZERO; 2];
         let other = agent;
-        self.agent_by_session.insert(session, LinkKey { entry, other });
+        self.agent_by_session
+            .insert(session, LinkKey { entry, other });
         let place = self.agent_place(agent);
         self.agent_event(place, AgentEvent::EntryConnected(session));
         if opened_before {
@@ -1129,13 +1135,27 @@
                 lose_replies: true,
                 ..LogFaults::default()
             }),
-            Fault::LogExpires => self.log.expire_to(0),
+            Fault::LogExpires => self.expire_log(),
             Fault::ListStale => self.stale_list = self.vms.list_now().ok(),
             Fault::ListDown => self.vms.set_down(true),
         }
         self.after(FAULT_LENGTH, Happening::EndFault(fault, at));
     }
 
+    /// Drops what is older than the retention.
+    fn expire_log(&mut self) {
+        let kept_since = self.now.saturating_sub(LOG_RETENTION);
+        let older = self.log_ends.range(..=kept_since).next_back();
+        if let Some((_, end)) = older {
+            self.log.expire_below(*end);
+        }
+    }
+
+    /// Notes how far the log reaches now, for its retention.
+    fn note_log_end(&mut self) {
+        self.log_ends.insert(self.now, self.log.end());
+    }
+
     fn end_fault(&mut self, fault: Fault, at: Where) {
         let Where { entry, agent } = at;
         match fault {
@@ -1153,3 +1173,12 @@
         }
     }
 }
+
+fn target_vm(index: usize, state: VmState) -> VmRecord {
+    VmRecord {
+        name: format!("target-{index}").into(),
+        role: VmRole::Target,
+        state,
+        agent_address: None,
+    }
+}
