placement: lend slots on demand, with demand kept the same on both sides

Change: slot_grants asks for as many slots as tasks wait, where slots were last seen free, and more widely at the next tick (5 ms, was 20); the former way is kept as slot_grants_ahead; only these two are lent to.

--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -412,7 +412,7 @@
         if self.ledger.offer(entry, dispatch.seq) == Offer::Duplicate {
             return;
         }
-        self.slots.set_demand(session, dispatch.waiting);
+        self.slots.limit_demand(session, dispatch.waiting);
         match self.reason_to_refuse(&dispatch.spec) {
             Some(reason) => self.refuse(session, entry, dispatch.seq, reason),
             None if self.slots.take(session) => self.start_run(entry, dispatch),
@@ -445,7 +445,7 @@
         self.ledger
             .decide(entry, seq, DispatchFate::Refused(reason));
         self.slots.give_back(session, 1);
-        let free = self.slots.free();
+        let free = self.slots.spare();
         self.send(session, AgentMessage::Refused { seq, reason, free });
     }
 
@@ -488,7 +488,7 @@
                 let reason = DispatchRefusal::TargetDown;
                 self.ledger
                     .decide(entry, seq, DispatchFate::Refused(reason));
-                let free = self.slots.free();
+                let free = self.slots.spare();
                 self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
             }
             RunEnd::Ended(outcome) => {
@@ -499,7 +499,7 @@
                     seq,
                     outcome,
                     run_ms: took.as_millis() as u32,
-                    free: self.slots.free(),
+                    free: self.slots.spare(),
                 };
                 self.send_entry(entry, message);
             }
@@ -533,7 +533,7 @@
             match self.ledger.revoke(entry, seq) {
                 Some(DispatchFate::Running) => self.stop_dispatch(entry, seq),
                 Some(DispatchFate::Refused(reason)) => {
-                    let free = self.slots.free();
+                    let free = self.slots.spare();
                     self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
                 }
                 _ => {}
@@ -609,7 +609,7 @@
             if quiet {
                 let message = AgentMessage::Heartbeat {
                     uptime_ms: self.uptime_ms(),
-                    free: self.slots.free(),
+                    free: self.slots.spare(),
                     config: self.config,
                 };
                 self.send(session, message);
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -248,7 +248,7 @@
 }
 
 /// How often time has to be told to a core at the least.
-pub const TICK: Duration = Duration::from_millis(20);
+pub const TICK: Duration = Duration::from_millis(5);
 
 /// State of an entry.
 pub struct EntryCore {
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -18,6 +18,7 @@
     Frame, PROTOCOL_VERSION, SettledDispatch, Welcome,
 };
 use crate::outbox::{AgentLink, Passed};
+use crate::placement::Signal;
 use crate::target_table::{Outstanding, Target};
 
 /// A quiet session gets a heartbeat after this.
@@ -170,8 +171,9 @@
         }
     }
 
-    /// Believes a report of free slots, if the placement does.
+    /// Keeps a report of slots without a task; some placements take it for slots to dispatch to.
     fn note_free(&mut self, id: Incarnation, free: u32) {
+        self.targets.update(id, |t| t.free_seen = free);
         if self.placement.trusts_reports() {
             self.targets.set_credits(id, free);
         }
@@ -384,6 +386,19 @@
         let signals = self
             .placement
             .signal(waiting, &mut self.targets, &mut self.rng);
+        self.send_signals(signals);
+    }
+
+    /// Asks more widely for tasks that have waited since the last tick.
+    fn remind(&mut self) {
+        let waiting = self.jobs.waiting();
+        if waiting.tasks > 0 {
+            let signals = self.placement.remind(waiting, &mut self.targets);
+            self.send_signals(signals);
+        }
+    }
+
+    fn send_signals(&mut self, signals: Vec<Signal>) {
         for signal in signals {
             if matches!(signal.message, EntryMessage::GiveBack(_)) {
                 self.counters.wasted += 3;
@@ -403,10 +418,14 @@
             revoked: false,
         };
         self.targets.take_credits(target, 1);
+        let waiting = self.jobs.waiting().tasks;
         let numbers = self.targets.update(target, |t| {
             let seq = t.next_seq;
             t.next_seq += 1;
             t.outstanding.insert(seq, outstanding);
+            t.free_seen = t.free_seen.saturating_sub(1);
+            // The agent lowers its demand by the dispatch in the same way.
+            t.asked = t.asked.min(waiting);
             (seq, t.settled_below())
         });
         let (Some((seq, settled_below)), Some(job)) = (numbers, self.jobs.get(next.job)) else {
@@ -418,7 +437,7 @@
             job: job.id,
             task: task.index,
             spec: job.spec.tasks[task.index as usize].clone(),
-            waiting: self.jobs.waiting().tasks,
+            waiting,
             trace: job.spec.trace.clone(),
         };
         self.counters.dispatched += 1;
@@ -467,6 +486,7 @@
             self.apply_health(change);
         }
         self.send_heartbeats();
+        self.remind();
     }
 
     fn send_heartbeats(&mut self) {
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -21,14 +21,17 @@
     LeastLoaded,
     /// Reserve at sampled agents, which ask for a task when a slot falls free.
     LateBinding,
-    /// Agents lend free slots to entries by their demand.
+    /// Agents lend free slots to entries when these ask for them.
     #[default]
     SlotGrants,
+    /// Agents lend all free slots ahead of need, in proportion to recent use.
+    SlotGrantsAhead,
 }
 
 /// A text that names no placement.
 #[derive(Debug, Snafu)]
-#[snafu(display("`{text}` is no placement: expected least_loaded, late_binding or slot_grants"))]
+#[snafu(display("`{text}` is no placement: expected least_loaded, late_binding, slot_grants or \
+                   slot_grants_ahead"))]
 pub struct ParsePlacementError {
     text: String,
 }
@@ -41,6 +44,7 @@
             "least_loaded" => Ok(Self::LeastLoaded),
             "late_binding" => Ok(Self::LateBinding),
             "slot_grants" => Ok(Self::SlotGrants),
+            "slot_grants_ahead" => Ok(Self::SlotGrantsAhead),
             _ => ParsePlacementSnafu { text }.fail(),
         }
     }
@@ -52,17 +56,24 @@
             Self::LeastLoaded => "least_loaded",
             Self::LateBinding => "late_binding",
             Self::SlotGrants => "slot_grants",
+            Self::SlotGrantsAhead => "slot_grants_ahead",
         })
     }
 }
 
 impl PlacementMode {
+    /// Whether agents lend slots to entries that tell them of waiting tasks.
+    pub fn lends_on_demand(self) -> bool {
+        matches!(self, Self::SlotGrants | Self::SlotGrantsAhead)
+    }
+
     /// The policy that implements it.
     pub fn build(self) -> Box<dyn Placement> {
         match self {
             Self::LeastLoaded => Box::new(LeastLoaded),
             Self::LateBinding => Box::new(LateBinding),
             Self::SlotGrants => Box::new(SlotGrants),
+            Self::SlotGrantsAhead => Box::new(SlotGrantsAhead),
         }
     }
 }
@@ -136,6 +147,11 @@
         targets: &mut TargetTable,
         rng: &mut ChaCha8Rng,
     ) -> Vec<Signal>;
+
+    /// What to tell agents when tasks still wait some time after they were asked for.
+    fn remind(&self, _: Waiting, _: &mut TargetTable) -> Vec<Signal> {
+        Vec::new()
+    }
 }
 
 /// Baseline: believe the last report, dispatch, be refused now and then.
@@ -224,10 +240,32 @@
     open
 }
 
-/// Targets asked at a time, at the least, when tasks wait without a slot.
-const LEAST_ASKED: usize = 8;
+/// Asks one target for slots, if that adds to what was asked before.
+fn ask(targets: &mut TargetTable, target: Incarnation, wanted: u32) -> Option<Signal> {
+    let asked = targets.update(target, |t| {
+        let more = wanted > t.asked;
+        t.asked = t.asked.max(wanted);
+        more
+    });
+    let message = EntryMessage::Demand(wanted);
+    (asked == Some(true)).then_some(Signal { target, message })
+}
+
+/// Asks every open target for slots: whichever is free first is to answer.
+fn ask_all(waiting: Waiting, targets: &mut TargetTable) -> Vec<Signal> {
+    let mut signals = Vec::new();
+    for target in open_targets(waiting, targets) {
+        let wanted = targets.get(target).map_or(0, |t| {
+            let wanted = waiting.for_target(t).min(t.capacity.slots);
+            // What is asked already is raised only when it has doubled, to save messages.
+            if t.asked == 0 || wanted >= t.asked * 2 { wanted } else { 0 }
+        });
+        signals.extend(ask(targets, target, wanted));
+    }
+    signals
+}
 
-/// Slot grants: ask for slots only when tasks wait; unused ones stay lent until recalled.
+/// Slot grants on demand: ask as many slots as tasks wait, where slots were last seen free.
 struct SlotGrants;
 
 impl Placement for SlotGrants {
@@ -241,27 +279,55 @@
         targets: &mut TargetTable,
         rng: &mut ChaCha8Rng,
     ) -> Vec<Signal> {
-        if waiting.tasks == 0 {
+        let asked = targets.asked();
+        let mut missing = waiting.tasks.saturating_sub(asked);
+        if missing == 0 {
             return Vec::new();
         }
         let mut open = open_targets(waiting, targets);
         open.shuffle(rng);
-        let most = LEAST_ASKED.max(waiting.tasks as usize * 2);
+        open.sort_by_key(|id| std::cmp::Reverse(targets.get(*id).map_or(0, Target::spare)));
         let mut signals = Vec::new();
-        for target in open.into_iter().take(most) {
-            let told = targets.update(target, |t| {
-                let wanted = waiting.for_target(t).min(t.capacity.slots);
-                let ask = t.asked == 0 || wanted >= t.asked * 2;
-                if ask {
-                    t.asked = wanted;
-                }
-                ask.then_some(wanted)
-            });
-            if let Some(Some(n)) = told {
-                let message = EntryMessage::Demand(n);
-                signals.push(Signal { target, message });
+        for target in open {
+            let Some(t) = targets.get(target) else {
+                continue;
+            };
+            let take = t.spare().min(missing).min(waiting.for_target(t));
+            if take == 0 {
+                continue;
             }
+            missing -= take;
+            let wanted = t.asked + take;
+            signals.extend(ask(targets, target, wanted));
+        }
+        if missing > 0 {
+            signals.extend(ask_all(waiting, targets));
         }
         signals
     }
+
+    fn remind(&self, waiting: Waiting, targets: &mut TargetTable) -> Vec<Signal> {
+        ask_all(waiting, targets)
+    }
+}
+
+/// Slot grants ahead of need: most tasks find a slot lent already.
+struct SlotGrantsAhead;
+
+impl Placement for SlotGrantsAhead {
+    fn mode(&self) -> PlacementMode {
+        PlacementMode::SlotGrantsAhead
+    }
+
+    fn signal(
+        &self,
+        waiting: Waiting,
+        targets: &mut TargetTable,
+        _: &mut ChaCha8Rng,
+    ) -> Vec<Signal> {
+        if waiting.tasks == 0 {
+            return Vec::new();
+        }
+        ask_all(waiting, targets)
+    }
 }
--- a/lib/src/slot_book.rs
+++ b/lib/src/slot_book.rs
@@ -88,6 +88,15 @@
         self.total.saturating_sub(self.running + lent)
     }
 
+    /// Slots without a task, lent or not: what an entry could get by asking.
+    pub fn spare(&self) -> u32 {
+        if self.usable {
+            self.total.saturating_sub(self.running)
+        } else {
+            0
+        }
+    }
+
     /// Tasks running.
     pub fn running(&self) -> u32 {
         self.running
@@ -122,11 +131,20 @@
 
     /// Sets how many tasks wait at an entry for slots of this target.
     pub fn set_demand(&mut self, session: SessionId, waiting: u32) {
-        if let Some(borrower) = self.borrowers.get_mut(&session) {
+        if let Some(borrower) = self.borrowers.get_mut(&session)
+            && borrower.mode.lends_on_demand()
+        {
             borrower.demand = waiting;
         }
     }
 
+    /// Lowers the number of waiting tasks to what a dispatch says is left.
+    pub fn limit_demand(&mut self, session: SessionId, waiting: u32) {
+        if let Some(borrower) = self.borrowers.get_mut(&session) {
+            borrower.demand = borrower.demand.min(waiting);
+        }
+    }
+
     /// Queues reservations of late binding.
     pub fn reserve(&mut self, session: SessionId, n: u32) {
         let room = (self.total as usize * 64).saturating_sub(self.reservations.len());
@@ -203,7 +221,7 @@
     fn next_idle(&self) -> Option<SessionId> {
         self.borrowers
             .iter()
-            .filter(|(_, b)| b.mode == PlacementMode::SlotGrants)
+            .filter(|(_, b)| b.mode == PlacementMode::SlotGrantsAhead)
             .min_by(|(_, a), (_, b)| a.crowding().total_cmp(&b.crowding()))
             .map(|(session, _)| *session)
     }
@@ -234,7 +252,7 @@
 
     /// Lent slots that may be asked back: those of a session with nothing waiting.
     fn idle(&self) -> u32 {
-        if self.mode == PlacementMode::SlotGrants && self.demand == 0 {
+        if self.mode.lends_on_demand() && self.demand == 0 {
             self.lent - self.recalled
         } else {
             0
--- a/lib/src/target_table.rs
+++ b/lib/src/target_table.rs
@@ -39,6 +39,8 @@
     pub leaving: bool,
     /// Told in [`crate::message::EntryMessage::Demand`], less what was lent since.
     pub asked: u32,
+    /// Slots without a task when the agent last said so, less what was dispatched since.
+    pub free_seen: u32,
     /// Reservations without an answer (late binding).
     pub reserved: u32,
     /// Agent's clock minus ours, in milliseconds.
@@ -65,6 +67,7 @@
             outstanding: BTreeMap::new(),
             leaving: false,
             asked: 0,
+            free_seen: capacity.slots,
             reserved: 0,
             clock_offset_ms: 0,
             slowness: 1.0,
@@ -79,6 +82,13 @@
         self.credits
     }
 
+    /// Slots that asking would probably bring, beyond those asked for or lent already.
+    pub fn spare(&self) -> u32 {
+        let unasked = self.free_seen.saturating_sub(self.credits + self.asked);
+        let room = self.allowance.saturating_sub(self.outstanding.len() as u32);
+        unasked.min(room)
+    }
+
     /// Every dispatch below this is settled.
     pub fn settled_below(&self) -> DispatchSeq {
         self.outstanding
@@ -252,6 +262,11 @@
         open.map(|t| t.capacity.slots.min(t.allowance)).sum()
     }
 
+    /// Slots asked for and not lent yet.
+    pub fn asked(&self) -> u32 {
+        self.targets.values().map(|t| t.asked).sum()
+    }
+
     /// Dispatches without a known fate.
     pub fn outstanding(&self) -> usize {
         self.targets.values().map(|t| t.outstanding.len()).sum()
--- a/lib/tests/test_fault_matrix.rs
+++ b/lib/tests/test_fault_matrix.rs
@@ -6,10 +6,11 @@
 use testutils::matrix::{Strike, run_cell};
 use trestleknot_lib::placement::PlacementMode;
 
-const PLACEMENTS: [PlacementMode; 3] = [
+const PLACEMENTS: [PlacementMode; 4] = [
     PlacementMode::LeastLoaded,
     PlacementMode::LateBinding,
     PlacementMode::SlotGrants,
+    PlacementMode::SlotGrantsAhead,
 ];
 /// Seeds for each cell.
 const SEEDS: u64 = 2;
--- a/lib/testutils/src/bin/measure.rs
+++ b/lib/testutils/src/bin/measure.rs
@@ -8,10 +8,11 @@
 use testutils::scenario::{self, Outcome, SCENARIOS, Scenario};
 use trestleknot_lib::placement::PlacementMode;
 
-const PLACEMENTS: [PlacementMode; 3] = [
+const PLACEMENTS: [PlacementMode; 4] = [
     PlacementMode::LeastLoaded,
     PlacementMode::LateBinding,
     PlacementMode::SlotGrants,
+    PlacementMode::SlotGrantsAhead,
 ];
 
 fn command() -> Command {
--- a/lib/testutils/src/virtual_fleet.rs
+++ b/lib/testutils/src/virtual_fleet.rs
@@ -13,7 +13,7 @@
 use trestleknot_lib::config_chain::{ConfigStamp, LogRecord};
 use trestleknot_lib::config_document::{Document, Team};
 use trestleknot_lib::entry::{
-    EntryAction, EntryCore, EntryEvent, EntryOptions, PermitRequest, Reply, Submission, TICK,
+    EntryAction, EntryCore, EntryEvent, EntryOptions, PermitRequest, Reply, Submission,
 };
 use trestleknot_lib::http_api::hash_key;
 use trestleknot_lib::ids::{JobId, Now, RequestId, SessionId};
@@ -30,6 +30,8 @@
 
 /// One way over a link.
 const LATENCY: Duration = Duration::from_micros(500);
+/// Time between ticks; rarer than the daemons', to save the tests' time.
+const TICK: Duration = Duration::from_millis(20);
 /// Pause before a lost session is tried again.
 const REDIAL: Duration = Duration::from_millis(200);
 /// How long a process is gone before its next life begins.
