placement: jobs by due time, and fewer slots asked for in a full fleet

Change: a job is due after three times its own expected run time, and the one due first goes first, in place of started first and then by admission (as in work on maximum stretch); two slots are asked for each waiting task and one more at each tick.

--- a/lib/src/entry_jobs.rs
+++ b/lib/src/entry_jobs.rs
@@ -12,6 +12,10 @@
 use crate::message::PeerMessage;
 use crate::permit::{StoredAnswer, request_digest};
 
+/// A job is due after so many times its own ideal: short jobs wait little, long ones are not
+/// overtaken for ever.
+const DUE_STRETCH: f64 = 3.0;
+
 impl EntryCore {
     /// Lets a submission through the filter chain and makes it a job, or refuses it.
     pub(crate) fn submit(&mut self, submission: Submission) {
@@ -112,12 +116,12 @@
         let estimate_ms = estimate.response().as_millis() as u64;
         let admitted = StepKind::Admitted { tasks, estimate_ms };
         self.journal.add(seq, self.now, || admitted);
-        let job = self.new_job(id, request, spec);
+        let job = self.new_job(id, request, spec, estimate);
         self.jobs.insert(job);
         self.claim_permit(seq);
     }
 
-    fn new_job(&self, id: JobId, request: RequestId, spec: JobSpec) -> Job {
+    fn new_job(&self, id: JobId, request: RequestId, spec: JobSpec, estimate: Estimate) -> Job {
         let phase = if spec.permit.is_some() {
             Phase::Claiming
         } else {
@@ -128,6 +132,7 @@
             request,
             arrived: self.now,
             deadline: self.now + spec.deadline,
+            due: self.now + estimate.run.mul_f64(DUE_STRETCH).min(spec.deadline),
             phase,
             results: vec![None; spec.tasks.len()],
             ended: 0,
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -393,7 +393,9 @@
     fn remind(&mut self) {
         let waiting = self.jobs.waiting();
         if waiting.tasks > 0 {
-            let signals = self.placement.remind(waiting, &mut self.targets);
+            let signals = self
+                .placement
+                .remind(waiting, &mut self.targets, &mut self.rng);
             self.send_signals(signals);
         }
     }
--- a/lib/src/job_table.rs
+++ b/lib/src/job_table.rs
@@ -40,6 +40,8 @@
     pub arrived: Now,
     /// When its caller stops waiting.
     pub deadline: Now,
+    /// When it should be done, so that no job lags much further behind its ideal than others.
+    pub due: Now,
     /// How far it is.
     pub phase: Phase,
     /// Results so far.
@@ -78,10 +80,11 @@
     }
 }
 
-/// Place of a job in the queue: started jobs first, then the order of admission.
+/// Place of a job in the queue: the one that is due first. docs/design/placement.md has the
+/// figures for this against the order of admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct QueueKey {
-    unstarted: bool,
+    due: Now,
     job: JobSeq,
 }
 
@@ -270,7 +273,7 @@
 
 fn queue_key(job: &Job) -> QueueKey {
     QueueKey {
-        unstarted: !job.may_have_run(),
+        due: job.due,
         job: job.id.seq,
     }
 }
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -30,8 +30,10 @@
 
 /// A text that names no placement.
 #[derive(Debug, Snafu)]
-#[snafu(display("`{text}` is no placement: expected least_loaded, late_binding, slot_grants or \
-                   slot_grants_ahead"))]
+#[snafu(display(
+    "`{text}` is no placement: expected least_loaded, late_binding, slot_grants or \
+                   slot_grants_ahead"
+))]
 pub struct ParsePlacementError {
     text: String,
 }
@@ -149,7 +151,7 @@
     ) -> Vec<Signal>;
 
     /// What to tell agents when tasks still wait some time after they were asked for.
-    fn remind(&self, _: Waiting, _: &mut TargetTable) -> Vec<Signal> {
+    fn remind(&self, _: Waiting, _: &mut TargetTable, _: &mut ChaCha8Rng) -> Vec<Signal> {
         Vec::new()
     }
 }
@@ -251,16 +253,36 @@
     (asked == Some(true)).then_some(Signal { target, message })
 }
 
-/// Asks every open target for slots: whichever is free first is to answer.
-fn ask_all(waiting: Waiting, targets: &mut TargetTable) -> Vec<Signal> {
+/// Slots asked for at a time for each waiting task while no slot is seen free.
+const ASKED_PER_TASK: u32 = 2;
+
+/// Asks open targets in random order for slots until `most` are asked for in all: whichever
+/// target is free first is to answer.
+fn ask_widely(
+    waiting: Waiting,
+    most: u32,
+    targets: &mut TargetTable,
+    rng: &mut ChaCha8Rng,
+) -> Vec<Signal> {
+    let mut open = open_targets(waiting, targets);
+    open.shuffle(rng);
+    let each = most.div_ceil(open.len().max(1) as u32);
+    let mut asked = targets.asked();
     let mut signals = Vec::new();
-    for target in open_targets(waiting, targets) {
-        let wanted = targets.get(target).map_or(0, |t| {
-            let wanted = waiting.for_target(t).min(t.capacity.slots);
-            // What is asked already is raised only when it has doubled, to save messages.
-            if t.asked == 0 || wanted >= t.asked * 2 { wanted } else { 0 }
-        });
-        signals.extend(ask(targets, target, wanted));
+    for target in open {
+        if asked >= most {
+            break;
+        }
+        let Some(t) = targets.get(target) else {
+            continue;
+        };
+        let wanted = each.min(waiting.for_target(t)).min(t.capacity.slots);
+        let more = wanted.saturating_sub(t.asked);
+        // What is asked already is raised only when it has doubled, to save messages.
+        if t.asked == 0 || wanted >= t.asked * 2 {
+            asked += more;
+            signals.extend(ask(targets, target, wanted));
+        }
     }
     signals
 }
@@ -301,13 +323,20 @@
             signals.extend(ask(targets, target, wanted));
         }
         if missing > 0 {
-            signals.extend(ask_all(waiting, targets));
+            let most = waiting.tasks * ASKED_PER_TASK;
+            signals.extend(ask_widely(waiting, most, targets, rng));
         }
         signals
     }
 
-    fn remind(&self, waiting: Waiting, targets: &mut TargetTable) -> Vec<Signal> {
-        ask_all(waiting, targets)
+    fn remind(
+        &self,
+        waiting: Waiting,
+        targets: &mut TargetTable,
+        rng: &mut ChaCha8Rng,
+    ) -> Vec<Signal> {
+        let most = targets.asked() + waiting.tasks;
+        ask_widely(waiting, most, targets, rng)
     }
 }
 
@@ -323,11 +352,11 @@
         &self,
         waiting: Waiting,
         targets: &mut TargetTable,
-        _: &mut ChaCha8Rng,
+        rng: &mut ChaCha8Rng,
     ) -> Vec<Signal> {
         if waiting.tasks == 0 {
             return Vec::new();
         }
-        ask_all(waiting, targets)
+        ask_widely(waiting, u32::MAX / 2, targets, rng)
     }
 }
--- a/lib/testutils/src/scenario.rs
+++ b/lib/testutils/src/scenario.rs
@@ -14,8 +14,8 @@
 use trestleknot_lib::status::EntryStatus;
 use trestleknot_lib::vm_list::{VmRecord, VmRole, VmState};
 
-use crate::central_queue;
 use crate::caller::{self, Heard, JobRecord, PlannedJob};
+use crate::central_queue;
 use crate::embedded::{Fleet, FleetPlan, TeamPlan};
 use crate::load::{Load, Shape};
 use crate::summary::{Lag, Summary};
@@ -140,7 +140,12 @@
 }
 
 /// Runs a scenario once. Must not run on an ntex system, for it starts one.
-pub fn run(scenario: &Scenario, placement: PlacementMode, length: Duration, seed: u64) -> io::Result<Outcome> {
+pub fn run(
+    scenario: &Scenario,
+    placement: PlacementMode,
+    length: Duration,
+    seed: u64,
+) -> io::Result<Outcome> {
     let team = |name: &str| TeamPlan {
         name: name.to_owned(),
         key: format!("{name}-key"),
@@ -346,6 +351,8 @@
 }
 
 fn median_refusal_ms(records: &[JobRecord]) -> f64 {
-    let refused = records.iter().filter(|r| matches!(r.heard, Heard::Refused(_)));
+    let refused = records
+        .iter()
+        .filter(|r| matches!(r.heard, Heard::Refused(_)));
     median_ms(refused.map(|r| r.response).collect())
 }
