--- a/lib/src/config_chain.rs
+++ b/lib/src/config_chain.rs
@@ -111,6 +111,17 @@
     pub fate: ChangeFate,
 }
 
+/// What taking over a state changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Adopted {
+    /// The head moved forward.
+    Newer,
+    /// The head is the same, but known to be exact further on.
+    Extended,
+    /// Nothing.
+    Nothing,
+}
+
 /// Follows the log.
 #[derive(Debug, Default)]
 pub struct ConfigChain {
@@ -194,21 +205,24 @@
         self.held.is_some() && !self.has_gap() && self.stamp().version >= self.newest_known.version
     }
 
-    /// Takes over a state from a peer or a snapshot. True if it moved the head forward.
-    pub fn adopt(&mut self, state: &ConfigState) -> bool {
+    /// Takes over a state from a peer or a snapshot.
+    pub fn adopt(&mut self, state: &ConfigState) -> Adopted {
         let newer = match &self.held {
             None => true,
             Some(held) => state.stamp.version > held.state.stamp.version,
         };
-        if newer && state.is_sound() {
-            return self.install(state.clone());
+        if newer && state.is_sound() && self.install(state.clone()) {
+            return Adopted::Newer;
         }
         if let Some(held) = &mut self.held
             && held.state.stamp == state.stamp
+            && held.state.read_to < state.read_to
         {
-            held.state.read_to = held.state.read_to.max(state.read_to);
+            held.state.read_to = state.read_to;
+            self.read_from = state.read_to;
+            return Adopted::Extended;
         }
-        false
+        Adopted::Nothing
     }
 
     fn install(&mut self, state: ConfigState) -> bool {
@@ -237,9 +251,13 @@
         let mut seen = Vec::new();
         let mut at = 0;
         while let Some(stored) = batch.records.get(at) {
-            let moved_by_snapshot = self.read_record(stored, batch.from, now, &mut seen);
+            let adopted = self.read_record(stored, batch.from, now, &mut seen);
             // Records between the snapshot's state and the snapshot have to be read again.
-            at = if moved_by_snapshot { 0 } else { at + 1 };
+            at = if adopted == Adopted::Nothing {
+                at + 1
+            } else {
+                0
+            };
         }
         self.read_from = self.read_from.max(batch.next);
         self.note_read_to(batch, now);
@@ -285,14 +303,14 @@
         self.gap = None;
     }
 
-    /// Reads one record. True if a snapshot moved the head.
+    /// Reads one record. Returns what a snapshot changed.
     fn read_record(
         &mut self,
         stored: &StoredRecord,
         from: LogOffset,
         now: Now,
         seen: &mut Vec<SeenChange>,
-    ) -> bool {
+    ) -> Adopted {
         match &stored.record {
             Some(LogRecord::Change {
                 nonce,
@@ -307,16 +325,21 @@
                     let nonce = *nonce;
                     seen.push(SeenChange { nonce, fate });
                 }
-                false
+                Adopted::Nothing
             }
             Some(LogRecord::Snapshot { state }) => {
-                let moved = state.read_to >= from && self.adopt(state);
+                let usable = state.read_to >= from;
+                let adopted = if usable {
+                    self.adopt(state)
+                } else {
+                    Adopted::Nothing
+                };
                 if state.stamp == self.stamp() {
                     self.set_anchor(stored.offset, now);
                 }
-                moved
+                adopted
             }
-            None => false,
+            None => Adopted::Nothing,
         }
     }
 
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::config_chain::Adopted;
 use crate::counters::Kind as _;
 use crate::entry::{EntryAction, EntryCore};
 use crate::events::EventCode;
@@ -79,7 +80,7 @@
                 }
             }
             PeerMessage::Config(state) => {
-                if self.config.adopt(&state) {
+                if self.config.adopt(&state) == Adopted::Newer {
                     self.config_changed();
                 }
             }
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -188,11 +188,9 @@
     }
 
     fn slots_recalled(&mut self, id: Incarnation, n: u32) {
-        let back = self.targets.take_credits(id, n);
+        self.targets.take_credits(id, n);
+        // The recall, and the loan that came to nothing.
         self.counters.wasted += 2;
-        if back > 0 {
-            self.send_agent(id, EntryMessage::GiveBack(back));
-        }
     }
 
     /// Settles what was open when the session was lost.
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -263,7 +263,7 @@
     /// Slots that the entry may dispatch to.
     #[serde(rename = "L")]
     Lend(u32),
-    /// Lent slots that another entry needs.
+    /// Lent slots that are taken back, for another entry needs them.
     #[serde(rename = "R")]
     Recall(u32),
     /// Sign of life on a quiet session.
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -254,7 +254,7 @@
 }
 
 /// Slots asked for at a time for each waiting task while no slot is seen free.
-const ASKED_PER_TASK: u32 = 2;
+const ASKED_PER_TASK: u32 = 1;
 
 /// Asks open targets in random order for slots until `most` are asked for in all: whichever
 /// target is free first is to answer.
--- a/lib/src/slot_book.rs
+++ b/lib/src/slot_book.rs
@@ -18,7 +18,7 @@
 pub enum SlotNotice {
     /// So many more slots are lent.
     Lend(SessionId, u32),
-    /// So many lent slots are wanted back.
+    /// So many lent slots are taken back.
     Recall(SessionId, u32),
 }
 
@@ -39,7 +39,6 @@
 struct Borrower {
     mode: PlacementMode,
     lent: u32,
-    recalled: u32,
     demand: u32,
     weight: f64,
 }
@@ -62,7 +61,6 @@
         let borrower = Borrower {
             mode,
             lent: 0,
-            recalled: 0,
             demand: 0,
             weight: BASE_WEIGHT,
         };
@@ -111,7 +109,6 @@
         };
         if borrower.lent > 0 {
             borrower.lent -= 1;
-            borrower.recalled = borrower.recalled.min(borrower.lent);
         } else if free == 0 || !self.usable {
             return false;
         }
@@ -156,36 +153,38 @@
     pub fn give_back(&mut self, session: SessionId, n: u32) {
         if let Some(borrower) = self.borrowers.get_mut(&session) {
             borrower.lent -= n.min(borrower.lent);
-            borrower.recalled -= n.min(borrower.recalled);
         }
     }
 
     /// Lends what is free and recalls what others need more. Call after every change.
     pub fn balance(&mut self) -> Vec<SlotNotice> {
-        let mut lends: BTreeMap<SessionId, u32> = BTreeMap::new();
-        if self.usable {
-            while self.free() > 0 {
-                let Some(session) = self.next_borrower() else {
-                    break;
-                };
-                *lends.entry(session).or_default() += 1;
-            }
+        if !self.usable {
+            return Vec::new();
         }
-        let mut notices: Vec<SlotNotice> = lends
-            .into_iter()
-            .map(|(session, n)| SlotNotice::Lend(session, n))
-            .collect();
-        notices.extend(self.recall_for_the_hungry());
+        let mut lends = BTreeMap::new();
+        self.lend_free(&mut lends);
+        let mut notices = self.recall_for_the_hungry();
+        self.lend_free(&mut lends);
+        let lent = lends.into_iter();
+        notices.extend(lent.map(|(session, n)| SlotNotice::Lend(session, n)));
         notices
     }
 
-    /// Asks for all lent slots back, for a target that can't use them.
+    fn lend_free(&mut self, lends: &mut BTreeMap<SessionId, u32>) {
+        while self.free() > 0 {
+            let Some(session) = self.next_borrower() else {
+                return;
+            };
+            *lends.entry(session).or_default() += 1;
+        }
+    }
+
+    /// Takes all lent slots back, for a target that can't use them.
     pub fn recall_all(&mut self) -> Vec<SlotNotice> {
         let mut notices = Vec::new();
         for (session, borrower) in &mut self.borrowers {
-            let n = borrower.lent - borrower.recalled;
+            let n = std::mem::take(&mut borrower.lent);
             if n > 0 {
-                borrower.recalled += n;
                 notices.push(SlotNotice::Recall(*session, n));
             }
         }
@@ -226,17 +225,18 @@
             .map(|(session, _)| *session)
     }
 
-    /// Asks for idle slots back while sessions wait and nothing is free.
+    /// Takes idle slots back for sessions that wait while nothing is free. A dispatch may be on
+    /// its way to a slot taken back; it is refused then, which is proof that it did not start.
     fn recall_for_the_hungry(&mut self) -> Vec<SlotNotice> {
-        let hungry = self.borrowers.values().filter(|b| b.demand > 0).count() as u32;
-        let pending: u32 = self.borrowers.values().map(|b| b.recalled).sum();
-        let mut wanted = hungry.saturating_sub(pending);
+        if self.free() > 0 {
+            return Vec::new();
+        }
+        let mut wanted: u32 = self.borrowers.values().map(|b| b.demand).sum();
         let mut notices = Vec::new();
         for (session, borrower) in &mut self.borrowers {
-            let idle = borrower.idle();
-            let n = wanted.min(idle);
+            let n = wanted.min(borrower.idle());
             if n > 0 {
-                borrower.recalled += n;
+                borrower.lent -= n;
                 wanted -= n;
                 notices.push(SlotNotice::Recall(*session, n));
             }
@@ -253,7 +253,7 @@
     /// Lent slots that may be asked back: those of a session with nothing waiting.
     fn idle(&self) -> u32 {
         if self.mode.lends_on_demand() && self.demand == 0 {
-            self.lent - self.recalled
+            self.lent
         } else {
             0
         }
--- /dev/null
+++ b/lib/tests/test_config_chain.rs
@@ -0,0 +1,199 @@
+//! Which configuration is in force: contract of the chain, and orders that nobody listed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use trestleknot_lib::config_chain::{ChangeFate, ConfigChain, ConfigStamp, LogRecord};
+use trestleknot_lib::config_document::Document;
+use trestleknot_lib::memory_platform::{LogFaults, MemoryLog};
+
+fn text(lease_ms: u32) -> Arc<str> {
+    let document = Document {
+        lease_ms,
+        ..Document::default()
+    };
+    document.canonical().expect("it can be written").into()
+}
+
+fn change(nonce: u64, replaces: ConfigStamp) -> LogRecord {
+    LogRecord::Change {
+        nonce,
+        replaces,
+        text: text(1_000 + nonce as u32),
+        author: "test".to_owned(),
+    }
+}
+
+fn read(chain: &mut ConfigChain, log: &MemoryLog) -> Vec<ChangeFate> {
+    let batch = log.read_now(chain.read_from()).expect("the log is up");
+    let seen = chain.read(&batch, Duration::ZERO);
+    seen.into_iter().map(|s| s.fate).collect()
+}
+
+#[test]
+fn test_read_race_has_one_winner() {
+    let log = MemoryLog::default();
+    log.append_now(change(1, ConfigStamp::default()))
+        .expect("up");
+    log.append_now(change(2, ConfigStamp::default()))
+        .expect("up");
+    let mut chain = ConfigChain::default();
+    let fates = read(&mut chain, &log);
+    let head = chain.stamp();
+    assert_eq!(
+        fates,
+        [ChangeFate::InForce(head), ChangeFate::LostRace { head }]
+    );
+    assert_eq!(head.version, 1);
+}
+
+#[test]
+fn test_append_reply_lost_takes_effect() {
+    let log = MemoryLog::default();
+    log.set_faults(LogFaults {
+        lose_replies: true,
+        ..LogFaults::default()
+    });
+    assert!(log.append_now(change(1, ConfigStamp::default())).is_err());
+    let mut chain = ConfigChain::default();
+    read(&mut chain, &log);
+    assert_eq!(chain.stamp().version, 1);
+}
+
+#[test]
+fn test_read_stale_snapshot_does_not_revert() {
+    let log = MemoryLog::default();
+    log.append_now(change(1, ConfigStamp::default()))
+        .expect("up");
+    let mut slow = ConfigChain::default();
+    read(&mut slow, &log);
+    let stale = slow.state().cloned().expect("held");
+    log.append_now(change(2, stale.stamp)).expect("up");
+    log.append_now(LogRecord::Snapshot { state: stale })
+        .expect("up");
+    // A fresh process finds only the change to version 2 and the late snapshot of version 1.
+    log.expire_below(1);
+    let mut fresh = ConfigChain::default();
+    read(&mut fresh, &log);
+    assert_eq!(fresh.stamp().version, 2);
+}
+
+#[test]
+fn test_read_expired_base_admits_nothing() {
+    let log = MemoryLog::default();
+    log.append_now(change(1, ConfigStamp::default()))
+        .expect("up");
+    log.append_now(change(2, ConfigStamp::default()))
+        .expect("up");
+    log.expire_below(1);
+    let mut fresh = ConfigChain::default();
+    read(&mut fresh, &log);
+    // The loser of the race is all that is left; it must not be taken for the head.
+    assert_eq!(fresh.document(), None);
+    assert!(!fresh.is_current());
+}
+
+#[test]
+fn test_is_current_newer_known() {
+    let log = MemoryLog::default();
+    let mut chain = ConfigChain::default();
+    read(&mut chain, &log);
+    assert!(chain.is_current());
+    chain.heard_of(ConfigStamp {
+        version: 3,
+        digest: 1,
+    });
+    assert!(!chain.is_current());
+}
+
+#[test]
+fn test_read_snapshot_of_same_head_fills_gap() {
+    // Found by test_chain_any_order: a snapshot that only extends what is held must not skip
+    // the change between its state and itself.
+    let log = MemoryLog::default();
+    log.append_now(change(1, ConfigStamp::default()))
+        .expect("up");
+    let mut slow = ConfigChain::default();
+    read(&mut slow, &log);
+    log.append_now(change(2, ConfigStamp::default()))
+        .expect("up");
+    log.append_now(change(3, ConfigStamp::default()))
+        .expect("up");
+    let mut other = ConfigChain::default();
+    read(&mut other, &log);
+    let state = other.state().cloned().expect("held");
+    log.append_now(change(4, state.stamp)).expect("up");
+    log.append_now(LogRecord::Snapshot { state }).expect("up");
+    log.expire_below(2);
+    read(&mut slow, &log);
+    assert_eq!(slow.stamp().version, 2);
+}
+
+#[derive(Debug, Clone)]
+enum Happens {
+    Change { reader: usize },
+    Snapshot { reader: usize },
+    Read { reader: usize },
+    Gossip { from: usize, to: usize },
+    Restart { reader: usize },
+}
+
+const READERS: usize = 3;
+
+fn happens() -> impl Strategy<Value = Happens> {
+    let reader = 0..READERS;
+    prop_oneof![
+        3 => reader.clone().prop_map(|reader| Happens::Change { reader }),
+        2 => reader.clone().prop_map(|reader| Happens::Snapshot { reader }),
+        5 => reader.clone().prop_map(|reader| Happens::Read { reader }),
+        2 => (reader.clone(), reader.clone()).prop_map(|(from, to)| Happens::Gossip { from, to }),
+        1 => reader.prop_map(|reader| Happens::Restart { reader }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 1_000, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// Whatever the order of reads, races, late snapshots, gossip, restarts and expiry: nobody
+    /// goes back, and all who read to the end agree with one who read every record.
+    #[test]
+    fn test_chain_any_order(events in proptest::collection::vec(happens(), 1..60), expire in 0u64..20) {
+        let log = MemoryLog::default();
+        let mut truth = ConfigChain::default();
+        let mut readers: Vec<ConfigChain> = (0..READERS).map(|_| ConfigChain::default()).collect();
+        let mut nonce = 10;
+        for event in events {
+            match event {
+                Happens::Change { reader } => {
+                    nonce += 1;
+                    log.append_now(change(nonce, readers[reader].stamp())).expect("up");
+                }
+                Happens::Snapshot { reader } => {
+                    if let Some(state) = readers[reader].state().cloned() {
+                        log.append_now(LogRecord::Snapshot { state }).expect("up");
+                    }
+                }
+                Happens::Read { reader } => {
+                    let before = readers[reader].stamp();
+                    read(&mut readers[reader], &log);
+                    prop_assert!(readers[reader].stamp().version >= before.version);
+                }
+                Happens::Gossip { from, to } => {
+                    if let Some(state) = readers[from].state().cloned() {
+                        readers[to].adopt(&state);
+                    }
+                }
+                Happens::Restart { reader } => readers[reader] = ConfigChain::default(),
+            }
+            read(&mut truth, &log);
+        }
+        log.expire_below(expire.min(log.end()));
+        for reader in &mut readers {
+            read(reader, &log);
+            if reader.is_current() {
+                prop_assert_eq!(reader.stamp(), truth.stamp());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_daemons.rs
@@ -0,0 +1,305 @@
+//! Real daemons on loopback sockets: contracts of HTTP, of links, and of an orderly stop.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use ntex::client::Client;
+use serde_json::{Value, json};
+use testutils::caller::new_client;
+use testutils::embedded::{Fleet, FleetPlan, TeamPlan};
+use tokio_tungstenite::tungstenite::Message;
+use trestleknot_lib::worker_threads::run_system;
+
+/// Ends a test that hangs; nothing is judged by it.
+const HANG: Duration = Duration::from_secs(30);
+
+fn plan() -> FleetPlan {
+    let team = |name: &str| TeamPlan {
+        name: name.to_owned(),
+        key: format!("{name}-key"),
+        quota: 50,
+    };
+    FleetPlan {
+        entries: 2,
+        targets: 2,
+        slots: 4,
+        halls: vec!["hall".to_owned()],
+        teams: vec![team("a"), team("b")],
+        placement: None,
+    }
+}
+
+fn with_fleet<F: Future<Output = ()> + 'static>(f: impl FnOnce(Fleet) -> F + 'static) {
+    let done = Rc::new(RefCell::new(false));
+    let mark = done.clone();
+    run_system("test", async move {
+        let fleet = Fleet::start(plan()).expect("a fleet starts");
+        wait_ready(&fleet).await;
+        f(fleet).await;
+        *mark.borrow_mut() = true;
+    });
+    assert!(*done.borrow(), "the test ran to its end");
+}
+
+async fn wait_ready(fleet: &Fleet) {
+    let client = new_client().await;
+    for address in fleet.operator_addresses() {
+        loop {
+            let status = get(&client, &format!("http://{address}/status")).await;
+            let live = status["targets"].as_array().map_or(0, Vec::len);
+            if live == 2 && status["config_current"] == json!(true) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn get(client: &Client, url: &str) -> Value {
+    let response = client.get(url).send().await.expect("an answer");
+    let body = response.body().await.expect("a body");
+    serde_json::from_slice(&body).expect("JSON")
+}
+
+struct Heard {
+    status: u16,
+    body: Value,
+    permit: Option<String>,
+}
+
+async fn post(client: &Client, address: SocketAddr, key: &str, body: &Value) -> Heard {
+    let request = client
+        .post(format!("http://{address}/v1/jobs"))
+        .header("authorization", format!("Bearer {key}"));
+    let response = request.send_json(body).await.expect("an answer");
+    let permit = response.header("x-trestleknot-permit");
+    let permit = permit.and_then(|p| p.to_str().ok()).map(str::to_owned);
+    let text = response.body().await.expect("a body");
+    Heard {
+        status: response.status().as_u16(),
+        body: serde_json::from_slice(&text).expect("JSON"),
+        permit,
+    }
+}
+
+fn job(run_ms: u64, id: &str) -> Value {
+    let payload = json!({ "run_ms": run_ms, "id": id }).to_string();
+    json!({ "tasks": [{ "kind": "work", "payload": payload }], "deadline_ms": 10_000 })
+}
+
+#[test]
+fn test_submit_answers_by_case() {
+    with_fleet(|fleet| async move {
+        let client = new_client().await;
+        let address = fleet.caller_addresses()[0];
+        let many: Vec<Value> = (0..51).map(|_| json!({ "kind": "w" })).collect();
+        let too_many: Vec<Value> = (0..1_101).map(|_| json!({ "kind": "w" })).collect();
+        let cases = [
+            ("a-key", job(5, "x"), 200, "complete", ""),
+            ("wrong", job(5, "y"), 401, "refused", "unknown_team"),
+            ("a-key", json!({ "tasks": [] }), 400, "refused", "malformed"),
+            ("a-key", json!({ "tusks": 1 }), 400, "refused", "malformed"),
+            (
+                "a-key",
+                json!({ "tasks": many }),
+                429,
+                "refused",
+                "over_quota",
+            ),
+            (
+                "a-key",
+                json!({ "tasks": too_many }),
+                413,
+                "refused",
+                "too_large",
+            ),
+            (
+                "a-key",
+                json!({ "tasks": [{ "kind": "w", "accelerators": 9 }] }),
+                422,
+                "refused",
+                "impossible",
+            ),
+            (
+                "a-key",
+                json!({ "tasks": [{ "kind": "w", "expected_ms": 9_000 }], "deadline_ms": 100 }),
+                503,
+                "refused",
+                "would_miss_deadline",
+            ),
+            (
+                "a-key",
+                json!({ "tasks": [{ "kind": "w" }], "repeatable": false }),
+                428,
+                "refused",
+                "permit_needed",
+            ),
+            (
+                "a-key",
+                json!({ "tasks": [{ "kind": "w", "payload": "{\"fail\":true}" }] }),
+                500,
+                "failed",
+                "",
+            ),
+        ];
+        for (key, body, status, kind, why) in cases {
+            let heard = post(&client, address, key, &body).await;
+            assert_eq!(heard.status, status, "{}", heard.body);
+            assert_eq!(heard.body["status"], json!(kind), "{}", heard.body);
+            if !why.is_empty() {
+                assert_eq!(heard.body["why"], json!(why), "{}", heard.body);
+            }
+        }
+        assert_eq!(fleet.starts.started_twice(), 0);
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_submit_once_resubmitted_elsewhere_gets_same_answer() {
+    with_fleet(|fleet| async move {
+        let client = new_client().await;
+        let [first, second] = fleet.caller_addresses()[..] else {
+            panic!("two entries");
+        };
+        let request = client
+            .post(format!("http://{first}/v1/permits?count=1"))
+            .header("authorization", "Bearer a-key");
+        let response = request.send().await.expect("an answer");
+        let permits: Vec<String> =
+            serde_json::from_slice(&response.body().await.expect("a body")).expect("JSON");
+        let mut body = job(20, "charge");
+        body["repeatable"] = json!(false);
+        body["permit"] = json!(permits[0]);
+        let heard = post(&client, first, "a-key", &body).await;
+        assert_eq!(heard.status, 200, "{}", heard.body);
+        assert!(heard.permit.is_some(), "a fresh permit rides on the answer");
+        let again = post(&client, second, "a-key", &body).await;
+        assert_eq!(again.body, heard.body, "the kept answer");
+        let stranger = post(&client, second, "b-key", &body).await;
+        assert_eq!(stranger.body["why"], json!("permit_invalid"));
+        assert_eq!(fleet.starts.len(), 1);
+        assert_eq!(fleet.starts.started_twice(), 0);
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_cancel_only_by_own_team_through_any_entry() {
+    with_fleet(|fleet| async move {
+        let client = new_client().await;
+        let [first, second] = fleet.caller_addresses()[..] else {
+            panic!("two entries");
+        };
+        let submitting = client.clone();
+        let long = ntex::rt::spawn(async move {
+            post(&submitting, first, "a-key", &job(20_000, "long")).await
+        });
+        let incarnation = fleet.entries[0].daemon.as_ref().map(|d| d.incarnation);
+        let id = format!("{:016x}-1", incarnation.expect("it runs"));
+        while !fleet.starts.started("long") {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let cancel = async |key: &str| {
+            let request = client
+                .delete(format!("http://{second}/v1/jobs/{id}"))
+                .header("authorization", format!("Bearer {key}"));
+            request.send().await.expect("an answer").status().as_u16()
+        };
+        assert_eq!(cancel("wrong").await, 404);
+        // Another team's wish is passed on, but the holder knows whose job it is.
+        cancel("b-key").await;
+        let state = client
+            .get(format!("http://{first}/v1/jobs/{id}"))
+            .header("authorization", "Bearer a-key");
+        let state = state.send().await.expect("an answer");
+        assert_eq!(state.status().as_u16(), 200, "still there");
+        assert_eq!(cancel("a-key").await, 202);
+        let heard = tokio::time::timeout(HANG, long).await.expect("no hang");
+        let heard = heard.expect("it ran");
+        assert_eq!(
+            heard.body["reason"]["why"],
+            json!("cancelled"),
+            "{}",
+            heard.body
+        );
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_drain_cuts_off_nothing_in_flight() {
+    with_fleet(|fleet| async move {
+        let client = new_client().await;
+        let address = fleet.caller_addresses()[0];
+        let submitting = client.clone();
+        let running = ntex::rt::spawn(async move {
+            post(&submitting, address, "a-key", &job(600, "in-flight")).await
+        });
+        while !fleet.starts.started("in-flight") {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        let daemon = fleet.entries[0].daemon.as_ref().expect("it runs");
+        daemon.drain();
+        let late = post(&client, address, "a-key", &job(5, "late")).await;
+        assert_eq!(late.body["why"], json!("stopping"), "{}", late.body);
+        let heard = tokio::time::timeout(HANG, running).await.expect("no hang");
+        assert_eq!(heard.expect("it ran").status, 200);
+        assert!(!fleet.starts.started("late"));
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_links_strangers_and_malformed_frames() {
+    with_fleet(|fleet| async move {
+        let daemon = fleet.entries[0].daemon.as_ref().expect("it runs");
+        let agents = daemon.agent_address;
+        let stranger = ntex::rt::spawn(async move {
+            let stream = tokio::net::TcpStream::connect(agents)
+                .await
+                .expect("connects");
+            let url = format!("ws://{agents}/agent");
+            let (mut socket, _) = tokio_tungstenite::client_async(url, stream)
+                .await
+                .expect("upgrades");
+            let nonce = socket.next().await;
+            assert!(matches!(nonce, Some(Ok(Message::Binary(_)))));
+            let guess = Message::Binary(vec![0; 48].into());
+            socket.send(guess).await.expect("sent");
+            // Nothing but the end may follow.
+            while let Some(Ok(message)) = socket.next().await {
+                assert!(!message.is_binary(), "a stranger was answered");
+            }
+        });
+        tokio::time::timeout(HANG, stranger)
+            .await
+            .expect("no hang")
+            .expect("it ran");
+        let client = new_client().await;
+        let heard = post(
+            &client,
+            fleet.caller_addresses()[0],
+            "a-key",
+            &job(5, "after"),
+        )
+        .await;
+        assert_eq!(heard.status, 200, "others are served on");
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_daemon_holds_no_io_uring() {
+    with_fleet(|fleet| async move {
+        let links = std::fs::read_dir("/proc/self/fd").expect("Linux");
+        let uses_ring = links
+            .filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok())
+            .any(|path| path.to_string_lossy().contains("io_uring"));
+        assert!(!uses_ring);
+        fleet.stop();
+    });
+}
--- a/lib/testutils/src/embedded.rs
+++ b/lib/testutils/src/embedded.rs
@@ -221,7 +221,8 @@
     /// Kills an entry as a crash does. The VM list still shows it for a while.
     pub fn kill_entry(&mut self, index: usize) {
         if let Some(daemon) = self.entries[index].daemon.take() {
-            daemon.kill();
+            // On a thread of its own, so that it holds up no caller on this one.
+            std::thread::spawn(move || daemon.kill());
         }
     }
 
@@ -230,7 +231,7 @@
         let target = &mut self.targets[index];
         target.target.kill();
         if let Some(agent) = target.agent.take() {
-            agent.kill();
+            std::thread::spawn(move || agent.kill());
         }
         self.vms.remove(&target.name);
     }
