--- a/lib/src/json.rs
+++ b/lib/src/json.rs
@@ -2,7 +2,7 @@
 
 use jsonc_parser::ParseOptions;
 use serde::de::DeserializeOwned;
-use snafu::{ResultExt as _, Snafu};
+use snafu::Snafu;
 
 /// Why a text is not what was expected.
 #[derive(Debug, Snafu)]
@@ -49,23 +49,28 @@
             .fail();
         }
     };
-    serde_json::from_value(value).map_err(|source| shape_error(origin, text, source))
+    serde_path_to_error::deserialize(value).map_err(|e| shape_error(origin, text, e))
 }
 
-/// Finds the line of the key that a shape error speaks of.
-fn shape_error(origin: &str, text: &str, source: serde_json::Error) -> JsonError {
-    let message = source.to_string();
-    let key = message.split('`').nth(1).unwrap_or("document").to_owned();
-    let quoted = format!("\"{key}\"");
+/// Names the key that a shape error speaks of, and the line where it stands.
+fn shape_error(
+    origin: &str,
+    text: &str,
+    error: serde_path_to_error::Error<serde_json::Error>,
+) -> JsonError {
+    let path = error.path().to_string();
+    let source = error.into_inner();
+    let in_message = source.to_string();
+    let unknown = in_message
+        .strip_prefix("unknown field `")
+        .and_then(|rest| rest.split('`').next());
+    let name = unknown.or(path.rsplit('.').next()).unwrap_or_default();
+    let quoted = format!("\"{name}\"");
     let line = text.lines().position(|l| l.contains(&quoted));
-    let result: Result<(), _> = Err(source);
-    let context = ShapeSnafu {
-        origin,
+    JsonError::Shape {
+        origin: origin.to_owned(),
         line: line.map_or(1, |l| l + 1),
-        key,
-    };
-    match result.context(context) {
-        Ok(()) => unreachable!("the result is an error"),
-        Err(e) => e,
+        key: path,
+        source,
     }
 }
