agent: a planned stop waits until every entry has let it go

With a new check, that no job fails under faults that end no process, random pairs found jobs cut off by a drain: the goodbye overtook a dispatch, or was lost, and what had never started was failed as lost.

--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -135,6 +135,8 @@
     entry: Option<Incarnation>,
     name: Option<NodeName>,
     heartbeat_every: Duration,
+    /// The entry has said that it waits for nothing of a leaving agent.
+    released: bool,
     last_sent: Now,
 }
 
@@ -339,6 +341,12 @@
             EntryMessage::Heartbeat { settled_below } => {
                 self.ledger.settle(entry, settled_below);
             }
+            EntryMessage::Released { settled_below } => {
+                self.ledger.settle(entry, settled_below);
+                if let Some(link) = self.links.get_mut(session) {
+                    link.released = true;
+                }
+            }
             EntryMessage::Config(config) => {
                 if config.stamp.version >= self.config.version {
                     self.config = config.stamp;
@@ -567,6 +575,7 @@
         self.registrar.abandon(entry);
         self.out.push(AgentAction::CloseEntry(session));
         self.entry_closed(session);
+        self.ledger.remove(entry);
     }
 
     fn entry_closed(&mut self, session: SessionId) {
@@ -683,25 +692,28 @@
         }
     }
 
-    /// Ends the drain when nothing runs and every result has reached its entry, or at its limit.
+    /// Ends the drain when nothing runs, every result has reached its entry, and every entry has
+    /// released this agent or has been cut off for long; or at its limit.
     fn tick_drain(&mut self) {
         let Some(since) = self.draining_since else {
             return;
         };
         let late = self.now.saturating_sub(since) >= self.options.drain_limit;
+        let cutoff = self.now.saturating_sub(ORPHAN_GRACE);
         let running = self.runs.len();
-        let unsettled = self
-            .ledger
-            .awaited_results(self.now.saturating_sub(ORPHAN_GRACE));
-        if running + unsettled > 0 {
-            if !late {
-                return;
-            }
+        let unsettled = self.ledger.awaited_results(cutoff);
+        let clean = running + unsettled == 0;
+        let unreleased = self.links.states().filter(|l| !l.released).count();
+        let awaited = self.ledger.lost_since(cutoff) + unreleased;
+        if (!clean || awaited > 0) && !late {
+            return;
+        }
+        if !clean {
             let detail = format!("{running} tasks run, {unsettled} results not settled");
             self.log(EventCode::DrainCut, detail);
         }
         for session in self.links.sessions() {
-            self.send(session, AgentMessage::Goodbye);
+            self.send(session, AgentMessage::Goodbye { clean });
         }
         self.log(EventCode::Drained, &*self.options.name.clone());
         self.flush();
--- a/lib/src/counters.rs
+++ b/lib/src/counters.rs
@@ -62,6 +62,7 @@
             Self::Reserve(_) => "reserve",
             Self::GiveBack(_) => "give_back",
             Self::Heartbeat { .. } => HEARTBEAT,
+            Self::Released { .. } => "released",
             Self::Config(_) => "config",
             Self::Claim(_) => "claim",
             Self::Release(_) => "release",
@@ -83,7 +84,7 @@
             Self::Heartbeat { .. } => HEARTBEAT,
             Self::Claimed { .. } => "claimed",
             Self::Leaving => "leaving",
-            Self::Goodbye => "goodbye",
+            Self::Goodbye { .. } => "goodbye",
         }
     }
 }
--- a/lib/src/entry_targets.rs
+++ b/lib/src/entry_targets.rs
@@ -69,6 +69,7 @@
         }
         self.log(EventCode::AgentJoined, format!("{} {id:016x}", hello.name));
         self.welcome(id);
+        self.release_leaving(id);
         self.send_agent_config(id);
         self.release_leftover_claims(id);
     }
@@ -190,7 +191,7 @@
                 self.target_leaves(id);
                 self.release_leaving(id);
             }
-            AgentMessage::Goodbye => self.life_over(id),
+            AgentMessage::Goodbye { clean } => self.goodbye(id, clean),
         }
     }
 
@@ -245,7 +246,7 @@
         };
         if target.leaving && target.outstanding.is_empty() {
             let settled_below = target.settled_below();
-            self.send_agent(id, EntryMessage::Heartbeat { settled_below });
+            self.send_agent(id, EntryMessage::Released { settled_below });
         }
     }
 
@@ -370,6 +371,18 @@
         self.refuse_claims_at(id);
     }
 
+    /// An agent stops in order. If it has told of all that started, the rest may go elsewhere.
+    fn goodbye(&mut self, id: Incarnation, clean: bool) {
+        if clean {
+            let open = self.targets.get(id).map(|t| t.outstanding.keys().copied());
+            let open: Vec<DispatchSeq> = open.into_iter().flatten().collect();
+            for seq in open {
+                self.dispatch_refused(id, seq, DispatchRefusal::NeverSeen);
+            }
+        }
+        self.life_over(id);
+    }
+
     /// A life is over: what was out may have run, and will not be heard of again.
     pub(crate) fn life_over(&mut self, id: Incarnation) {
         let Some(target) = self.targets.retire(id) else {
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -158,6 +158,19 @@
             .sum()
     }
 
+    /// Entries whose session was lost since `cutoff` and that may come back with questions.
+    pub fn lost_since(&self, cutoff: Now) -> usize {
+        let records = self.entries.values();
+        records
+            .filter(|record| record.lost_since.is_some_and(|since| since >= cutoff))
+            .count()
+    }
+
+    /// Drops an entry whose life is over.
+    pub fn remove(&mut self, entry: Incarnation) {
+        self.entries.remove(&entry);
+    }
+
     /// Number of fates held.
     pub fn len(&self) -> usize {
         self.entries.values().map(|record| record.fates.len()).sum()
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -137,6 +137,13 @@
         #[serde(rename = "f")]
         settled_below: DispatchSeq,
     },
+    /// To a leaving agent: nothing of it is waited for, and nothing more will be sent.
+    #[serde(rename = "E")]
+    Released {
+        /// Every dispatch below this is settled.
+        #[serde(rename = "f")]
+        settled_below: DispatchSeq,
+    },
     /// The part of the configuration that agents need.
     #[serde(rename = "C")]
     Config(AgentConfig),
@@ -294,7 +301,12 @@
     Leaving,
     /// The agent stops; nothing runs any more.
     #[serde(rename = "B")]
-    Goodbye,
+    Goodbye {
+        /// Whether every task that ever started has been settled: what the entry still waits for
+        /// was then never started.
+        #[serde(rename = "c")]
+        clean: bool,
+    },
 }
 
 /// First word of an entry to another.
--- a/lib/testutils/src/matrix.rs
+++ b/lib/testutils/src/matrix.rs
@@ -45,6 +45,9 @@
     play(&mut fleet);
     let mut broken = promises::broken(&fleet, ENTRIES, AGENTS);
     broken.extend(last_request_failed(&fleet));
+    if strikes.iter().all(|s| is_gentle(s.fault)) {
+        broken.extend(failed_requests(&fleet));
+    }
     Cell {
         struck: fleet.struck == expected,
         broken,
@@ -114,3 +117,37 @@
         other => Some(format!("the last job was not completed: {other:?}")),
     }
 }
+
+/// Whether a fault ends no process, stops no lease and so should fail no job.
+fn is_gentle(fault: Fault) -> bool {
+    matches!(
+        fault,
+        Fault::TargetRefuses
+            | Fault::CutBothWays
+            | Fault::CutToAgent
+            | Fault::CutToEntry
+            | Fault::SessionBreaks
+            | Fault::FrameLost
+            | Fault::FrameDoubled
+            | Fault::FrameLate
+            | Fault::FramesReordered
+            | Fault::LogDown
+            | Fault::LogSlow
+            | Fault::LogRepliesLost
+            | Fault::LogExpires
+            | Fault::ListStale
+            | Fault::ListDown
+    )
+}
+
+/// Jobs that failed although nothing was lost: the drains must not have cut them off.
+fn failed_requests(fleet: &VirtualFleet) -> Vec<String> {
+    let answers = fleet
+        .requests
+        .values()
+        .filter_map(|r| r.answers.first().map(|a| (&r.name, &a.answer)));
+    answers
+        .filter(|(_, answer)| matches!(answer, Answer::Failed { .. }))
+        .map(|(name, answer)| format!("{name} failed under a gentle fault: {answer:?}"))
+        .collect()
+}
