daemons: split the entry's start into its threads, and share it with the agent

Change: RingThread, a thread that begins when its rings are known, serves both; router, links and platform calls of the entry are modules. Conclusion: behaviour is the same; a newcomer finds each thread by name.

--- a/cli/src/daemons.rs
+++ b/cli/src/daemons.rs
@@ -12,9 +12,10 @@
 use snafu::ResultExt as _;
 use testutils::stand_ins::{Placed, Service, StandIns};
 use trestleknot_lib::agent_daemon::{AgentDaemon, AgentStart, http_target};
-use trestleknot_lib::entry_daemon::{EntryDaemon, EntryListeners, EntryStart, http_platform};
+use trestleknot_lib::entry_daemon::{EntryDaemon, EntryListeners, EntryStart};
 use trestleknot_lib::memory_platform::{MemoryLog, MemoryVmList};
 use trestleknot_lib::memory_target::{MemoryTarget, StartRecord};
+use trestleknot_lib::platform_thread::http_platform;
 use trestleknot_lib::settings::{self, AgentSettings, EntrySettings};
 
 use crate::error::{CliResult, SystemSnafu};
--- a/lib/src/agent_daemon.rs
+++ b/lib/src/agent_daemon.rs
@@ -16,7 +16,7 @@
 
 use crate::agent::{AgentAction, AgentCore, AgentEvent, AgentOptions, Renewal, RunId, Start};
 use crate::core_thread::{self, Admitted, Next, Router};
-use crate::entry_daemon::AGENT_PATH;
+use crate::entry_links::AGENT_PATH;
 use crate::events::{EventCode, LogEvent};
 use crate::http_platform::HttpTarget;
 use crate::ids::Incarnation;
@@ -29,8 +29,8 @@
 use crate::telemetry::{Levels, Report, Telemetry, TelemetryParts};
 use crate::trace::{SpanRecord, TraceContext};
 use crate::worker_threads::{
-    CORE_RING, Factory, OUT_RING, REPORT_RING, ServerEnd, push_or_wait, report, run_system,
-    serve_metrics, spawn, waker_of,
+    CORE_RING, Factory, OUT_RING, REPORT_RING, RingThread, ServerEnd, push_or_wait, report,
+    run_system, serve_metrics, spawn,
 };
 
 /// How often levels are reported.
@@ -98,30 +98,18 @@
         } = start;
         let operator_address = operators.local_addr()?;
         let mut threads = Vec::new();
-        let (parts_tx, parts_rx) = std::sync::mpsc::sync_channel::<CoreParts>(1);
-        let core = spawn("core", move || {
-            if let Ok(parts) = parts_rx.recv() {
-                parts.run();
-            }
-        })?;
-        let (control, control_rx) = ring(CORE_RING, waker_of(&core));
-        let (run_events, run_events_rx) = ring(CORE_RING, waker_of(&core));
-        let (entry_events, entry_events_rx) = ring(CORE_RING, waker_of(&core));
-
+        let mut core = RingThread::spawn("core", CORE_RING, CoreParts::run)?;
+        let control = core.ring();
+        let run_events = core.ring();
+        let entry_events = core.ring();
         let TelemetryParts { telemetry, page } =
             Telemetry::build(&settings.name, settings.otlp_url.as_deref());
-        let (rings_tx, rings_rx) = std::sync::mpsc::sync_channel::<Vec<_>>(1);
-        let telemetry_thread = spawn("telemetry", move || {
-            if let Ok(rings) = rings_rx.recv() {
-                telemetry.run(rings);
-            }
+        let mut telemetry = RingThread::spawn("telemetry", REPORT_RING, |rings, ()| {
+            telemetry.run(rings);
         })?;
-        let (core_reports, core_reports_rx) = ring(REPORT_RING, waker_of(&telemetry_thread));
-        let (span_reports, span_reports_rx) = ring(REPORT_RING, waker_of(&telemetry_thread));
-        rings_tx
-            .send(vec![core_reports_rx, span_reports_rx])
-            .map_err(|_| io::Error::other("telemetry thread is gone"))?;
-        threads.push(telemetry_thread);
+        let core_reports = telemetry.ring();
+        let span_reports = telemetry.ring();
+        threads.push(telemetry.begin(())?);
 
         let (end_tx, end_rx) = oneshot::channel();
         threads.push(spawn("http", move || {
@@ -194,13 +182,9 @@
         };
         let parts = CoreParts {
             core: AgentCore::new(options),
-            inputs: vec![control_rx, run_events_rx, entry_events_rx],
             router,
         };
-        parts_tx
-            .send(parts)
-            .map_err(|_| io::Error::other("core thread is gone"))?;
-        threads.push(core);
+        threads.push(core.begin(parts)?);
         let detail = format!("agent {} {incarnation:016x}", settings.name);
         LogEvent::new(EventCode::Started, detail).emit();
         Ok(Self {
@@ -246,17 +230,16 @@
 
 struct CoreParts {
     core: AgentCore,
-    inputs: Vec<RingRx<AgentInput>>,
     router: AgentRouter,
 }
 
 impl CoreParts {
-    fn run(mut self) {
-        for action in self.core.start() {
-            self.router.route(action);
+    fn run(inputs: Vec<RingRx<AgentInput>>, mut parts: Self) {
+        for action in parts.core.start() {
+            parts.router.route(action);
         }
-        core_thread::run(self.core, self.inputs, &mut self.router);
-        if let Some(end) = self.router.server_end.take() {
+        core_thread::run(parts.core, inputs, &mut parts.router);
+        if let Some(end) = parts.router.server_end.take() {
             let _ = end.send(ServerEnd::Cut);
         }
     }
--- /dev/null
+++ b/lib/src/entry_links.rs
@@ -0,0 +1,81 @@
+//! The links of an entry: one thread for the sessions with agents and with peers.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::entry_input::EntryInput;
+use crate::links::{self, Adopt, LinkCommand, LinkTraffic, Links, Manners};
+use crate::message::{EntryMessage, PeerHello, PeerMessage};
+use crate::permit::FleetSecret;
+use crate::ring::{RingRx, RingTx, TaskWaker};
+
+/// Path of agents' sessions.
+pub const AGENT_PATH: &str = "/agent";
+/// Path of peers' sessions.
+pub const PEER_PATH: &str = "/peer";
+/// How long sessions have to write their last words.
+const LAST_WORDS: Duration = Duration::from_millis(200);
+
+/// What the thread of the links works with.
+pub(crate) struct LinkParts {
+    pub(crate) listener: TcpListener,
+    pub(crate) secret: FleetSecret,
+    pub(crate) hello: PeerHello,
+    pub(crate) agent_events: RingTx<EntryInput>,
+    pub(crate) agent_commands: RingRx<LinkCommand<EntryMessage>>,
+    pub(crate) agent_waker: TaskWaker,
+    pub(crate) peer_events: RingTx<EntryInput>,
+    pub(crate) peer_commands: RingRx<LinkCommand<PeerMessage>>,
+    pub(crate) peer_waker: TaskWaker,
+    pub(crate) traffic: Arc<LinkTraffic>,
+}
+
+impl LinkParts {
+    /// Serves agents and peers until the core is gone.
+    pub(crate) async fn serve(self) {
+        let agent_manners = Manners {
+            our_first: None,
+            await_first: true,
+            path: AGENT_PATH,
+        };
+        let peer_manners = Manners {
+            our_first: Some(PeerMessage::Hello(self.hello)),
+            await_first: true,
+            path: PEER_PATH,
+        };
+        let agents = Links::new(
+            self.secret.clone(),
+            agent_manners,
+            self.agent_events,
+            EntryInput::Agent,
+            self.traffic.clone(),
+        );
+        let peers = Links::new(
+            self.secret.clone(),
+            peer_manners,
+            self.peer_events,
+            EntryInput::Peer,
+            self.traffic,
+        );
+        let listener = self.listener.set_nonblocking(true);
+        let listener = listener.and_then(|()| tokio::net::TcpListener::from_std(self.listener));
+        let listener = match listener {
+            Ok(listener) => listener,
+            Err(e) => {
+                log::error!("agents can't be served: {e}");
+                return;
+            }
+        };
+        let adopters: Vec<Rc<dyn Adopt>> = vec![agents.clone(), peers.clone()];
+        let accept = tokio::task::spawn_local(links::accept_all(listener, self.secret, adopters));
+        tokio::join!(
+            agents.serve(self.agent_commands, self.agent_waker),
+            peers.serve(self.peer_commands, self.peer_waker),
+        );
+        accept.abort();
+        // Lets the sessions write what was queued, the goodbyes last.
+        tokio::time::sleep(LAST_WORDS).await;
+    }
+}
--- /dev/null
+++ b/lib/src/entry_router.rs
@@ -0,0 +1,158 @@
+//! Carries out what an entry's core wants, by the rings to the other threads.
+
+use std::collections::HashMap;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use tokio::sync::oneshot;
+
+use crate::core_thread::{Admitted, Next, Router};
+use crate::entry::{EntryAction, EntryCore, EntryEvent, Reply};
+use crate::entry_input::EntryInput;
+use crate::ids::RequestId;
+use crate::links::{LinkCommand, LinkEvent, LinkTraffic};
+use crate::message::{AgentMessage, EntryMessage, PeerMessage};
+use crate::platform_thread::PlatformCommand;
+use crate::ring::RingTx;
+use crate::telemetry::{Levels, Report};
+use crate::worker_threads::{ServerEnd, push_or_wait, report};
+
+/// How often levels are reported.
+const LEVELS_EVERY: Duration = Duration::from_secs(1);
+
+/// Ends the HTTP servers, once.
+pub(crate) type ServerEnder = Arc<Mutex<Option<oneshot::Sender<ServerEnd>>>>;
+
+/// The rings from the core, and those who wait for its answers.
+pub(crate) struct EntryRouter {
+    pub(crate) pending: HashMap<RequestId, oneshot::Sender<Reply>>,
+    pub(crate) agents: RingTx<LinkCommand<EntryMessage>>,
+    pub(crate) peers: RingTx<LinkCommand<PeerMessage>>,
+    pub(crate) platform: RingTx<PlatformCommand>,
+    pub(crate) reports: RingTx<Report>,
+    pub(crate) own_address: String,
+    pub(crate) traffic: Arc<LinkTraffic>,
+    pub(crate) server_end: ServerEnder,
+    pub(crate) levels_at: Instant,
+}
+
+impl EntryRouter {
+    fn admit_agent(&mut self, event: LinkEvent<AgentMessage>) -> Admitted<EntryEvent> {
+        Admitted::Event(match event {
+            LinkEvent::Opened {
+                session,
+                first: Some(AgentMessage::Hello(hello)),
+            } => EntryEvent::AgentOpened { session, hello },
+            LinkEvent::Opened { session, .. } => {
+                push_or_wait(&mut self.agents, LinkCommand::Close(session));
+                return Admitted::Nothing;
+            }
+            LinkEvent::Frame { session, frame } => EntryEvent::AgentFrame { session, frame },
+            LinkEvent::Closed(session) => EntryEvent::AgentClosed(session),
+        })
+    }
+
+    fn admit_peer(&mut self, event: LinkEvent<PeerMessage>) -> Admitted<EntryEvent> {
+        Admitted::Event(match event {
+            LinkEvent::Opened {
+                session,
+                first: Some(PeerMessage::Hello(hello)),
+            } => EntryEvent::PeerOpened { session, hello },
+            LinkEvent::Opened { session, .. } => {
+                push_or_wait(&mut self.peers, LinkCommand::Close(session));
+                return Admitted::Nothing;
+            }
+            LinkEvent::Frame { session, frame } => EntryEvent::PeerFrame { session, frame },
+            LinkEvent::Closed(session) => EntryEvent::PeerClosed(session),
+        })
+    }
+}
+
+impl Router<EntryCore> for EntryRouter {
+    type Input = EntryInput;
+
+    fn admit(&mut self, input: EntryInput) -> Admitted<EntryEvent> {
+        match input {
+            EntryInput::Ask(ask) => {
+                if let Some(awaited) = ask.reply {
+                    self.pending.insert(awaited.request, awaited.reply);
+                }
+                if let EntryEvent::CallerGone(request) = &ask.event {
+                    self.pending.remove(request);
+                }
+                Admitted::Event(ask.event)
+            }
+            EntryInput::Agent(event) => self.admit_agent(event),
+            EntryInput::Peer(event) => self.admit_peer(event),
+            EntryInput::Halt => Admitted::Halt,
+        }
+    }
+
+    fn route(&mut self, action: EntryAction) -> Next {
+        match action {
+            EntryAction::Reply { request, reply } => {
+                // Without a receiver the caller is gone, and nobody is left to answer.
+                if let Some(tx) = self.pending.remove(&request) {
+                    let _ = tx.send(reply);
+                }
+            }
+            EntryAction::SendAgent { session, frame } => {
+                push_or_wait(&mut self.agents, LinkCommand::Send { session, frame });
+            }
+            EntryAction::CloseAgent(session) => {
+                push_or_wait(&mut self.agents, LinkCommand::Close(session));
+            }
+            EntryAction::SendPeer { session, frame } => {
+                push_or_wait(&mut self.peers, LinkCommand::Send { session, frame });
+            }
+            EntryAction::ClosePeer(session) => {
+                push_or_wait(&mut self.peers, LinkCommand::Close(session));
+            }
+            EntryAction::KnowPeer(address) => {
+                // Of two entries only one dials, so that they hold one session.
+                if address > self.own_address {
+                    push_or_wait(&mut self.peers, LinkCommand::Dial(address));
+                }
+            }
+            EntryAction::ReadLog(from) => {
+                push_or_wait(&mut self.platform, PlatformCommand::ReadLog(from));
+            }
+            EntryAction::AppendLog(record) => {
+                push_or_wait(&mut self.platform, PlatformCommand::Append(record));
+            }
+            EntryAction::ReadVmList => {
+                push_or_wait(&mut self.platform, PlatformCommand::ReadList);
+            }
+            EntryAction::Log(event) => event.emit(),
+            EntryAction::Measured(measure) => {
+                report(&mut self.reports, Report::Measure(measure));
+            }
+            EntryAction::Stop => return Next::Stop,
+        }
+        Next::Continue
+    }
+
+    fn observe(&mut self, core: &EntryCore) {
+        if self.levels_at.elapsed() < LEVELS_EVERY {
+            return;
+        }
+        self.levels_at = Instant::now();
+        let levels = Levels {
+            counters: core.counters().clone(),
+            waiting: u64::from(core.waiting_tasks()),
+            in_flight: core.jobs_held() as u64,
+            slots: u64::from(core.targets().open_slots()),
+            config_version: core.config().stamp().version,
+            link_bytes: [
+                ("sent", self.traffic.bytes_sent.load(Ordering::Relaxed)),
+                (
+                    "received",
+                    self.traffic.bytes_received.load(Ordering::Relaxed),
+                ),
+            ]
+            .into(),
+        };
+        report(&mut self.reports, Report::Levels(Box::new(levels)));
+    }
+}
--- a/lib/src/worker_threads.rs
+++ b/lib/src/worker_threads.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::mpsc::{self, SyncSender};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -13,7 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::http_api::{self, BodyLimit, Gateway, RingPool};
-use crate::ring::{RingTx, ThreadWaker, Wake};
+use crate::ring::{RingRx, RingTx, ThreadWaker, Wake, ring};
 use crate::telemetry::{MetricsPage, Report};
 
 /// Items in a ring to a core.
@@ -33,7 +34,7 @@
 }
 
 /// Wakes the thread behind a handle.
-pub fn waker_of(handle: &JoinHandle<()>) -> Arc<dyn Wake> {
+fn waker_of(handle: &JoinHandle<()>) -> Arc<dyn Wake> {
     Arc::new(ThreadWaker(handle.thread().clone()))
 }
 
@@ -163,3 +164,55 @@
 
 /// Makes something on the thread that will use it.
 pub type Factory<T> = Box<dyn FnOnce() -> LocalBoxFuture<'static, T> + Send>;
+
+/// A thread that takes rings. It begins its work only when its rings are known, because their
+/// wakers need its handle.
+pub struct RingThread<T, P> {
+    thread: JoinHandle<()>,
+    capacity: usize,
+    rings: Vec<RingRx<T>>,
+    begin: SyncSender<Begin<T, P>>,
+}
+
+struct Begin<T, P> {
+    rings: Vec<RingRx<T>>,
+    parts: P,
+}
+
+impl<T: Send + 'static, P: Send + 'static> RingThread<T, P> {
+    /// A thread that will do `work` with its rings and the parts given to [`Self::begin`].
+    pub fn spawn(
+        name: &str,
+        capacity: usize,
+        work: impl FnOnce(Vec<RingRx<T>>, P) + Send + 'static,
+    ) -> io::Result<Self> {
+        let (begin, begun) = mpsc::sync_channel::<Begin<T, P>>(1);
+        let thread = spawn(name, move || {
+            if let Ok(Begin { rings, parts }) = begun.recv() {
+                work(rings, parts);
+            }
+        })?;
+        Ok(Self {
+            thread,
+            capacity,
+            rings: Vec::new(),
+            begin,
+        })
+    }
+
+    /// A new ring to the thread.
+    pub fn ring(&mut self) -> RingTx<T> {
+        let (tx, rx) = ring(self.capacity, waker_of(&self.thread));
+        self.rings.push(rx);
+        tx
+    }
+
+    /// Lets the thread begin.
+    pub fn begin(self, parts: P) -> io::Result<JoinHandle<()>> {
+        let rings = self.rings;
+        let begin = Begin { rings, parts };
+        let sent = self.begin.send(begin);
+        sent.map_err(|_| io::Error::other("a thread ended before it began"))?;
+        Ok(self.thread)
+    }
+}
--- a/lib/testutils/src/embedded.rs
+++ b/lib/testutils/src/embedded.rs
@@ -8,11 +8,12 @@
 use trestleknot_lib::agent_daemon::{AgentDaemon, AgentStart, http_target};
 use trestleknot_lib::config_chain::LogRecord;
 use trestleknot_lib::config_document::{Document, Team};
-use trestleknot_lib::entry_daemon::{EntryDaemon, EntryListeners, EntryStart, http_platform};
+use trestleknot_lib::entry_daemon::{EntryDaemon, EntryListeners, EntryStart};
 use trestleknot_lib::http_api::hash_key;
 use trestleknot_lib::memory_platform::{MemoryLog, MemoryVmList};
 use trestleknot_lib::memory_target::{MemoryTarget, StartRecord};
 use trestleknot_lib::placement::PlacementMode;
+use trestleknot_lib::platform_thread::http_platform;
 use trestleknot_lib::settings::{AgentSettings, EntrySettings};
 use trestleknot_lib::vm_list::{VmRecord, VmRole, VmState};
 
--- a/lib/testutils/src/promises.rs
+++ b/lib/testutils/src/promises.rs
@@ -95,12 +95,10 @@
         | Answer::Failed {
             may_have_run: false,
             ..
-        } if !shared => {
-            if started > 0 {
-                broken.push(format!(
-                    "{name} was told that nothing ran, but {started} tasks did"
-                ));
-            }
+        } if !shared && started > 0 => {
+            broken.push(format!(
+                "{name} was told that nothing ran, but {started} tasks did"
+            ));
         }
         _ => {}
     }
