entry: a stopping entry goes on refusing for a second

Cause: driven by hand, an entry without work closed its port at once after SIGTERM, before a balancer could see its health answer. Change: it lingers for a second, refusing as not run. Conclusion: a planned stop is seen before it happens.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -250,6 +250,10 @@
 /// How often time has to be told to a core at the least.
 pub const TICK: Duration = Duration::from_millis(5);
 
+/// A stopping entry goes on refusing for this, so that the balancer sees its health answer and
+/// a request that was already on its way hears a refusal in place of a closed port.
+const DRAIN_LINGER: Duration = Duration::from_secs(1);
+
 /// State of an entry.
 pub struct EntryCore {
     pub(crate) options: EntryOptions,
@@ -414,7 +418,8 @@
         let Some(since) = self.draining_since else {
             return;
         };
-        let late = self.now.saturating_sub(since) >= self.options.drain_limit;
+        let length = self.now.saturating_sub(since);
+        let late = length >= self.options.drain_limit;
         if late && !self.jobs.is_empty() {
             self.log(
                 EventCode::DrainCut,
@@ -422,7 +427,7 @@
             );
             self.fail_all_for_stop();
         }
-        if !self.jobs.is_empty() {
+        if !self.jobs.is_empty() || (length < DRAIN_LINGER && !late) {
             return;
         }
         self.say_goodbye();
