--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -8,26 +8,18 @@
 
 use clap::ArgMatches;
 use snafu::ResultExt as _;
-use testutils::caller::{self, Heard, JobRecord};
+use testutils::caller::{self, JobRecord};
 use testutils::embedded::{Fleet, FleetPlan, TeamPlan};
 use testutils::load::{Load, Shape};
+use testutils::scenario::{self, ENTRIES, SLOTS, TARGETS};
 use testutils::summary::Summary;
-use trestleknot_lib::job::Answer;
 use trestleknot_lib::status::EntryStatus;
 
-use crate::client::{block_on, get_json, new_client};
+use crate::client::block_on;
 use crate::error::{CliResult, SystemSnafu};
 
-/// Entries of the demo.
-const ENTRIES: usize = 3;
-/// Targets of the demo.
-const TARGETS: usize = 10;
-/// Slots of each target.
-const SLOTS: u32 = 8;
 /// Part of the slots that the load keeps busy.
 const LOAD: f64 = 0.6;
-/// How long the fleet has to find itself.
-const SETTLE_LIMIT: Duration = Duration::from_secs(10);
 /// How often the live table is drawn.
 const DRAW_EVERY: Duration = Duration::from_millis(500);
 /// Entry that is killed half-way.
@@ -58,10 +50,9 @@
     let length = Duration::from_secs(seconds);
     let fleet = Fleet::start(plan()).context(SystemSnafu { what: "starting" })?;
     println!("{ENTRIES} entries, {TARGETS} targets of {SLOTS} slots in 3 data halls");
-    let (fleet, records) = block_on(drive(fleet, length, seed));
+    let (fleet, records, statuses) = block_on(drive(fleet, length, seed));
     let slots = fleet.slots();
     let starts = fleet.starts.clone();
-    let statuses = ask_statuses(&fleet);
     let stop = fleet.stop();
     let summary = Summary::of(&records, slots, &starts);
     print_summary(&summary, &statuses, stop.took);
@@ -77,9 +68,16 @@
     })
 }
 
-async fn drive(fleet: Fleet, length: Duration, seed: u64) -> (Fleet, Vec<JobRecord>) {
-    let settled = settle(&fleet).await;
-    println!("every target connected after {} ms", settled.as_millis());
+/// The fleet after the load, what callers heard, and what its entries say of themselves.
+type Driven = (Fleet, Vec<JobRecord>, Vec<EntryStatus>);
+
+async fn drive(fleet: Fleet, length: Duration, seed: u64) -> Driven {
+    let began = Instant::now();
+    scenario::settle(&fleet).await;
+    println!(
+        "every target connected after {} ms",
+        began.elapsed().as_millis()
+    );
     let load = Load {
         shape: Shape::Mixed,
         slots: f64::from(SLOTS) * TARGETS as f64 * LOAD,
@@ -97,21 +95,8 @@
     let submitting = ntex::rt::spawn(caller::submit_all(load.jobs(), choose));
     let fleet = break_things(fleet, length, &addresses).await;
     let records = submitting.await.unwrap_or_default();
-    (fleet, records)
-}
-
-/// Waits until every entry has every target.
-async fn settle(fleet: &Fleet) -> Duration {
-    let began = Instant::now();
-    while began.elapsed() < SETTLE_LIMIT {
-        let statuses = statuses_of(fleet).await;
-        let whole = |s: &EntryStatus| s.targets.len() == TARGETS && s.config_current;
-        if statuses.len() == ENTRIES && statuses.iter().all(whole) {
-            break;
-        }
-        ntex::time::sleep(Duration::from_millis(50)).await;
-    }
-    began.elapsed()
+    let statuses = scenario::statuses_of(&fleet).await;
+    (fleet, records, statuses)
 }
 
 /// Draws the live table and kills an entry and a target half-way.
@@ -131,37 +116,12 @@
             fleet.kill_target(KILLED_TARGET);
             *addresses.borrow_mut() = fleet.caller_addresses();
         }
-        draw(began.elapsed(), &statuses_of(&fleet).await);
+        draw(began.elapsed(), &scenario::statuses_of(&fleet).await);
     }
     println!();
     fleet
 }
 
-async fn statuses_of(fleet: &Fleet) -> Vec<EntryStatus> {
-    let client = new_client().await;
-    let mut statuses = Vec::new();
-    for address in fleet.operator_addresses() {
-        if let Ok(status) = get_json(&client, &format!("http://{address}/status")).await {
-            statuses.push(status);
-        }
-    }
-    statuses
-}
-
-fn ask_statuses(fleet: &Fleet) -> Vec<EntryStatus> {
-    let addresses = fleet.operator_addresses();
-    block_on(async move {
-        let client = new_client().await;
-        let mut statuses = Vec::new();
-        for address in addresses {
-            if let Ok(status) = get_json(&client, &format!("http://{address}/status")).await {
-                statuses.push(status);
-            }
-        }
-        statuses
-    })
-}
-
 fn draw(at: Duration, statuses: &[EntryStatus]) {
     let sum = |f: fn(&EntryStatus) -> u64| statuses.iter().map(f).sum::<u64>();
     let line = format!(
@@ -210,7 +170,7 @@
         summary.wrong == 0,
         "an answer is whole and the caller's own",
     );
-    let false_refusals = records.iter().filter(|r| is_false_refusal(r, starts));
+    let false_refusals = records.iter().filter(|r| scenario::is_false(r, starts));
     check(
         false_refusals.count() == 0,
         "a refusal says truly that nothing ran",
@@ -220,12 +180,3 @@
     check(cut < 0.1, "only callers of the killed entry are cut off");
     broken
 }
-
-fn is_false_refusal(
-    record: &JobRecord,
-    starts: &trestleknot_lib::memory_target::StartRecord,
-) -> bool {
-    let refused = matches!(&record.heard, Heard::Refused(Answer::Refused { .. }));
-    let mut ids = (0..record.job.run_ms.len()).map(|index| record.job.task_id(index));
-    refused && ids.any(|id| starts.started(&id))
-}
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -8,19 +8,14 @@
 
 use crate::config_chain::ConfigStamp;
 use crate::counters::{Counters, Kind as _};
-use crate::entry_targets::{HEARTBEAT_EVERY, SILENT_HEARTBEATS};
 use crate::events::{EventCode, LogEvent};
-use crate::frame_order::FrameOrder;
 use crate::ids::{DispatchSeq, HallName, Incarnation, JobId, NodeName, Now, SessionId, TaskIndex};
 use crate::job::{TaskOutcome, TaskSpec};
-use crate::ledger::{DispatchLedger, Offer, Resume};
-use crate::message::{
-    AgentHello, AgentMessage, Capacity, Dispatch, DispatchFate, DispatchRefusal, EntryMessage,
-    Frame, PROTOCOL_VERSION, Welcome,
-};
-use crate::outbox::{Links, Passed};
+use crate::ledger::DispatchLedger;
+use crate::message::{AgentMessage, Capacity, EntryMessage, Frame};
+use crate::outbox::Links;
 use crate::permit::Registrar;
-use crate::slot_book::{SlotBook, SlotNotice};
+use crate::slot_book::SlotBook;
 
 /// What an agent's core is told at start.
 #[derive(Debug, Clone)]
@@ -131,23 +126,23 @@
 }
 
 #[derive(Debug, Default)]
-struct EntryLink {
-    entry: Option<Incarnation>,
-    name: Option<NodeName>,
-    heartbeat_every: Duration,
+pub(crate) struct EntryLink {
+    pub(crate) entry: Option<Incarnation>,
+    pub(crate) name: Option<NodeName>,
+    pub(crate) heartbeat_every: Duration,
     /// The entry has said that it waits for nothing of a leaving agent.
-    released: bool,
-    last_sent: Now,
+    pub(crate) released: bool,
+    pub(crate) last_sent: Now,
 }
 
 #[derive(Debug)]
-struct Run {
-    entry: Incarnation,
-    seq: DispatchSeq,
-    accelerators: u32,
-    memory_mib: u32,
-    started: Now,
-    stopping: bool,
+pub(crate) struct Run {
+    pub(crate) entry: Incarnation,
+    pub(crate) seq: DispatchSeq,
+    pub(crate) accelerators: u32,
+    pub(crate) memory_mib: u32,
+    pub(crate) started: Now,
+    pub(crate) stopping: bool,
 }
 
 /// A process that has not run for longer has missed heartbeats: others may have given it up.
@@ -155,41 +150,37 @@
 /// Lease until a configuration says otherwise.
 const FIRST_LEASE: Duration = Duration::from_secs(3);
 /// Tasks of an entry that has been gone for this are stopped: nobody waits for them.
-const ORPHAN_GRACE: Duration = Duration::from_secs(10);
-/// What is known of an entry's dispatches is dropped when it has been gone for this.
-const FORGET_AFTER: Duration = Duration::from_secs(120);
+pub(crate) const ORPHAN_GRACE: Duration = Duration::from_secs(10);
 /// First pause after the target refused a connection; it doubles.
-const FIRST_DOWN: Duration = Duration::from_millis(200);
-/// Longest such pause.
-const MOST_DOWN: Duration = Duration::from_secs(5);
+pub(crate) const FIRST_DOWN: Duration = Duration::from_millis(200);
 
 /// State of an agent.
 pub struct AgentCore {
-    options: AgentOptions,
-    now: Now,
-    out: Vec<AgentAction>,
-    links: Links<AgentMessage, EntryLink>,
-    sessions: BTreeMap<Incarnation, SessionId>,
-    ledger: DispatchLedger,
-    slots: SlotBook,
-    registrar: Registrar,
-    runs: BTreeMap<RunId, Run>,
-    by_dispatch: HashMap<DispatchKey, RunId>,
-    next_run: RunId,
-    lease: Duration,
-    renewed_at: Now,
-    config: ConfigStamp,
-    down_until: Option<Now>,
-    down_pause: Duration,
-    draining_since: Option<Now>,
-    counters: Counters,
-    stopped: bool,
+    pub(crate) options: AgentOptions,
+    pub(crate) now: Now,
+    pub(crate) out: Vec<AgentAction>,
+    pub(crate) links: Links<AgentMessage, EntryLink>,
+    pub(crate) sessions: BTreeMap<Incarnation, SessionId>,
+    pub(crate) ledger: DispatchLedger,
+    pub(crate) slots: SlotBook,
+    pub(crate) registrar: Registrar,
+    pub(crate) runs: BTreeMap<RunId, Run>,
+    pub(crate) by_dispatch: HashMap<DispatchKey, RunId>,
+    pub(crate) next_run: RunId,
+    pub(crate) lease: Duration,
+    pub(crate) renewed_at: Now,
+    pub(crate) config: ConfigStamp,
+    pub(crate) down_until: Option<Now>,
+    pub(crate) down_pause: Duration,
+    pub(crate) draining_since: Option<Now>,
+    pub(crate) counters: Counters,
+    pub(crate) stopped: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-struct DispatchKey {
-    entry: Incarnation,
-    seq: DispatchSeq,
+pub(crate) struct DispatchKey {
+    pub(crate) entry: Incarnation,
+    pub(crate) seq: DispatchSeq,
 }
 
 impl AgentCore {
@@ -264,11 +255,11 @@
         }
     }
 
-    fn log(&mut self, code: EventCode, detail: impl Into<String>) {
+    pub(crate) fn log(&mut self, code: EventCode, detail: impl Into<String>) {
         self.out.push(AgentAction::Log(LogEvent::new(code, detail)));
     }
 
-    fn send(&mut self, session: SessionId, message: AgentMessage) {
+    pub(crate) fn send(&mut self, session: SessionId, message: AgentMessage) {
         self.counters.message(message.kind());
         if let Some(link) = self.links.get_mut(session) {
             link.last_sent = self.now;
@@ -276,326 +267,16 @@
         self.links.push(session, message);
     }
 
-    fn send_entry(&mut self, entry: Incarnation, message: AgentMessage) {
+    pub(crate) fn send_entry(&mut self, entry: Incarnation, message: AgentMessage) {
         if let Some(session) = self.sessions.get(&entry).copied() {
             self.send(session, message);
         }
     }
 
-    fn uptime_ms(&self) -> u64 {
+    pub(crate) fn uptime_ms(&self) -> u64 {
         self.now.as_millis() as u64
     }
 
-    fn entry_connected(&mut self, session: SessionId) {
-        let passed = Passed::default();
-        self.links
-            .open(session, EntryLink::default(), passed, self.now);
-        let hello = AgentHello {
-            protocol: PROTOCOL_VERSION,
-            name: self.options.name.clone(),
-            incarnation: self.options.incarnation,
-            hall: self.options.hall.clone(),
-            capacity: self.options.capacity,
-            uptime_ms: self.uptime_ms(),
-            config: self.config,
-            leaving: self.draining_since.is_some(),
-        };
-        self.send(session, AgentMessage::Hello(hello));
-    }
-
-    fn entry_frame(&mut self, session: SessionId, frame: Frame<EntryMessage>) {
-        match self.links.accept(session, frame.n, self.now) {
-            Some(FrameOrder::Next) => {}
-            Some(FrameOrder::Gap) => {
-                self.log(EventCode::SessionGap, format!("entry session {session}"));
-                self.out.push(AgentAction::CloseEntry(session));
-                self.entry_closed(session);
-                return;
-            }
-            Some(FrameOrder::Copy) | None => return,
-        }
-        for message in frame.messages {
-            if !self.links.is_open(session) {
-                return;
-            }
-            self.counters.message(message.kind());
-            self.entry_message(session, message);
-        }
-    }
-
-    fn entry_message(&mut self, session: SessionId, message: EntryMessage) {
-        if let EntryMessage::Welcome(welcome) = message {
-            self.welcomed(session, welcome);
-            return;
-        }
-        let Some(entry) = self.links.get_mut(session).and_then(|l| l.entry) else {
-            return;
-        };
-        match message {
-            EntryMessage::Welcome(_) => {}
-            EntryMessage::Dispatch(dispatch) => self.dispatched(session, entry, dispatch),
-            EntryMessage::Revoke(seqs) => self.revoked(entry, &seqs),
-            EntryMessage::Demand(n) => self.slots.set_demand(session, n),
-            EntryMessage::Reserve(n) => self.slots.reserve(session, n),
-            EntryMessage::GiveBack(n) => self.slots.give_back(session, n),
-            EntryMessage::Heartbeat { settled_below } => {
-                self.ledger.settle(entry, settled_below);
-            }
-            EntryMessage::Released { settled_below } => {
-                self.ledger.settle(entry, settled_below);
-                if let Some(link) = self.links.get_mut(session) {
-                    link.released = true;
-                }
-            }
-            EntryMessage::Config(config) => {
-                if config.stamp.version >= self.config.version {
-                    self.config = config.stamp;
-                    self.lease = Duration::from_millis(u64::from(config.lease_ms));
-                }
-            }
-            EntryMessage::Claim(claim) => {
-                let answer = self.registrar.claim(&claim, self.uptime_ms());
-                self.send(session, AgentMessage::Claimed { claim, answer });
-            }
-            EntryMessage::Release(claim) => self.registrar.release(&claim),
-            EntryMessage::Settle { claim, answer } => self.registrar.settle(&claim, answer),
-            EntryMessage::Goodbye => self.entry_gone(session, entry),
-        }
-    }
-
-    /// Resumes with an entry: answers for all that it waits for.
-    fn welcomed(&mut self, session: SessionId, welcome: Welcome) {
-        let entry = welcome.incarnation;
-        if let Some(old) = self.sessions.insert(entry, session)
-            && old != session
-        {
-            self.out.push(AgentAction::CloseEntry(old));
-            self.drop_session(old);
-        }
-        self.end_former_lives(&welcome);
-        if let Some(link) = self.links.get_mut(session) {
-            link.entry = Some(entry);
-            link.name = Some(welcome.name.clone());
-            link.heartbeat_every = Duration::from_millis(u64::from(welcome.heartbeat_ms));
-            let silence = link.heartbeat_every.mul_f64(SILENT_HEARTBEATS);
-            self.links.set_silence(session, silence);
-        }
-        let resume = self.ledger.open(entry, welcome.resume);
-        if resume == Resume::Known {
-            self.ledger.settle(entry, welcome.settled_below);
-        }
-        let fates = self.ledger.reconcile(entry, resume, &welcome.outstanding);
-        if !fates.is_empty() {
-            self.send(session, AgentMessage::Reconciled(fates));
-        }
-        self.slots.open(session, welcome.placement);
-        if welcome.config.version > self.config.version {
-            self.config = welcome.config;
-        }
-        for address in welcome.entries {
-            self.out.push(AgentAction::KnowEntry(address));
-        }
-        self.log(
-            EventCode::EntryJoined,
-            format!("{} {entry:016x}", welcome.name),
-        );
-    }
-
-    /// A new life of an entry is proof that its former one is over.
-    fn end_former_lives(&mut self, welcome: &Welcome) {
-        let former: Vec<Incarnation> = self
-            .sessions
-            .iter()
-            .filter(|(life, session)| {
-                let same_name = self
-                    .links
-                    .state(**session)
-                    .is_some_and(|l| l.name.as_ref() == Some(&welcome.name));
-                **life != welcome.incarnation && same_name
-            })
-            .map(|(life, _)| *life)
-            .collect();
-        for life in former {
-            self.registrar.abandon(life);
-        }
-    }
-
-    /// Decides the fate of a dispatch.
-    fn dispatched(&mut self, session: SessionId, entry: Incarnation, dispatch: Dispatch) {
-        self.ledger.settle(entry, dispatch.settled_below);
-        if self.ledger.offer(entry, dispatch.seq) == Offer::Duplicate {
-            return;
-        }
-        self.slots.limit_demand(session, dispatch.waiting);
-        match self.reason_to_refuse(&dispatch.spec) {
-            Some(reason) => self.refuse(session, entry, dispatch.seq, reason),
-            None if self.slots.take(session) => self.start_run(entry, dispatch),
-            None => self.refuse(session, entry, dispatch.seq, DispatchRefusal::Full),
-        }
-    }
-
-    fn reason_to_refuse(&self, spec: &TaskSpec) -> Option<DispatchRefusal> {
-        if self.draining_since.is_some() {
-            return Some(DispatchRefusal::Leaving);
-        }
-        if self.down_until.is_some_and(|until| until > self.now) {
-            return Some(DispatchRefusal::TargetDown);
-        }
-        let used: u32 = self.runs.values().map(|r| r.accelerators).sum();
-        let memory: u32 = self.runs.values().map(|r| r.memory_mib).sum();
-        let capacity = self.options.capacity;
-        let fits = used + spec.accelerators <= capacity.accelerators
-            && memory + spec.memory_mib <= capacity.memory_mib;
-        (!fits).then_some(DispatchRefusal::Resources)
-    }
-
-    fn refuse(
-        &mut self,
-        session: SessionId,
-        entry: Incarnation,
-        seq: DispatchSeq,
-        reason: DispatchRefusal,
-    ) {
-        self.ledger
-            .decide(entry, seq, DispatchFate::Refused(reason));
-        self.slots.give_back(session, 1);
-        let free = self.slots.spare();
-        self.send(session, AgentMessage::Refused { seq, reason, free });
-    }
-
-    fn start_run(&mut self, entry: Incarnation, dispatch: Dispatch) {
-        let run = self.next_run;
-        self.next_run += 1;
-        let seq = dispatch.seq;
-        self.ledger.decide(entry, seq, DispatchFate::Running);
-        let record = Run {
-            entry,
-            seq,
-            accelerators: dispatch.spec.accelerators,
-            memory_mib: dispatch.spec.memory_mib,
-            started: self.now,
-            stopping: false,
-        };
-        self.runs.insert(run, record);
-        self.by_dispatch.insert(DispatchKey { entry, seq }, run);
-        self.out.push(AgentAction::Start(Start {
-            run,
-            job: dispatch.job,
-            task: dispatch.task,
-            spec: dispatch.spec,
-            lease: self.lease,
-            trace: dispatch.trace,
-        }));
-    }
-
-    /// Takes in how a run ended and tells the entry that asked for it.
-    fn run_ended(&mut self, run: RunId, end: RunEnd) {
-        let Some(record) = self.runs.remove(&run) else {
-            return;
-        };
-        let Run { entry, seq, .. } = record;
-        self.by_dispatch.remove(&DispatchKey { entry, seq });
-        self.slots.release();
-        match end {
-            RunEnd::NotStarted => {
-                self.target_is_down();
-                let reason = DispatchRefusal::TargetDown;
-                self.ledger
-                    .decide(entry, seq, DispatchFate::Refused(reason));
-                let free = self.slots.spare();
-                self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
-            }
-            RunEnd::Ended(outcome) => {
-                self.target_is_up();
-                self.ledger.finish(entry, seq, outcome.clone());
-                let took = self.now.saturating_sub(record.started);
-                let message = AgentMessage::Finished {
-                    seq,
-                    outcome,
-                    run_ms: took.as_millis() as u32,
-                    free: self.slots.spare(),
-                };
-                self.send_entry(entry, message);
-            }
-        }
-    }
-
-    /// Lends nothing for a while after the target has refused a connection.
-    fn target_is_down(&mut self) {
-        if self.down_until.is_none() {
-            self.log(EventCode::TargetDown, &*self.options.name.clone());
-        }
-        self.down_until = Some(self.now + self.down_pause);
-        self.down_pause = (self.down_pause * 2).min(MOST_DOWN);
-        self.slots.set_usable(false);
-        for notice in self.slots.recall_all() {
-            self.send_notice(notice);
-        }
-    }
-
-    fn target_is_up(&mut self) {
-        self.down_pause = FIRST_DOWN;
-        if self.down_until.take().is_some() {
-            self.log(EventCode::TargetUp, &*self.options.name.clone());
-            self.slots.set_usable(self.draining_since.is_none());
-        }
-    }
-
-    /// Refuses for good what has not started, and stops what runs.
-    fn revoked(&mut self, entry: Incarnation, seqs: &[DispatchSeq]) {
-        for &seq in seqs {
-            match self.ledger.revoke(entry, seq) {
-                Some(DispatchFate::Running) => self.stop_dispatch(entry, seq),
-                Some(DispatchFate::Refused(reason)) => {
-                    let free = self.slots.spare();
-                    self.send_entry(entry, AgentMessage::Refused { seq, reason, free });
-                }
-                _ => {}
-            }
-        }
-    }
-
-    fn stop_dispatch(&mut self, entry: Incarnation, seq: DispatchSeq) {
-        if let Some(run) = self.by_dispatch.get(&DispatchKey { entry, seq }).copied() {
-            self.stop_run(run);
-        }
-    }
-
-    fn stop_run(&mut self, run: RunId) {
-        if let Some(record) = self.runs.get_mut(&run)
-            && !record.stopping
-        {
-            record.stopping = true;
-            self.out.push(AgentAction::StopRun(run));
-        }
-    }
-
-    /// An entry's life is over by its own word.
-    fn entry_gone(&mut self, session: SessionId, entry: Incarnation) {
-        self.registrar.abandon(entry);
-        self.out.push(AgentAction::CloseEntry(session));
-        self.entry_closed(session);
-        self.ledger.remove(entry);
-    }
-
-    fn entry_closed(&mut self, session: SessionId) {
-        let entry = self.links.get_mut(session).and_then(|l| l.entry);
-        self.drop_session(session);
-        let Some(entry) = entry else {
-            return;
-        };
-        if self.sessions.get(&entry) == Some(&session) {
-            self.sessions.remove(&entry);
-            self.ledger.lost(entry, self.now);
-            self.log(EventCode::EntryLost, format!("{entry:016x}"));
-        }
-    }
-
-    fn drop_session(&mut self, session: SessionId) {
-        self.links.close(session);
-        self.slots.close(session);
-    }
-
     fn tick(&mut self) {
         for session in self.links.silent(self.now) {
             self.out.push(AgentAction::CloseEntry(session));
@@ -611,72 +292,6 @@
         self.tick_drain();
     }
 
-    fn send_heartbeats(&mut self) {
-        for session in self.links.sessions() {
-            let is_quiet = |l: &EntryLink| {
-                let every = l.heartbeat_every.max(HEARTBEAT_EVERY);
-                self.now.saturating_sub(l.last_sent) >= every
-            };
-            let quiet = self.links.state(session).is_some_and(is_quiet);
-            if quiet {
-                let message = AgentMessage::Heartbeat {
-                    uptime_ms: self.uptime_ms(),
-                    free: self.slots.spare(),
-                    config: self.config,
-                };
-                self.send(session, message);
-            }
-        }
-    }
-
-    /// Renews all leases three times a lease.
-    fn renew_leases(&mut self) {
-        if self.now.saturating_sub(self.renewed_at) < self.lease / 3 {
-            return;
-        }
-        self.renewed_at = self.now;
-        let live = self.runs.iter().filter(|(_, r)| !r.stopping);
-        let runs: Vec<RunId> = live.map(|(run, _)| *run).collect();
-        if !runs.is_empty() {
-            let lease = self.lease;
-            self.out.push(AgentAction::Renew(Renewal { runs, lease }));
-        }
-    }
-
-    /// Stops tasks that nobody waits for any more, and forgets entries that are long gone.
-    fn stop_orphans(&mut self) {
-        let lost: Vec<Incarnation> = self
-            .ledger
-            .lost_before(self.now.saturating_sub(ORPHAN_GRACE))
-            .collect();
-        for entry in lost {
-            let of_entry = self.runs.iter().filter(|(_, r)| r.entry == entry);
-            let runs: Vec<RunId> = of_entry.map(|(run, _)| *run).collect();
-            for run in runs {
-                self.stop_run(run);
-            }
-            self.registrar.abandon(entry);
-        }
-        let cutoff = self.now.saturating_sub(FORGET_AFTER);
-        if self.ledger.lost_before(cutoff).next().is_some() {
-            self.log(EventCode::EntryForgotten, "gone for long");
-            self.ledger.forget_lost_before(cutoff);
-        }
-    }
-
-    fn balance_slots(&mut self) {
-        for notice in self.slots.balance() {
-            self.send_notice(notice);
-        }
-    }
-
-    fn send_notice(&mut self, notice: SlotNotice) {
-        match notice {
-            SlotNotice::Lend(session, n) => self.send(session, AgentMessage::Lend(n)),
-            SlotNotice::Recall(session, n) => self.send(session, AgentMessage::Recall(n)),
-        }
-    }
-
     fn drain(&mut self) {
         if self.draining_since.is_some() {
             return;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,11 +8,13 @@
 //!   [`placement`], [`admission`], [`run_time`], [`quota`], [`health`], [`permit`],
 //!   [`config_document`], [`config_chain`], [`journal`], [`frame_order`], [`outbox`];
 //! - the cores, deterministic state machines: [`entry`] (with the `entry_*` modules) and
-//!   [`agent`].
+//!   [`agent`] (with `agent_*`).
 
 pub mod admission;
 pub mod agent;
 pub mod agent_daemon;
+mod agent_runs;
+mod agent_sessions;
 pub mod apply;
 pub mod codec;
 pub mod config_chain;
