tests: spans reach a collector, a malformed frame closes its session only

Cause: spans over OTLP and malformed frames after the proof of the secret were claimed without a test.

--- a/cli/src/demo.rs
+++ b/cli/src/demo.rs
@@ -40,6 +40,7 @@
         halls: ["Nasr", "Maadi", "Giza"].map(str::to_owned).to_vec(),
         teams: vec![team("nile-crescent"), team("taquari")],
         placement: None,
+        otlp_url: None,
     }
 }
 
--- a/lib/tests/test_daemons.rs
+++ b/lib/tests/test_daemons.rs
@@ -9,8 +9,11 @@
 use ntex::client::Client;
 use serde_json::{Value, json};
 use testutils::caller::new_client;
-use testutils::embedded::{Fleet, FleetPlan, TeamPlan};
+use testutils::embedded::{Fleet, FleetPlan, SECRET, TeamPlan};
+use testutils::stand_ins::{Collector, Placed, Service, StandIns};
 use tokio_tungstenite::tungstenite::Message;
+use trestleknot_lib::link_auth;
+use trestleknot_lib::permit::FleetSecret;
 use trestleknot_lib::worker_threads::run_system;
 
 /// Ends a test that hangs; nothing is judged by it.
@@ -29,14 +32,22 @@
         halls: vec!["hall".to_owned()],
         teams: vec![team("a"), team("b")],
         placement: None,
+        otlp_url: None,
     }
 }
 
 fn with_fleet<F: Future<Output = ()> + 'static>(f: impl FnOnce(Fleet) -> F + 'static) {
+    with_fleet_of(plan(), f);
+}
+
+fn with_fleet_of<F: Future<Output = ()> + 'static>(
+    plan: FleetPlan,
+    f: impl FnOnce(Fleet) -> F + 'static,
+) {
     let done = Rc::new(RefCell::new(false));
     let mark = done.clone();
     run_system("test", async move {
-        let fleet = Fleet::start(plan()).expect("a fleet starts");
+        let fleet = Fleet::start(plan).expect("a fleet starts");
         wait_ready(&fleet).await;
         f(fleet).await;
         *mark.borrow_mut() = true;
@@ -254,7 +265,7 @@
 }
 
 #[test]
-fn test_links_strangers_and_malformed_frames() {
+fn test_links_stranger_gets_no_answer() {
     with_fleet(|fleet| async move {
         let daemon = fleet.entries[0].daemon.as_ref().expect("it runs");
         let agents = daemon.agent_address;
@@ -292,6 +303,60 @@
     });
 }
 
+#[test]
+fn test_links_malformed_frame_closes_that_session_only() {
+    with_fleet(|fleet| async move {
+        let daemon = fleet.entries[0].daemon.as_ref().expect("it runs");
+        let agents = daemon.agent_address;
+        let rogue = ntex::rt::spawn(async move {
+            let stream = tokio::net::TcpStream::connect(agents)
+                .await
+                .expect("connects");
+            let url = format!("ws://{agents}/agent");
+            let dialled = tokio_tungstenite::client_async(url, stream).await;
+            let (mut socket, _) = dialled.expect("upgrades");
+            let secret = FleetSecret::new(SECRET);
+            link_auth::dial(&mut socket, &secret).await.expect("proved");
+            let garbage = Message::Binary(vec![0xff; 100].into());
+            socket.send(garbage).await.expect("sent");
+            while let Some(Ok(_)) = socket.next().await {}
+        });
+        // It ends only if the entry closes the session.
+        let ended = tokio::time::timeout(HANG, rogue).await;
+        ended.expect("no hang").expect("it ran");
+        let client = new_client().await;
+        let address = fleet.caller_addresses()[0];
+        let heard = post(&client, address, "a-key", &job(5, "after")).await;
+        assert_eq!(heard.status, 200, "the other sessions stand");
+        fleet.stop();
+    });
+}
+
+#[test]
+fn test_spans_of_entry_and_agent_reach_the_collector() {
+    let collector = Collector::default();
+    let placed = Placed {
+        service: Service::Collector(collector.clone()),
+        listen: "127.0.0.1:0".parse().expect("an address"),
+    };
+    let stand_ins = StandIns::start(vec![placed]).expect("it starts");
+    let plan = FleetPlan {
+        otlp_url: Some(stand_ins.url(0)),
+        ..plan()
+    };
+    with_fleet_of(plan, |fleet| async move {
+        let client = new_client().await;
+        let address = fleet.caller_addresses()[0];
+        let heard = post(&client, address, "a-key", &job(5, "traced")).await;
+        assert_eq!(heard.status, 200);
+        // Spans are flushed at the latest when the daemons stop.
+        fleet.stop();
+    });
+    for name in ["entry-0", "target-", "agent"] {
+        assert!(collector.has(name), "{name}");
+    }
+}
+
 #[test]
 fn test_daemon_holds_no_io_uring() {
     with_fleet(|fleet| async move {
--- a/lib/testutils/src/embedded.rs
+++ b/lib/testutils/src/embedded.rs
@@ -20,7 +20,7 @@
 use crate::stand_ins::{Placed, Service, StandIns};
 
 /// Secret of embedded fleets.
-const SECRET: &str = "an embedded fleet's secret";
+pub const SECRET: &str = "an embedded fleet's secret";
 /// Any free port of this machine.
 const ANY_PORT: &str = "127.0.0.1:0";
 /// Position of the log among the stand-ins.
@@ -45,6 +45,8 @@
     pub teams: Vec<TeamPlan>,
     /// Placement instead of the configuration's.
     pub placement: Option<PlacementMode>,
+    /// Base address of a collector of spans.
+    pub otlp_url: Option<String>,
 }
 
 /// A team of a fleet.
@@ -149,7 +151,7 @@
             drain_limit_ms: 20_000,
             permit_life_ms: 600_000,
             snapshot_every_ms: 60_000,
-            otlp_url: None,
+            otlp_url: self.plan.otlp_url.clone(),
         };
         let listeners = EntryListeners::bind(&settings)?;
         let daemon = EntryDaemon::start(EntryStart {
@@ -203,7 +205,7 @@
             fleet_secret: SECRET.to_owned(),
             operator_listen: any_port(),
             drain_limit_ms: 20_000,
-            otlp_url: None,
+            otlp_url: self.plan.otlp_url.clone(),
         };
         self.vms.put(VmRecord {
             name: name.into(),
--- a/lib/testutils/src/scenario.rs
+++ b/lib/testutils/src/scenario.rs
@@ -158,6 +158,7 @@
         halls: ["Nasr", "Maadi", "Giza"].map(str::to_owned).to_vec(),
         teams: vec![team("nile-crescent"), team("taquari")],
         placement: Some(placement),
+        otlp_url: None,
     };
     let fleet = Fleet::start(plan)?;
     let slots = f64::from(SLOTS) * TARGETS as f64 * scenario.load;
--- a/lib/testutils/src/stand_ins.rs
+++ b/lib/testutils/src/stand_ins.rs
@@ -2,10 +2,12 @@
 
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use ntex::http::StatusCode;
+use ntex::util::Bytes;
 use ntex::web::types::{Json, Query, State};
 use ntex::web::{self, App, HttpResponse, HttpServer};
 use serde::{Deserialize, Serialize};
@@ -28,6 +30,29 @@
     VmList(MemoryVmList),
     /// A target.
     Target(MemoryTarget),
+    /// A collector of spans.
+    Collector(Collector),
+}
+
+/// Keeps what is exported to it. Clones share it.
+#[derive(Debug, Clone, Default)]
+pub struct Collector {
+    bodies: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Collector {
+    /// Whether a text stands in anything exported so far.
+    pub fn has(&self, text: &str) -> bool {
+        let bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        bodies
+            .windows(text.len())
+            .any(|part| part == text.as_bytes())
+    }
+
+    fn keep(&self, body: &[u8]) {
+        let mut bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        bodies.extend_from_slice(body);
+    }
 }
 
 /// Running stand-ins, each at an address of its own.
@@ -109,6 +134,7 @@
             Service::Log(log) => serve_log(self.listener, log),
             Service::VmList(list) => serve_list(self.listener, list),
             Service::Target(target) => serve_target(self.listener, target),
+            Service::Collector(collector) => serve_collector(self.listener, collector),
         }
     }
 }
@@ -134,6 +160,22 @@
     serve!(listener, target, target_routes)
 }
 
+fn serve_collector(
+    listener: TcpListener,
+    collector: Collector,
+) -> io::Result<ntex::server::Server> {
+    serve!(listener, collector, collector_routes)
+}
+
+fn collector_routes(cfg: &mut web::ServiceConfig) {
+    cfg.service(web::resource("/v1/traces").route(web::post().to(collect)));
+}
+
+async fn collect(body: Bytes, collector: State<Collector>) -> HttpResponse {
+    collector.keep(&body);
+    HttpResponse::new(StatusCode::OK)
+}
+
 fn log_routes(cfg: &mut web::ServiceConfig) {
     cfg.service((
         web::resource("/v1/records")
