entry: reports keep their budget with 39 peers; gone addresses are dialled rarely

Cause: docs/CAPACITY.md: reports to 39 peers took 18.5 KB/s by their cap of 2 s, and an address of a replaced entry was dialled every 2 s for ever. Change: the cap is 6 s (an idle entry in a small fleet keeps 2 s), a peer is silent after 20 s, an address gone for a minute is dialled every 30 s.

--- a/lib/src/agent_sessions.rs
+++ b/lib/src/agent_sessions.rs
@@ -17,6 +17,9 @@
         let passed = Passed::default();
         self.links
             .open(session, EntryLink::default(), passed, self.now);
+        // Until the welcome names an interval; a lost welcome must not hold the session up.
+        let silence = HEARTBEAT_EVERY.mul_f64(SILENT_HEARTBEATS);
+        self.links.set_silence(session, silence);
         let hello = AgentHello {
             protocol: PROTOCOL_VERSION,
             name: self.options.name.clone(),
--- a/lib/src/entry_peers.rs
+++ b/lib/src/entry_peers.rs
@@ -13,8 +13,10 @@
 
 /// Shortest time between reports to one peer.
 const LEAST_REPORT_EVERY: Duration = Duration::from_millis(100);
+/// Time between reports of an entry without jobs, if the budget allows.
+const IDLE_REPORT_EVERY: Duration = Duration::from_secs(2);
 /// Longest time between reports to one peer; also its sign of life.
-const MOST_REPORT_EVERY: Duration = Duration::from_secs(2);
+const MOST_REPORT_EVERY: Duration = Duration::from_secs(6);
 /// Bytes a second that all reports of an entry together may take.
 const REPORT_BUDGET: f64 = 6_000.0;
 /// Bytes of a report besides its teams, framing counted.
@@ -172,12 +174,14 @@
     }
 
     fn report_every(&self) -> Duration {
-        if self.jobs.is_empty() {
-            return MOST_REPORT_EVERY;
-        }
+        let least = if self.jobs.is_empty() {
+            IDLE_REPORT_EVERY
+        } else {
+            LEAST_REPORT_EVERY
+        };
         let size = REPORT_BASE + REPORT_TEAM * self.quotas.report(self.now).len();
         let seconds = (size * self.peers.len()) as f64 / REPORT_BUDGET;
-        Duration::from_secs_f64(seconds).clamp(LEAST_REPORT_EVERY, MOST_REPORT_EVERY)
+        Duration::from_secs_f64(seconds).clamp(least, MOST_REPORT_EVERY)
     }
 
     fn send_report(&mut self, session: SessionId) {
--- a/lib/src/links.rs
+++ b/lib/src/links.rs
@@ -44,6 +44,10 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest pause before dialling again.
 const MOST_BACKOFF: Duration = Duration::from_secs(2);
+/// Longest pause once an address has not answered for [`LONG_GONE`]: it may never again.
+const GONE_BACKOFF: Duration = Duration::from_secs(30);
+/// See [`GONE_BACKOFF`].
+const LONG_GONE: Duration = Duration::from_secs(60);
 /// Pause when a ring is full.
 const RING_PAUSE: Duration = Duration::from_micros(200);
 
@@ -202,19 +206,26 @@
     /// Keeps one connection to an address, with jittered back-off between tries.
     async fn keep_dialled(self: Rc<Self>, address: String) {
         let mut backoff = FIRST_BACKOFF;
+        let mut reached = Instant::now();
         let mut stop = self.stop.subscribe();
         while !*stop.borrow() {
             let dialled = tokio::time::timeout(HANDSHAKE_LIMIT, self.dial_once(&address)).await;
             if let Ok(Some(socket)) = dialled {
                 backoff = FIRST_BACKOFF;
                 self.clone().run_session(socket).await;
+                reached = Instant::now();
             }
             let pause = backoff.mul_f64(rand::rng().random_range(0.5..1.5));
             tokio::select! {
                 () = tokio::time::sleep(pause) => {}
                 _ = stop.changed() => return,
             }
-            backoff = (backoff * 2).min(MOST_BACKOFF);
+            let most = if reached.elapsed() < LONG_GONE {
+                MOST_BACKOFF
+            } else {
+                GONE_BACKOFF
+            };
+            backoff = (backoff * 2).min(most);
         }
     }
 
--- a/lib/src/outbox.rs
+++ b/lib/src/outbox.rs
@@ -8,8 +8,9 @@
 use crate::ids::{Incarnation, Now, SessionId};
 use crate::message::{EntryMessage, Frame, PeerMessage};
 
-/// How long a session may be silent unless set otherwise.
-const LONGEST_SILENCE: Duration = Duration::from_secs(7);
+/// How long a session may be silent unless set otherwise: well over the longest time between
+/// reports of a peer.
+const LONGEST_SILENCE: Duration = Duration::from_secs(20);
 
 /// Sessions with agents.
 pub type AgentLinks = Links<EntryMessage, AgentLink>;
