daemons: one DaemonThreads for entry and agent; two unused names removed

Cause: send, is_finished and join stood twice; a failure reason and a readiness check were used by nobody. Change: worker_threads::DaemonThreads holds the control ring and threads; Failure::EarlierSubmissionFailed and EntryCore::is_ready are gone.

--- a/lib/src/agent_daemon.rs
+++ b/lib/src/agent_daemon.rs
@@ -6,9 +6,8 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::thread::JoinHandle;
 use std::time::{Duration, Instant, SystemTime};
 
 use futures_util::FutureExt as _;
@@ -29,8 +28,8 @@
 use crate::telemetry::{Levels, Report, Telemetry, TelemetryParts};
 use crate::trace::{SpanRecord, TraceContext};
 use crate::worker_threads::{
-    CORE_RING, Factory, OUT_RING, REPORT_RING, RingThread, ServerEnd, push_or_wait, report,
-    run_system, serve_metrics, spawn,
+    CORE_RING, DaemonThreads, Factory, OUT_RING, REPORT_RING, RingThread, ServerEnd, push_or_wait,
+    report, run_system, serve_metrics, spawn,
 };
 
 /// How often levels are reported.
@@ -56,8 +55,7 @@
     pub incarnation: Incarnation,
     /// Where operators reach it.
     pub operator_address: SocketAddr,
-    control: Mutex<RingTx<AgentInput>>,
-    threads: Vec<JoinHandle<()>>,
+    threads: DaemonThreads<AgentInput>,
 }
 
 /// What an agent is started with.
@@ -190,41 +188,29 @@
         Ok(Self {
             incarnation,
             operator_address,
-            control: Mutex::new(control),
-            threads,
+            threads: DaemonThreads::new(control, threads),
         })
     }
 
-    fn send(&self, input: AgentInput) {
-        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
-        push_or_wait(&mut control, input);
-    }
-
     /// Begins an orderly stop.
     pub fn drain(&self) {
-        self.send(AgentInput::Event(AgentEvent::Drain));
+        self.threads.send(AgentInput::Event(AgentEvent::Drain));
     }
 
     /// Ends at once, as a crash would.
     pub fn kill(self) {
-        self.send(AgentInput::Halt);
+        self.threads.send(AgentInput::Halt);
         self.join();
     }
 
     /// Whether all threads have ended.
     pub fn is_finished(&self) -> bool {
-        self.threads.iter().all(JoinHandle::is_finished)
+        self.threads.is_finished()
     }
 
     /// Waits for the end.
     pub fn join(self) {
-        let Self {
-            threads, control, ..
-        } = self;
-        for thread in threads {
-            let _ = thread.join();
-        }
-        drop(control);
+        self.threads.join();
     }
 }
 
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -446,11 +446,6 @@
         }
     }
 
-    /// Whether the balancer should send callers here.
-    pub fn is_ready(&self) -> bool {
-        self.draining_since.is_none() && self.config.is_current()
-    }
-
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
--- a/lib/src/entry_daemon.rs
+++ b/lib/src/entry_daemon.rs
@@ -30,8 +30,8 @@
 use crate::settings::EntrySettings;
 use crate::telemetry::{MetricsPage, Report, Telemetry, TelemetryParts};
 use crate::worker_threads::{
-    CORE_RING, Factory, OUT_RING, REPORT_RING, RingThread, Routes, ServerEnd, ServerPlan,
-    push_or_wait, run_system, serve, spawn,
+    CORE_RING, DaemonThreads, Factory, OUT_RING, REPORT_RING, RingThread, Routes, ServerEnd,
+    ServerPlan, run_system, serve, spawn,
 };
 
 /// Workers that serve operators.
@@ -67,9 +67,8 @@
     pub operator_address: SocketAddr,
     /// This life.
     pub incarnation: Incarnation,
-    control: Mutex<RingTx<EntryInput>>,
     server_end: ServerEnder,
-    threads: Vec<JoinHandle<()>>,
+    threads: DaemonThreads<EntryInput>,
 }
 
 /// What an entry is started with.
@@ -160,45 +159,33 @@
             agent_address: addresses.agents,
             operator_address: addresses.operators,
             incarnation,
-            control: Mutex::new(control),
             server_end: http.end,
-            threads,
+            threads: DaemonThreads::new(control, threads),
         })
     }
 
-    fn send(&self, input: EntryInput) {
-        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
-        push_or_wait(&mut control, input);
-    }
-
     /// Begins an orderly stop.
     pub fn drain(&self) {
         let event = EntryEvent::Drain;
-        self.send(EntryInput::Ask(Ask { event, reply: None }));
+        self.threads
+            .send(EntryInput::Ask(Ask { event, reply: None }));
     }
 
     /// Ends at once, as a crash would: callers and sessions are cut.
     pub fn kill(self) {
         end_servers(&self.server_end, ServerEnd::Cut);
-        self.send(EntryInput::Halt);
+        self.threads.send(EntryInput::Halt);
         self.join();
     }
 
     /// Whether all threads have ended.
     pub fn is_finished(&self) -> bool {
-        self.threads.iter().all(JoinHandle::is_finished)
+        self.threads.is_finished()
     }
 
     /// Waits for the end.
     pub fn join(self) {
-        let Self {
-            threads, control, ..
-        } = self;
-        // The control ring must stay until the core has ended.
-        for thread in threads {
-            let _ = thread.join();
-        }
-        drop(control);
+        self.threads.join();
     }
 }
 
--- a/lib/src/http_answer.rs
+++ b/lib/src/http_answer.rs
@@ -21,9 +21,7 @@
     match reason {
         Failure::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
         Failure::TargetLost { .. } | Failure::EntryStopped => StatusCode::BAD_GATEWAY,
-        Failure::Cancelled
-        | Failure::EarlierSubmissionUnknown
-        | Failure::EarlierSubmissionFailed => StatusCode::CONFLICT,
+        Failure::Cancelled | Failure::EarlierSubmissionUnknown => StatusCode::CONFLICT,
         Failure::TaskFailed { .. } => StatusCode::INTERNAL_SERVER_ERROR,
     }
 }
--- a/lib/src/job.rs
+++ b/lib/src/job.rs
@@ -141,8 +141,6 @@
     Cancelled,
     /// The permit was used by an earlier submission whose fate is not known.
     EarlierSubmissionUnknown,
-    /// The permit was used by an earlier submission, which failed.
-    EarlierSubmissionFailed,
     /// The entry that held the job stopped before it ended.
     EntryStopped,
 }
--- a/lib/src/worker_threads.rs
+++ b/lib/src/worker_threads.rs
@@ -2,8 +2,8 @@
 
 use std::io;
 use std::net::TcpListener;
-use std::sync::Arc;
 use std::sync::mpsc::{self, SyncSender};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
@@ -216,3 +216,35 @@
         Ok(self.thread)
     }
 }
+
+/// The threads of a running daemon and the ring that tells its core what to do.
+pub struct DaemonThreads<T> {
+    control: Mutex<RingTx<T>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl<T> DaemonThreads<T> {
+    /// Threads whose core listens to `control`.
+    pub fn new(control: RingTx<T>, threads: Vec<JoinHandle<()>>) -> Self {
+        let control = Mutex::new(control);
+        Self { control, threads }
+    }
+
+    /// Tells the core something.
+    pub fn send(&self, input: T) {
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        push_or_wait(&mut control, input);
+    }
+
+    /// Whether all threads have ended.
+    pub fn is_finished(&self) -> bool {
+        self.threads.iter().all(JoinHandle::is_finished)
+    }
+
+    /// Waits for the end. The control ring stays until the core has ended.
+    pub fn join(self) {
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+    }
+}
