testutils: split the virtual fleet into links, targets and strikes

Change: links, targets and faults are modules below it, moved as they were; the event path has one way in place of two. Conclusion: each part of the driver can be read by itself.

--- a/lib/testutils/src/virtual_fleet.rs
+++ b/lib/testutils/src/virtual_fleet.rs
@@ -3,6 +3,10 @@
 //! A driver for focused failure tests, not a cluster simulator: links have one latency, targets
 //! one speed, and everything happens in the order of a seeded queue.
 
+mod links;
+mod strikes;
+mod targets;
+
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,7 +20,7 @@
     EntryAction, EntryCore, EntryEvent, EntryOptions, PermitRequest, Reply, Submission,
 };
 use trestleknot_lib::http_api::hash_key;
-use trestleknot_lib::ids::{JobId, Now, RequestId, SessionId};
+use trestleknot_lib::ids::{JobId, RequestId, SessionId};
 use trestleknot_lib::job::{Answer, TaskOutcome, TaskSpec};
 use trestleknot_lib::memory_platform::{LogFaults, MemoryLog, MemoryVmList};
 use trestleknot_lib::message::{
@@ -566,26 +570,15 @@
             self.at(at, Happening::ToEntry(place, Box::new(event)));
             return;
         }
-        let clock = now + process.clock;
-        let Some(core) = &mut process.core else {
-            return;
-        };
         if let EntryEvent::LogRead(Some(batch)) = &event
             && !batch.records.is_empty()
         {
             let entry = place.index;
             self.step(Step::ConfigRead, Where { entry, agent: 0 });
-            return self.entry_event_now(place, clock, event);
         }
-        let actions = core.handle(clock, event);
-        self.after_entry(place, actions);
-    }
-
-    fn entry_event_now(&mut self, place: Place, clock: Now, event: EntryEvent) {
+        // The step may have been the entry's last.
         let process = &mut self.entries[place.index];
-        if process.life != place.life {
-            return;
-        }
+        let clock = now + process.clock;
         let Some(core) = &mut process.core else {
             return;
         };
@@ -752,297 +745,6 @@
         }
     }
 
-    fn start_run(&mut self, place: Place, start: trestleknot_lib::agent::Start) {
-        let agent = place.index;
-        let key = RunKey {
-            life: place.life,
-            run: start.run,
-        };
-        let target = &mut self.targets[agent];
-        if target.down || target.runs.len() as u32 >= SLOTS {
-            let event = AgentEvent::RunEnded {
-                run: start.run,
-                end: RunEnd::NotStarted,
-            };
-            self.after(Duration::ZERO, Happening::ToAgent(place, Box::new(event)));
-            return;
-        }
-        let run_ms = start.spec.payload.rsplit('/').next();
-        let run_ms: u64 = run_ms.and_then(|t| t.parse().ok()).unwrap_or(0);
-        let ends_at = self.now + Duration::from_millis(if target.fail_all { 1 } else { run_ms });
-        let lease_until = self.now + start.lease;
-        let run = Run {
-            job: start.job,
-            task: start.task,
-            payload: start.spec.payload.clone(),
-            lease_until,
-            ends_at,
-            stopped: false,
-        };
-        target.runs.insert(key, run);
-        self.starts.push(StartedTask {
-            at: self.now,
-            agent,
-            job: start.job,
-            task: start.task,
-            payload: start.spec.payload,
-        });
-        let drained_at = self.drained_agents.get(&agent);
-        if drained_at.is_some_and(|at| self.now > *at + LEAVING_GRACE) {
-            self.starts_while_leaving += 1;
-        }
-        self.at(ends_at, Happening::RunOver { agent, run: key });
-        self.at(lease_until, Happening::LeaseOver { agent, run: key });
-        let entry = self.entry_of(start.job);
-        self.step(Step::Started, Where { entry, agent });
-    }
-
-    fn entry_of(&self, job: JobId) -> usize {
-        (job.entry >> 32) as usize - 1
-    }
-
-    fn run_over(&mut self, agent: usize, key: RunKey) {
-        let now = self.now;
-        let target = &mut self.targets[agent];
-        let over = target
-            .runs
-            .get(&key)
-            .is_some_and(|r| r.stopped || r.ends_at <= now);
-        if !over {
-            return;
-        }
-        let Some(run) = target.runs.remove(&key) else {
-            return;
-        };
-        let outcome = if run.stopped {
-            TaskOutcome::Lost
-        } else if target.fail_all {
-            TaskOutcome::Failed("broken target".into())
-        } else {
-            TaskOutcome::Succeeded(run.payload.clone())
-        };
-        self.end_run(agent, key, outcome);
-        let entry = self.entry_of(run.job);
-        let _ = run.task;
-        self.step(Step::Finished, Where { entry, agent });
-    }
-
-    fn lease_over(&mut self, agent: usize, key: RunKey) {
-        let now = self.now;
-        let target = &mut self.targets[agent];
-        if target.runs.get(&key).is_some_and(|r| r.lease_until <= now) {
-            target.runs.remove(&key);
-            self.end_run(agent, key, TaskOutcome::Lost);
-        }
-    }
-
-    fn end_run(&mut self, agent: usize, key: RunKey, outcome: TaskOutcome) {
-        let place = Place {
-            index: agent,
-            life: key.life,
-        };
-        let end = RunEnd::Ended(outcome);
-        let event = AgentEvent::RunEnded { run: key.run, end };
-        self.after(Duration::ZERO, Happening::ToAgent(place, Box::new(event)));
-    }
-
-    fn link(&mut self, entry: usize, agent: usize) -> &mut Link {
-        let other = agent;
-        self.links.entry(LinkKey { entry, other }).or_default()
-    }
-
-    fn dial(&mut self, entry: usize, agent: usize) {
-        let both_live = self.entries[entry].core.is_some() && self.agents[agent].core.is_some();
-        let now = self.now;
-        let paused =
-            self.entries[entry].paused_until > now || self.agents[agent].paused_until > now;
-        let link = self.link(entry, agent);
-        if link.session.is_some() {
-            return;
-        }
-        if paused || link.cut_to_agent || link.cut_to_entry {
-            self.after(REDIAL, Happening::Dial { entry, agent });
-            return;
-        }
-        if !both_live {
-            return;
-        }
-        let session = self.next_session;
-        self.next_session += 1;
-        let link = self.link(entry, agent);
-        link.session = Some(session);
-        let opened_before = std::mem::replace(&mut link.opened_before, true);
-        link.last_arrival = [Duration::ZERO; 2];
-        let other = agent;
-        self.agent_by_session
-            .insert(session, LinkKey { entry, other });
-        let place = self.agent_place(agent);
-        self.agent_event(place, AgentEvent::EntryConnected(session));
-        if opened_before {
-            self.step(Step::SessionResumed, Where { entry, agent });
-        }
-    }
-
-    fn close_link(&mut self, session: SessionId) {
-        let Some(key) = self.agent_by_session.remove(&session) else {
-            return;
-        };
-        let (entry, agent) = (key.entry, key.other);
-        let link = self.link(entry, agent);
-        if link.session == Some(session) {
-            link.session = None;
-        }
-        let entry_place = self.entry_place(entry);
-        let agent_place = self.agent_place(agent);
-        let closed = Box::new(EntryEvent::AgentClosed(session));
-        self.after(LATENCY, Happening::ToEntry(entry_place, closed));
-        let closed = Box::new(AgentEvent::EntryClosed(session));
-        self.after(LATENCY, Happening::ToAgent(agent_place, closed));
-        let pause = REDIAL.mul_f64(self.rng.random_range(0.5..1.5));
-        self.after(pause, Happening::Dial { entry, agent });
-        self.step(Step::SessionLost, Where { entry, agent });
-    }
-
-    /// When a frame arrives: in order, unless a fault says otherwise. None if it is lost.
-    fn arrival(&mut self, key: LinkKey, to_agent: bool) -> Vec<Duration> {
-        let now = self.now;
-        let link = self.links.entry(key).or_default();
-        let cut = if to_agent {
-            link.cut_to_agent
-        } else {
-            link.cut_to_entry
-        };
-        if cut {
-            return Vec::new();
-        }
-        if link.lose > 0 {
-            link.lose -= 1;
-            return Vec::new();
-        }
-        let side = usize::from(to_agent);
-        let mut at = (now + LATENCY).max(link.last_arrival[side]);
-        if link.late > 0 {
-            link.late -= 1;
-            return vec![at + LATE_BY];
-        }
-        if link.reorder > 0 {
-            link.reorder -= 1;
-            return vec![at + LATENCY * 4];
-        }
-        link.last_arrival[side] = at;
-        let mut arrivals = vec![at];
-        if link.double > 0 {
-            link.double -= 1;
-            at += LATENCY;
-            arrivals.push(at);
-        }
-        arrivals
-    }
-
-    fn send_to_agent(&mut self, session: SessionId, frame: Frame<EntryMessage>) {
-        let Some(key) = self.agent_by_session.get(&session).copied() else {
-            return;
-        };
-        let (entry, agent) = (key.entry, key.other);
-        let at = Where { entry, agent };
-        for message in &frame.messages {
-            match message {
-                EntryMessage::Dispatch(_) => self.step(Step::Dispatched, at),
-                EntryMessage::Claim(_) => self.step(Step::PermitClaimed, at),
-                _ => {}
-            }
-        }
-        let place = self.agent_place(agent);
-        for arrival in self.arrival(key, true) {
-            let frame = frame.clone();
-            let event = AgentEvent::EntryFrame { session, frame };
-            self.at(arrival, Happening::ToAgent(place, Box::new(event)));
-        }
-        let dispatched = |m: &EntryMessage| matches!(m, EntryMessage::Dispatch(_));
-        if frame.messages.iter().any(dispatched) {
-            self.step(Step::Received, at);
-        }
-    }
-
-    fn send_to_entry(&mut self, session: SessionId, frame: Frame<AgentMessage>) {
-        let Some(key) = self.agent_by_session.get(&session).copied() else {
-            return;
-        };
-        let (entry, agent) = (key.entry, key.other);
-        let finished = |m: &AgentMessage| matches!(m, AgentMessage::Finished { .. });
-        if frame.messages.iter().any(finished) {
-            self.step(Step::ResultSent, Where { entry, agent });
-        }
-        let place = self.entry_place(entry);
-        for arrival in self.arrival(key, false) {
-            let frame = frame.clone();
-            let event = match (frame.n, frame.messages.first()) {
-                (1, Some(AgentMessage::Hello(hello))) => EntryEvent::AgentOpened {
-                    session,
-                    hello: hello.clone(),
-                },
-                _ => EntryEvent::AgentFrame { session, frame },
-            };
-            self.at(arrival, Happening::ToEntry(place, Box::new(event)));
-        }
-    }
-
-    fn dial_peer(&mut self, from: usize, to: usize) {
-        let key = LinkKey {
-            entry: from,
-            other: to,
-        };
-        let both = self.entries[from].core.is_some() && self.entries[to].core.is_some();
-        if !both || self.peers.contains_key(&key) {
-            return;
-        }
-        let session = self.next_session;
-        self.next_session += 1;
-        self.peers.insert(key, session);
-        self.peer_by_session.insert(session, key);
-        for (here, there) in [(from, to), (to, from)] {
-            let hello = self.peer_hello(there);
-            let event = EntryEvent::PeerOpened { session, hello };
-            self.tell_entry(here, event);
-        }
-    }
-
-    fn peer_hello(&self, index: usize) -> PeerHello {
-        PeerHello {
-            protocol: PROTOCOL_VERSION,
-            name: format!("entry-{index}").into(),
-            incarnation: ((index as u64 + 1) << 32) | self.entries[index].life,
-            agent_address: format!("entry-{index}"),
-            config: ConfigStamp::default(),
-        }
-    }
-
-    fn send_to_peer(&mut self, entry: usize, session: SessionId, frame: Frame<PeerMessage>) {
-        let Some(key) = self.peer_by_session.get(&session).copied() else {
-            return;
-        };
-        let other = if key.entry == entry {
-            key.other
-        } else {
-            key.entry
-        };
-        let place = self.entry_place(other);
-        let event = EntryEvent::PeerFrame { session, frame };
-        self.after(LATENCY, Happening::ToEntry(place, Box::new(event)));
-    }
-
-    fn close_peer(&mut self, session: SessionId) {
-        let Some(key) = self.peer_by_session.remove(&session) else {
-            return;
-        };
-        self.peers.remove(&key);
-        for index in [key.entry, key.other] {
-            self.tell_entry(index, EntryEvent::PeerClosed(session));
-        }
-        let (from, to) = (key.entry, key.other);
-        self.after(REDIAL, Happening::DialPeer { from, to });
-    }
-
     fn kill_entry(&mut self, index: usize) {
         self.entries[index].core = None;
         for session in self.sessions_of(|key| key.entry == index) {
@@ -1065,115 +767,6 @@
             self.close_link(session);
         }
     }
-
-    fn sessions_of(&self, f: impl Fn(&LinkKey) -> bool) -> Vec<SessionId> {
-        let of = self.agent_by_session.iter().filter(|(_, key)| f(key));
-        let mut sessions: Vec<SessionId> = of.map(|(session, _)| *session).collect();
-        sessions.sort_unstable();
-        sessions
-    }
-
-    /// A step was reached: strikes with the faults planned for it, once each.
-    fn step(&mut self, step: Step, at: Where) {
-        self.reached.insert(step);
-        for index in 0..self.plan.faults.len() {
-            let planned = self.plan.faults[index];
-            if planned.step == step && !planned.struck && self.now >= planned.not_before {
-                self.plan.faults[index].struck = true;
-                self.struck += 1;
-                self.strike(planned.fault, at);
-            }
-        }
-    }
-
-    /// Lets a fault strike now.
-    pub fn strike(&mut self, fault: Fault, at: Where) {
-        let Where { entry, agent } = at;
-        let until = self.now + FAULT_LENGTH;
-        match fault {
-            Fault::EntryDies => {
-                self.kill_entry(entry);
-                self.after(RESTART, Happening::StartEntry(entry));
-            }
-            Fault::AgentDies => {
-                self.kill_agent(agent);
-                self.after(RESTART, Happening::StartAgent(agent));
-            }
-            Fault::TargetDies => {
-                self.kill_agent(agent);
-                self.targets[agent].runs.clear();
-                self.targets[agent].down = true;
-                self.vms.remove(&format!("target-{agent}"));
-                self.after(FAULT_LENGTH, Happening::StartAgent(agent));
-            }
-            Fault::TargetRefuses => self.targets[agent].down = true,
-            Fault::CutBothWays => {
-                let link = self.link(entry, agent);
-                link.cut_to_agent = true;
-                link.cut_to_entry = true;
-            }
-            Fault::CutToAgent => self.link(entry, agent).cut_to_agent = true,
-            Fault::CutToEntry => self.link(entry, agent).cut_to_entry = true,
-            Fault::SessionBreaks => {
-                let session = self.link(entry, agent).session;
-                if let Some(session) = session {
-                    self.close_link(session);
-                }
-            }
-            Fault::FrameLost => self.link(entry, agent).lose = 1,
-            Fault::FrameDoubled => self.link(entry, agent).double = 2,
-            Fault::FrameLate => self.link(entry, agent).late = 1,
-            Fault::FramesReordered => self.link(entry, agent).reorder = 1,
-            Fault::EntryPauses => self.entries[entry].paused_until = until,
-            Fault::AgentPauses => self.agents[agent].paused_until = until,
-            Fault::EntryClockSteps => self.entries[entry].clock += CLOCK_STEP,
-            Fault::AgentClockSteps => self.agents[agent].clock += CLOCK_STEP,
-            Fault::LogDown => self.log.set_faults(LogFaults {
-                down: true,
-                ..LogFaults::default()
-            }),
-            Fault::LogSlow => self.log_delay = Duration::from_secs(3),
-            Fault::LogRepliesLost => self.log.set_faults(LogFaults {
-                lose_replies: true,
-                ..LogFaults::default()
-            }),
-            Fault::LogExpires => self.expire_log(),
-            Fault::ListStale => self.stale_list = self.vms.list_now().ok(),
-            Fault::ListDown => self.vms.set_down(true),
-        }
-        self.after(FAULT_LENGTH, Happening::EndFault(fault, at));
-    }
-
-    /// Drops what is older than the retention.
-    fn expire_log(&mut self) {
-        let kept_since = self.now.saturating_sub(LOG_RETENTION);
-        let older = self.log_ends.range(..=kept_since).next_back();
-        if let Some((_, end)) = older {
-            self.log.expire_below(*end);
-        }
-    }
-
-    /// Notes how far the log reaches now, for its retention.
-    fn note_log_end(&mut self) {
-        self.log_ends.insert(self.now, self.log.end());
-    }
-
-    fn end_fault(&mut self, fault: Fault, at: Where) {
-        let Where { entry, agent } = at;
-        match fault {
-            Fault::CutBothWays | Fault::CutToAgent | Fault::CutToEntry => {
-                let link = self.link(entry, agent);
-                link.cut_to_agent = false;
-                link.cut_to_entry = false;
-            }
-            Fault::TargetRefuses => self.targets[agent].down = false,
-            Fault::LogDown | Fault::LogRepliesLost => self.log.set_faults(LogFaults::default()),
-            Fault::LogSlow => self.log_delay = LATENCY,
-            Fault::ListStale => self.stale_list = None,
-            Fault::ListDown => self.vms.set_down(false),
-            _ => {}
-        }
-    }
 }
 
 fn target_vm(index: usize, state: VmState) -> VmRecord {
