--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -41,7 +41,7 @@
         .subcommand(completions_command())
 }
 
-fn daemon_commands() -> [Command; 3] {
+fn daemon_commands() -> [Command; 5] {
     [
         Command::new("entry")
             .about("Run an entry, which serves callers")
@@ -57,6 +57,12 @@
                     .long("settings")
                     .required(true),
             ),
+        Command::new("serve-entry")
+            .about("Run an entry on the users' platform")
+            .arg(platform_settings_arg()),
+        Command::new("serve-agent")
+            .about("Run an agent beside its target on the users' platform")
+            .arg(platform_settings_arg()),
         Command::new("stand-ins")
             .about("Run stand-ins for the platform's log, VM list and targets, for trying out")
             .arg(
@@ -213,6 +219,14 @@
         .help(help)
 }
 
+fn platform_settings_arg() -> Arg {
+    file_arg(
+        "settings",
+        "The platform's settings file [default: $TRESTLEKNOT_CONFIG]",
+    )
+    .long("settings")
+}
+
 fn log_arg() -> Arg {
     Arg::new("log-url")
         .long("log-url")
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -27,6 +27,12 @@
         /// Place and cause.
         source: SettingsError,
     },
+    /// The platform's settings were not accepted.
+    #[snafu(transparent)]
+    PlatformSettings {
+        /// Place and cause.
+        source: platform::settings::SettingsError,
+    },
     /// A configuration was not accepted.
     #[snafu(transparent)]
     Document {
@@ -71,9 +77,10 @@
     /// The exit code for this error.
     pub fn exit_code(&self) -> ExitCode {
         match self {
-            Self::Settings { .. } | Self::Document { .. } | Self::ReadFile { .. } => {
-                ExitCode::from(BAD_INPUT)
-            }
+            Self::Settings { .. }
+            | Self::PlatformSettings { .. }
+            | Self::Document { .. }
+            | Self::ReadFile { .. } => ExitCode::from(BAD_INPUT),
             Self::NotApplied { code, .. } => ExitCode::from(*code),
             Self::System { .. } | Self::NoAnswer { .. } => ExitCode::FAILURE,
         }
--- a/cli/src/logging.rs
+++ b/cli/src/logging.rs
@@ -1,8 +1,11 @@
 //! Log lines: numbered events on standard error.
 
+use std::io;
+
 use clap::ArgMatches;
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::{JsonLayout, TextLayout};
+use trestleknot_lib::line_log::LineLog;
 
 /// Target of our own events; libraries only show warnings and errors.
 const OWN_TARGET: &str = "trestleknot";
@@ -29,3 +32,14 @@
     };
     builder.apply();
 }
+
+/// Starts logging for the platform: bounded lines on standard output, written in the background.
+pub fn start_lines() -> io::Result<LineLog> {
+    let log = LineLog::start()?;
+    let filter = RustLogFilterBuilder::from_spec(format!("warn,{OWN_TARGET}=info")).build();
+    let append = log.clone();
+    logforth::starter_log::builder()
+        .dispatch(|d| d.filter(filter).append(append))
+        .apply();
+    Ok(log)
+}
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -8,6 +8,7 @@
 mod fleet_status;
 mod logging;
 mod operators;
+mod platform_daemons;
 mod submit;
 
 use std::process::ExitCode;
@@ -18,7 +19,12 @@
 
 fn main() -> ExitCode {
     let matches = args::command().get_matches();
-    logging::start(&matches);
+    if !matches!(
+        matches.subcommand_name(),
+        Some("serve-entry" | "serve-agent")
+    ) {
+        logging::start(&matches);
+    }
     match run(&matches) {
         Ok(code) => code,
         Err(e) => {
@@ -32,6 +38,8 @@
     match matches.subcommand() {
         Some(("entry", args)) => daemons::entry(args),
         Some(("agent", args)) => daemons::agent(args),
+        Some(("serve-entry", args)) => platform_daemons::entry(args),
+        Some(("serve-agent", args)) => platform_daemons::agent(args),
         Some(("stand-ins", args)) => daemons::stand_ins(args),
         Some(("check", args)) => operators::check(args),
         Some(("apply", args)) => operators::apply(args),
--- /dev/null
+++ b/cli/src/platform_daemons.rs
@@ -0,0 +1,256 @@
+//! The daemons on the users' platform: settings in, one thread each, signals obeyed.
+
+use std::cell::OnceCell;
+use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use clap::ArgMatches;
+use ntex::SharedCfg;
+use ntex::http::HttpServiceConfig;
+use ntex::time::Seconds;
+use ntex::web::{self, App, HttpServer};
+use platform::settings::{self, AgentSettings, CommonSettings, EntrySettings};
+use platform::store::Store;
+use platform::target_client::TargetClient;
+use platform::{caller_server, target_server};
+use snafu::ResultExt as _;
+use tokio::signal::unix::{SignalKind, signal};
+use trestleknot_lib::agent_node::AgentNode;
+use trestleknot_lib::batch_entry::{EntryEvent, EntryOptions};
+use trestleknot_lib::entry_node::EntryNode;
+use trestleknot_lib::events::{EventCode, LogEvent};
+use trestleknot_lib::line_log::LineLog;
+use trestleknot_lib::run_agent::{AgentEvent, AgentOptions};
+use trestleknot_lib::worker_threads::run_system;
+
+use crate::error::{CliResult, SystemSnafu};
+use crate::logging;
+
+/// Port of the metrics page, as deploy/system.toml names it.
+const METRICS_PORT: u16 = 9464;
+/// How long an idle connection is kept; callers' connections are theirs to close.
+const KEEP_IDLE: Seconds = Seconds(75);
+/// How long a request's head may take, as the platform's first configuration says.
+const HEAD_LIMIT: Seconds = Seconds(3);
+/// Pause between the last answer and the end of the process, for sockets to be written.
+const LAST_WORDS: Duration = Duration::from_millis(60);
+
+fn settings_path(args: &ArgMatches) -> CliResult<PathBuf> {
+    match args.get_one::<PathBuf>("settings") {
+        Some(path) => Ok(path.clone()),
+        None => Ok(settings::path_from_environment()?),
+    }
+}
+
+fn listen(address: SocketAddr) -> CliResult<TcpListener> {
+    let what = format!("listening on {address}");
+    TcpListener::bind(address).context(SystemSnafu { what })
+}
+
+fn metrics_address(ip: IpAddr) -> SocketAddr {
+    SocketAddr::new(ip, METRICS_PORT)
+}
+
+fn http_config() -> SharedCfg {
+    let http = HttpServiceConfig::new()
+        .set_keepalive(KEEP_IDLE)
+        .set_client_timeout(HEAD_LIMIT);
+    SharedCfg::new("http").add(http).into()
+}
+
+/// A new life's number. Two lives of one process never share it.
+fn new_life() -> u64 {
+    rand::random()
+}
+
+fn started(common: &CommonSettings, life: u64) {
+    let CommonSettings { name, hall, .. } = common;
+    let version = env!("CARGO_PKG_VERSION");
+    let detail = format!("name={name} hall={hall} life={life:x} version={version}");
+    LogEvent::new(EventCode::Started, detail).emit();
+}
+
+/// Tells the node of signals: the first SIGTERM or SIGINT drains; SIGHUP reads the settings again.
+async fn obey_signals(path: PathBuf, drain: impl Fn()) {
+    let term = signal(SignalKind::terminate());
+    let int = signal(SignalKind::interrupt());
+    let hup = signal(SignalKind::hangup());
+    let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
+        LogEvent::new(EventCode::RequestRejected, "signals can't be had").emit();
+        return;
+    };
+    loop {
+        tokio::select! {
+            _ = term.recv() => drain(),
+            _ = int.recv() => drain(),
+            _ = hup.recv() => reread(&path),
+        }
+    }
+}
+
+/// Nothing in the settings can change under a running process but what it takes from the store,
+/// so a reload only checks the file.
+fn reread(path: &std::path::Path) {
+    let read = std::fs::read_to_string(path);
+    let detail = match read {
+        Ok(text) => format!("bytes={} change=none", text.len()),
+        Err(e) => format!("cause=\"{e}\""),
+    };
+    LogEvent::new(EventCode::SettingsReload, detail).emit();
+}
+
+/// Ends the process after its last words.
+async fn end(log: LineLog) {
+    tokio::time::sleep(LAST_WORDS).await;
+    log.write_now();
+    std::process::exit(0);
+}
+
+thread_local! {
+    static ENTRY: OnceCell<Rc<EntryNode>> = const { OnceCell::new() };
+    static AGENT: OnceCell<Rc<AgentNode>> = const { OnceCell::new() };
+}
+
+/// Runs an entry.
+pub fn entry(args: &ArgMatches) -> CliResult<ExitCode> {
+    let path = settings_path(args)?;
+    let settings = settings::load_entry(&path)?;
+    let log = logging::start_lines().context(SystemSnafu { what: "logging" })?;
+    let callers = listen(settings.callers)?;
+    let ready = listen(settings.ready)?;
+    let metrics = listen(metrics_address(settings.common.ip))?;
+    run_system("entry", async move {
+        let server = HttpServer::new(async move || {
+            let node = entry_of_thread(&settings, &path, &log).await;
+            App::new()
+                .state(node)
+                .configure(caller_server::routes)
+                .default_service(caller_server::any_path())
+        });
+        let server = server.workers(1).disable_signals().config(http_config());
+        let listening = server
+            .listen(callers)
+            .and_then(|s| s.listen(ready))
+            .and_then(|s| s.listen(metrics));
+        serve(listening.map(|s| s.run())).await;
+    });
+    Ok(ExitCode::FAILURE)
+}
+
+async fn serve(server: std::io::Result<ntex::server::Server>) {
+    let served = match server {
+        Ok(server) => server.await,
+        Err(e) => Err(e),
+    };
+    if let Err(e) = served {
+        anstream::eprintln!("error: serving: {e}");
+    }
+}
+
+/// The entry of this thread, started at the first call: the server asks once for each address.
+async fn entry_of_thread(
+    settings: &EntrySettings,
+    path: &std::path::Path,
+    log: &LineLog,
+) -> Rc<EntryNode> {
+    if let Some(node) = ENTRY.with(|n| n.get().cloned()) {
+        return node;
+    }
+    let common = &settings.common;
+    let listener = tokio::net::TcpListener::bind(common.link_address).await;
+    let listener = listener.unwrap_or_else(|e| {
+        anstream::eprintln!("error: listening on {}: {e}", common.link_address);
+        std::process::exit(1);
+    });
+    let life = new_life();
+    started(common, life);
+    let options = EntryOptions {
+        name: common.name.as_str().into(),
+        life,
+        hall: common.hall.as_str().into(),
+        address: common.link_address,
+        seeds: common.seeds.clone(),
+        seed: life,
+    };
+    let node = EntryNode::start(options, listener);
+    let feed = Rc::new(Store::new(common.store).await);
+    ntex::rt::spawn(node.clone().follow_config(feed.clone()));
+    let (name, address) = (common.name.clone(), common.link_address);
+    ntex::rt::spawn(node.clone().register(feed, name, address));
+    let drained = node.clone();
+    let drain = move || drained.tell(EntryEvent::Drain);
+    ntex::rt::spawn(obey_signals(path.to_owned(), drain));
+    let (ended, log) = (node.clone(), log.clone());
+    ntex::rt::spawn(async move {
+        ended.ended().await;
+        end(log).await;
+    });
+    ENTRY.with(|n| n.set(node.clone()).ok());
+    node
+}
+
+/// Runs an agent.
+pub fn agent(args: &ArgMatches) -> CliResult<ExitCode> {
+    let path = settings_path(args)?;
+    let settings = settings::load_agent(&path)?;
+    let log = logging::start_lines().context(SystemSnafu { what: "logging" })?;
+    let reports = listen(settings.reports)?;
+    let metrics = listen(metrics_address(settings.common.ip))?;
+    run_system("agent", async move {
+        let server = HttpServer::new(async move || {
+            let node = agent_of_thread(&settings, &path, &log).await;
+            App::new()
+                .state(node)
+                .configure(|cfg: &mut web::ServiceConfig| target_server::routes(cfg))
+        });
+        let server = server.workers(1).disable_signals().config(http_config());
+        let listening = server.listen(reports).and_then(|s| s.listen(metrics));
+        serve(listening.map(|s| s.run())).await;
+    });
+    Ok(ExitCode::FAILURE)
+}
+
+/// The agent of this thread, started at the first call.
+async fn agent_of_thread(
+    settings: &AgentSettings,
+    path: &std::path::Path,
+    log: &LineLog,
+) -> Rc<AgentNode> {
+    if let Some(node) = AGENT.with(|n| n.get().cloned()) {
+        return node;
+    }
+    let common = &settings.common;
+    let life = new_life();
+    started(common, life);
+    let options = AgentOptions {
+        name: common.name.as_str().into(),
+        life,
+        hall: common.hall.as_str().into(),
+        lease: settings.lease,
+        token: time_of_day_ms(),
+        seeds: common.seeds.clone(),
+    };
+    let target = Rc::new(TargetClient::new(settings.target).await);
+    let node = AgentNode::start(options, target);
+    let registry = Rc::new(Store::new(common.store).await);
+    ntex::rt::spawn(node.clone().look_for_entries(registry));
+    let drained = node.clone();
+    let drain = move || drained.tell(AgentEvent::Drain);
+    ntex::rt::spawn(obey_signals(path.to_owned(), drain));
+    let (ended, log) = (node.clone(), log.clone());
+    ntex::rt::spawn(async move {
+        ended.ended().await;
+        end(log).await;
+    });
+    AGENT.with(|n| n.set(node.clone()).ok());
+    node
+}
+
+/// Milliseconds since 1970: fencing tokens rise with it from one life of an agent to the next.
+fn time_of_day_ms() -> u64 {
+    let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
+    since_1970.unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/lib/src/agent_node.rs
@@ -0,0 +1,168 @@
+//! An agent on the platform: its core with links, timer and target on one thread.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use tokio::sync::Notify;
+
+use crate::entry_node::StoreHealth;
+use crate::figures::Figures;
+use crate::ids::SessionId;
+use crate::node_links::{LinkSink, NodeLinks};
+use crate::platform_ports::{EntryRegistry, TargetPort};
+use crate::run_agent::{AgentAction, AgentEvent, AgentOptions, RunAgent, StartCall};
+use crate::run_message::Packet;
+use crate::target_lease::Renewal;
+use crate::wake_timer::WakeTimer;
+
+/// An agent without any link asks the registry for entries at this interval.
+const LOOK_FOR_ENTRIES: Duration = Duration::from_millis(1_500);
+
+/// See the module.
+pub struct AgentNode {
+    me: Weak<AgentNode>,
+    core: RefCell<RunAgent>,
+    timer: Rc<WakeTimer>,
+    links: Rc<NodeLinks>,
+    target: Rc<dyn TargetPort>,
+    figures: Figures,
+    ended: Notify,
+}
+
+impl AgentNode {
+    /// An agent beside a target. Must be called on the thread that is to run it.
+    pub fn start(options: AgentOptions, target: Rc<dyn TargetPort>) -> Rc<Self> {
+        let timer = WakeTimer::new(Instant::now());
+        let core = RunAgent::new(timer.now(), options);
+        let node = Rc::new_cyclic(|me: &Weak<Self>| Self {
+            me: me.clone(),
+            core: RefCell::new(core),
+            timer: timer.clone(),
+            links: NodeLinks::new(),
+            target,
+            figures: Figures::new(),
+            ended: Notify::new(),
+        });
+        let woken = node.clone();
+        ntex::rt::spawn(timer.run(move || woken.tell(AgentEvent::Wake)));
+        node.tell(AgentEvent::Wake);
+        node
+    }
+
+    /// Tells the core something and carries out what it wants.
+    pub fn tell(&self, event: AgentEvent) {
+        let actions = {
+            let mut core = self.core.borrow_mut();
+            let actions = core.handle(self.timer.now(), event);
+            self.timer.set(core.next_wake());
+            actions
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: AgentAction) {
+        match action {
+            AgentAction::Send(link, packet) => self.links.send(link, &Packet::FromAgent(packet)),
+            AgentAction::Close(link) => self.links.close(link),
+            AgentAction::Dial(address) => self.dial(address),
+            AgentAction::Start(call) => self.start_run(call),
+            AgentAction::Stop { key, token, life } => {
+                ntex::rt::spawn(self.target.stop(key, token, life));
+            }
+            AgentAction::Renew { renewal, life } => self.renew(renewal, life),
+            AgentAction::Log(event) => {
+                self.figures.event(event.code);
+                event.emit();
+            }
+            AgentAction::Exit => self.ended.notify_one(),
+        }
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        if let Some(me) = self.me.upgrade() {
+            self.links.dial(address, me);
+        }
+    }
+
+    fn start_run(&self, call: StartCall) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        let (key, token) = (call.key, call.token);
+        let answer = self.target.start(call);
+        let sent = Instant::now();
+        ntex::rt::spawn(async move {
+            let answer = answer.await;
+            me.figures.call(sent.elapsed());
+            me.tell(AgentEvent::StartAnswered { key, token, answer });
+        });
+    }
+
+    fn renew(&self, renewal: Renewal, life: Option<std::sync::Arc<str>>) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        let number = renewal.number;
+        let answer = self.target.renew(renewal, life);
+        ntex::rt::spawn(async move {
+            let answer = answer.await;
+            me.tell(AgentEvent::RenewalAnswered { number, answer });
+        });
+    }
+
+    /// The metrics page.
+    pub fn metrics(&self) -> String {
+        let levels = self.core.borrow().levels();
+        let (sent, received) = self.links.traffic();
+        self.figures.level("runs", levels.runs);
+        self.figures.level("entries", levels.entries);
+        self.figures.level("link_bytes_sent", sent);
+        self.figures.level("link_bytes_received", received);
+        self.figures.render()
+    }
+
+    /// Waits until the core wants the process to stop.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Looks for entries in the registry for as long as there is no link. Never returns.
+    pub async fn look_for_entries(self: Rc<Self>, registry: Rc<dyn EntryRegistry>) {
+        let mut health = StoreHealth::default();
+        loop {
+            tokio::time::sleep(LOOK_FOR_ENTRIES).await;
+            if self.core.borrow().levels().entries > 0 {
+                continue;
+            }
+            match registry.list().await {
+                Ok(addresses) => {
+                    health.answered();
+                    addresses.into_iter().for_each(|a| self.dial(a));
+                }
+                Err(e) => health.failed(&e.to_string()).await,
+            }
+        }
+    }
+}
+
+impl LinkSink for AgentNode {
+    fn link_up(&self, link: SessionId, _dialled: bool) {
+        self.tell(AgentEvent::LinkUp(link));
+    }
+
+    fn packet(&self, link: SessionId, packet: Packet) {
+        match packet {
+            Packet::FromEntry(packet) => self.tell(AgentEvent::Packet(link, packet)),
+            // Only entries are dialled, and they send nothing else to an agent.
+            Packet::FromAgent(_) | Packet::BetweenEntries(_) => self.links.close(link),
+        }
+    }
+
+    fn link_down(&self, link: SessionId) {
+        self.tell(AgentEvent::LinkDown(link));
+    }
+}
--- a/lib/src/codec.rs
+++ b/lib/src/codec.rs
@@ -22,12 +22,22 @@
 
 /// Encodes a frame.
 pub fn encode<M: Serialize>(frame: &Frame<M>) -> Vec<u8> {
+    encode_value(frame)
+}
+
+/// Encodes anything.
+pub fn encode_value<T: Serialize>(value: &T) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(128);
-    ciborium::into_writer(frame, &mut bytes).expect("writing to a vector can't fail");
+    ciborium::into_writer(value, &mut bytes).expect("writing to a vector can't fail");
     bytes
 }
 
 /// Decodes a frame.
 pub fn decode<M: DeserializeOwned>(bytes: &[u8]) -> Result<Frame<M>, CodecError> {
+    decode_value(bytes)
+}
+
+/// Decodes anything.
+pub fn decode_value<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, CodecError> {
     ciborium::from_reader(bytes).context(MalformedSnafu)
 }
--- /dev/null
+++ b/lib/src/entry_leases.rs
@@ -0,0 +1,183 @@
+//! What an agent knows of the entries: their links, and until when each answers for its runs.
+//!
+//! An entry's lease is given on the agent's own clock, so it holds its meaning however long the
+//! packet that carries it waits in a socket while either side stands still.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::ids::{Incarnation, NodeName, Now, SessionId};
+use crate::run_message::AgentNews;
+
+/// How often an agent shows a quiet link that it lives. A third of an entry's lease.
+pub const HEARTBEAT: Duration = Duration::from_millis(250);
+/// A link on which nothing has come for so long is closed and dialled again. Six heartbeats.
+const SILENT_LINK: Duration = Duration::from_millis(1_500);
+/// A closed link may be back within this; then the entry's runs are stopped. Well under the
+/// 1.3 s after which callers of a dead entry hand their batches in again elsewhere.
+const RECONNECT_GRACE: Duration = Duration::from_millis(250);
+/// How often an entry with waiting tasks is told of resources that fall free.
+const NEWS_OF_ROOM: Duration = Duration::from_millis(10);
+
+/// A link to an entry.
+#[derive(Debug, Default)]
+pub struct EntryLink {
+    /// The entry's life, once it has said so.
+    pub entry: Option<Incarnation>,
+    /// Its name.
+    pub name: Option<NodeName>,
+    /// News to be sent.
+    pub news: Vec<AgentNews>,
+    /// Starts received on this link.
+    pub starts_seen: u64,
+    /// Tasks that wait at the entry.
+    pub waiting: u32,
+    /// When something was last heard.
+    pub heard: Now,
+    /// When something was last sent.
+    pub sent: Now,
+    /// Whether more room is to be told of.
+    pub owes_room: bool,
+}
+
+impl EntryLink {
+    /// When a packet is due.
+    fn due_at(&self) -> Now {
+        if !self.news.is_empty() {
+            return Now::ZERO;
+        }
+        if self.owes_room && self.waiting > 0 {
+            return self.sent + NEWS_OF_ROOM;
+        }
+        self.sent + HEARTBEAT
+    }
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct EntryLeases {
+    links: BTreeMap<SessionId, EntryLink>,
+    until: BTreeMap<Incarnation, Now>,
+}
+
+impl EntryLeases {
+    /// Notes a new link.
+    pub fn opened(&mut self, now: Now, link: SessionId) {
+        let fresh = EntryLink {
+            heard: now,
+            sent: now,
+            ..EntryLink::default()
+        };
+        self.links.insert(link, fresh);
+    }
+
+    /// Notes that a link is gone; its entry has a short grace to come back.
+    pub fn closed(&mut self, now: Now, link: SessionId) -> Option<EntryLink> {
+        let gone = self.links.remove(&link)?;
+        if let Some(until) = gone.entry.and_then(|e| self.until.get_mut(&e)) {
+            *until = (*until).min(now + RECONNECT_GRACE);
+        }
+        Some(gone)
+    }
+
+    /// Notes an entry's word on a link. A lease from before the link was closed does not count
+    /// again: leases only grow through packets of a live link.
+    pub fn heard(&mut self, now: Now, link: SessionId, lease_until: Now, waiting: u32) {
+        let Some(found) = self.links.get_mut(&link) else {
+            return;
+        };
+        found.heard = now;
+        found.waiting = waiting;
+        if let Some(entry) = found.entry {
+            let until = self.until.entry(entry).or_default();
+            *until = (*until).max(lease_until);
+        }
+    }
+
+    /// Whether an entry answers for its runs.
+    pub fn is_held(&self, now: Now, entry: Incarnation) -> bool {
+        self.until.get(&entry).is_some_and(|until| *until > now)
+    }
+
+    /// When an entry's lease runs out.
+    pub fn until(&self, entry: Incarnation) -> Now {
+        self.until.get(&entry).copied().unwrap_or_default()
+    }
+
+    /// Forgets entries whose lease ran out long ago.
+    pub fn forget_before(&mut self, before: Now) {
+        self.until.retain(|_, until| *until >= before);
+    }
+
+    /// A link.
+    pub fn get_mut(&mut self, link: SessionId) -> Option<&mut EntryLink> {
+        self.links.get_mut(&link)
+    }
+
+    /// All links.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (SessionId, &mut EntryLink)> {
+        self.links.iter_mut().map(|(id, link)| (*id, link))
+    }
+
+    /// Number of links.
+    pub fn len(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Whether there is no link.
+    pub fn is_empty(&self) -> bool {
+        self.links.is_empty()
+    }
+
+    /// Adds news for an entry, if a link to it stands.
+    pub fn tell(&mut self, entry: Incarnation, news: AgentNews) {
+        let link = self.links.values_mut().find(|l| l.entry == Some(entry));
+        if let Some(link) = link {
+            link.news.push(news);
+        }
+    }
+
+    /// Adds news for all entries.
+    pub fn tell_all(&mut self, news: &AgentNews) {
+        for link in self.links.values_mut() {
+            link.news.push(news.clone());
+        }
+    }
+
+    /// Notes that resources have fallen free.
+    pub fn note_room(&mut self) {
+        for link in self.links.values_mut() {
+            link.owes_room = true;
+        }
+    }
+
+    /// Links on which a packet is due, with their news.
+    pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, u64, Vec<AgentNews>)> {
+        let mut due = Vec::new();
+        for (id, link) in &mut self.links {
+            if link.due_at() > now {
+                continue;
+            }
+            link.sent = now;
+            link.owes_room = false;
+            due.push((*id, link.starts_seen, std::mem::take(&mut link.news)));
+        }
+        due
+    }
+
+    /// Links that have been silent for too long.
+    pub fn silent(&self, now: Now) -> Vec<SessionId> {
+        let silent = |link: &EntryLink| link.heard + SILENT_LINK <= now;
+        let links = self.links.iter();
+        links
+            .filter(|(_, link)| silent(link))
+            .map(|(id, _)| *id)
+            .collect()
+    }
+
+    /// When something is due next.
+    pub fn next_wake(&self) -> Option<Now> {
+        let due = |link: &EntryLink| link.due_at().min(link.heard + SILENT_LINK);
+        self.links.values().map(due).min()
+    }
+}
--- /dev/null
+++ b/lib/src/entry_node.rs
@@ -0,0 +1,268 @@
+//! An entry on the platform: its core with links, timer and callers on one thread.
+//!
+//! One thread, not one for each duty: on a quarter of a core a hand-over between threads costs the
+//! caller more than the duties gain from standing apart. docs/design/platform.md has the figures.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+
+use crate::batch_entry::{BatchEntry, EntryAction, EntryEvent, EntryOptions, Reply};
+use crate::events::{EventCode, LogEvent};
+use crate::figures::Figures;
+use crate::ids::{RequestId, SessionId};
+use crate::node_links::{LinkSink, NodeLinks};
+use crate::platform_ports::{ConfigFeed, EntryRegistry, PortResult};
+use crate::run_message::Packet;
+use crate::wake_timer::WakeTimer;
+
+/// First pause after the store gave no answer.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+/// Longest pause: the configuration must be in force 2 s after it was accepted.
+const MOST_PAUSE: Duration = Duration::from_millis(500);
+
+/// See the module.
+pub struct EntryNode {
+    me: Weak<EntryNode>,
+    core: RefCell<BatchEntry>,
+    timer: Rc<WakeTimer>,
+    links: Rc<NodeLinks>,
+    replies: RefCell<HashMap<RequestId, oneshot::Sender<Reply>>>,
+    next_request: Cell<RequestId>,
+    figures: Figures,
+    ended: Notify,
+}
+
+impl EntryNode {
+    /// An entry that listens for links. Must be called on the thread that is to run it.
+    pub fn start(options: EntryOptions, links_listener: TcpListener) -> Rc<Self> {
+        let timer = WakeTimer::new(Instant::now());
+        let node = Rc::new_cyclic(|me: &Weak<Self>| Self {
+            me: me.clone(),
+            core: RefCell::new(BatchEntry::new(options)),
+            timer: timer.clone(),
+            links: NodeLinks::new(),
+            replies: RefCell::default(),
+            next_request: Cell::new(1),
+            figures: Figures::new(),
+            ended: Notify::new(),
+        });
+        let sink: Rc<dyn LinkSink> = node.clone();
+        ntex::rt::spawn(node.links.clone().accept_all(links_listener, sink));
+        let woken = node.clone();
+        ntex::rt::spawn(timer.run(move || woken.tell(EntryEvent::Wake)));
+        node.tell(EntryEvent::Wake);
+        node
+    }
+
+    /// Tells the core something and carries out what it wants.
+    pub fn tell(&self, event: EntryEvent) {
+        let actions = {
+            let mut core = self.core.borrow_mut();
+            let actions = core.handle(self.timer.now(), event);
+            self.timer.set(core.next_wake());
+            actions
+        };
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn carry_out(&self, action: EntryAction) {
+        match action {
+            EntryAction::Reply(request, reply) => self.reply(request, reply),
+            EntryAction::Send(link, packet) => self.links.send(link, &packet),
+            EntryAction::Close(link) => self.links.close(link),
+            EntryAction::Dial(address) => self.dial(address),
+            EntryAction::Log(event) => {
+                self.figures.event(event.code);
+                event.emit();
+            }
+            EntryAction::Measured(took_ms, _) => {
+                self.figures.response(Duration::from_millis(took_ms));
+            }
+            EntryAction::Exit => self.ended.notify_one(),
+        }
+    }
+
+    fn dial(&self, address: SocketAddr) {
+        if let Some(me) = self.me.upgrade() {
+            self.links.dial(address, me);
+        }
+    }
+
+    fn reply(&self, request: RequestId, reply: Reply) {
+        self.figures.answer(reply.kind());
+        // Without a receiver the caller has gone; the core is told so by its guard.
+        if let Some(tx) = self.replies.borrow_mut().remove(&request) {
+            let _ = tx.send(reply);
+        }
+    }
+
+    /// Tells the core of a request and waits for its reply. If the future is dropped before, the
+    /// core is told that the caller has gone.
+    pub async fn ask(&self, event: impl FnOnce(RequestId) -> EntryEvent) -> Option<Reply> {
+        let request = self.next_request.get();
+        self.next_request.set(request + 1);
+        let (tx, rx) = oneshot::channel();
+        self.replies.borrow_mut().insert(request, tx);
+        let mut guard = CallerGuard {
+            node: self,
+            request,
+            is_answered: false,
+        };
+        self.tell(event(request));
+        let reply = rx.await.ok();
+        guard.is_answered = true;
+        reply
+    }
+
+    /// Whether the balancer should send new connections.
+    pub fn is_ready(&self) -> bool {
+        self.core.borrow().is_ready()
+    }
+
+    /// Whether the entry is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.core.borrow().is_draining()
+    }
+
+    /// Largest body that the configuration allows.
+    pub fn body_limit(&self) -> Option<usize> {
+        self.core.borrow().body_limit()
+    }
+
+    /// The metrics page.
+    pub fn metrics(&self) -> String {
+        let levels = self.core.borrow().levels();
+        let (sent, received) = self.links.traffic();
+        self.figures.level("batches", levels.batches);
+        self.figures.level("targets", levels.targets);
+        self.figures.level("config_version", levels.config_version);
+        self.figures.level("link_bytes_sent", sent);
+        self.figures.level("link_bytes_received", received);
+        self.figures.render()
+    }
+
+    /// Waits until the core wants the process to stop.
+    pub async fn ended(&self) {
+        self.ended.notified().await;
+    }
+
+    /// Feeds the core with configurations. Never returns.
+    pub async fn follow_config(self: Rc<Self>, feed: Rc<dyn ConfigFeed>) {
+        let mut health = StoreHealth::default();
+        loop {
+            match feed.next().await {
+                Ok(table) => {
+                    health.answered();
+                    if let Some(table) = table {
+                        self.tell(EntryEvent::Config(Arc::new(table)));
+                    }
+                }
+                Err(e) => health.failed(&e.to_string()).await,
+            }
+        }
+    }
+
+    /// Leaves the entry's address in the registry and learns the others'.
+    pub async fn register(
+        self: Rc<Self>,
+        registry: Rc<dyn EntryRegistry>,
+        name: String,
+        address: SocketAddr,
+    ) {
+        let mut health = StoreHealth::default();
+        loop {
+            match register_once(&*registry, &name, address).await {
+                Ok(addresses) => {
+                    self.tell(EntryEvent::Entries(addresses));
+                    return;
+                }
+                Err(e) => health.failed(&e.to_string()).await,
+            }
+        }
+    }
+}
+
+async fn register_once(
+    registry: &dyn EntryRegistry,
+    name: &str,
+    address: SocketAddr,
+) -> PortResult<Vec<SocketAddr>> {
+    registry.announce(name, address).await?;
+    registry.list().await
+}
+
+impl LinkSink for EntryNode {
+    fn link_up(&self, link: SessionId, dialled: bool) {
+        self.tell(EntryEvent::LinkUp(link, dialled));
+    }
+
+    fn packet(&self, link: SessionId, packet: Packet) {
+        self.tell(EntryEvent::Packet(link, packet));
+    }
+
+    fn link_down(&self, link: SessionId) {
+        self.tell(EntryEvent::LinkDown(link));
+    }
+}
+
+/// Tells the core that a caller is gone if its handler is dropped before the answer.
+struct CallerGuard<'a> {
+    node: &'a EntryNode,
+    request: RequestId,
+    is_answered: bool,
+}
+
+impl Drop for CallerGuard<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.node.replies.borrow_mut().remove(&self.request);
+            self.node.tell(EntryEvent::CallerGone(self.request));
+        }
+    }
+}
+
+/// Whether the store answers, with a line in the log when that changes, and pauses between tries.
+#[derive(Debug)]
+pub struct StoreHealth {
+    is_down: bool,
+    pause: Duration,
+}
+
+impl Default for StoreHealth {
+    fn default() -> Self {
+        Self {
+            is_down: false,
+            pause: FIRST_PAUSE,
+        }
+    }
+}
+
+impl StoreHealth {
+    /// Notes an answer.
+    pub fn answered(&mut self) {
+        if self.is_down {
+            LogEvent::new(EventCode::StoreUp, "").emit();
+        }
+        *self = Self::default();
+    }
+
+    /// Notes a failure and pauses, with jitter.
+    pub async fn failed(&mut self, cause: &str) {
+        if !self.is_down {
+            self.is_down = true;
+            LogEvent::new(EventCode::StoreDown, format!("cause=\"{cause}\"")).emit();
+        }
+        let jitter = rand::random_range(0.5..1.5);
+        tokio::time::sleep(self.pause.mul_f64(jitter)).await;
+        self.pause = (self.pause * 2).min(MOST_PAUSE);
+    }
+}
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -91,6 +91,29 @@
     MalformedFrame = 1701, Warn, "session closed for a malformed frame";
     StrangerRefused = 1702, Warn, "connection without the fleet secret refused";
     RingFull = 1703, Error, "ring between threads is full";
+    LinesDropped = 1704, Warn, "log lines dropped, more than the bound came";
+    StoreDown = 1801, Warn, "the platform's store does not answer";
+    StoreUp = 1802, Info, "the platform's store answers again";
+    SettingsReload = 1803, Info, "settings file read again";
+    EntriesLearnt = 1804, Info, "addresses of entries learnt";
+    RequestRejected = 1805, Info, "request rejected before it reached the core";
+    BatchAdmitted = 1901, Info, "batch admitted";
+    BatchRefused = 1902, Info, "batch refused, nothing of it runs";
+    BatchAnswered = 1903, Info, "batch answered";
+    BatchClosed = 1904, Info, "batch not wanted any more, its runs are stopped";
+    TasksPlaced = 1905, Info, "tasks sent to a target";
+    TaskAgain = 1906, Info, "run over without success, its task waits again";
+    TaskMoved = 1907, Info, "slow run stopped, to go on elsewhere";
+    TargetReported = 2001, Info, "target reports on itself";
+    TargetLeaving = 2002, Info, "target says that it leaves";
+    TargetLifeOver = 2003, Warn, "life of the target is over";
+    TargetListsRead = 2004, Info, "target's lists read for the first time";
+    RunNotStarted = 2101, Info, "order led to no run";
+    RunEnded = 2102, Info, "run ended";
+    RunAdopted = 2103, Info, "run of an earlier life of the agent adopted";
+    RunSlow = 2104, Info, "run is far slower than its estimate";
+    RunOrphaned = 2105, Info, "nobody answers for a run, it is stopped";
+    StartUnanswered = 2106, Warn, "start not answered, fenced off";
 }
 
 impl EventCode {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,13 +9,26 @@
 //!   [`config_document`], [`config_chain`], [`journal`], [`frame_order`], [`outbox`];
 //! - the cores, deterministic state machines: [`entry`] (with the `entry_*` modules) and
 //!   [`agent`] (with `agent_*`).
+//!
+//! Batches on the users' platform have layers of their own, which docs/design/platform.md explains:
+//!
+//! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
+//! - state: [`run_book`], [`target_lease`], [`entry_leases`], [`batch_table`], [`target_board`],
+//!   [`peer_book`];
+//! - the cores: [`batch_entry`] and [`run_agent`];
+//! - what runs them: [`platform_ports`], [`node_links`], [`wake_timer`], [`entry_node`],
+//!   [`agent_node`], [`line_log`], [`figures`].
 
 pub mod admission;
 pub mod agent;
 pub mod agent_daemon;
+pub mod agent_node;
 mod agent_runs;
 mod agent_sessions;
 pub mod apply;
+pub mod batch;
+pub mod batch_entry;
+pub mod batch_table;
 pub mod codec;
 pub mod config_chain;
 pub mod config_document;
@@ -25,13 +38,16 @@
 pub mod entry_daemon;
 pub mod entry_input;
 mod entry_jobs;
+pub mod entry_leases;
 pub mod entry_links;
+pub mod entry_node;
 mod entry_peers;
 pub mod entry_permits;
 pub mod entry_platform;
 mod entry_router;
 pub mod entry_targets;
 pub mod events;
+pub mod figures;
 pub mod frame_order;
 pub mod health;
 pub mod http_answer;
@@ -43,24 +59,37 @@
 pub mod journal;
 pub mod json;
 pub mod ledger;
+pub mod line_log;
 pub mod link_auth;
 pub mod links;
 pub mod memory_platform;
 pub mod memory_target;
 pub mod message;
+pub mod node_links;
 pub mod outbox;
+pub mod peer_book;
 pub mod permit;
 pub mod placement;
 pub mod platform;
+pub mod platform_ports;
 pub mod platform_thread;
+pub mod queue;
 pub mod quota;
+pub mod resources;
 pub mod ring;
+pub mod run;
+pub mod run_agent;
+pub mod run_book;
+pub mod run_message;
 pub mod run_time;
 pub mod settings;
 pub mod slot_book;
 pub mod status;
+pub mod target_board;
+pub mod target_lease;
 pub mod target_table;
 pub mod telemetry;
 pub mod trace;
 pub mod vm_list;
+pub mod wake_timer;
 pub mod worker_threads;
--- a/lib/src/links.rs
+++ b/lib/src/links.rs
@@ -453,7 +453,8 @@
     .emit();
 }
 
-fn socket_config() -> WebSocketConfig {
+/// Bounds of every WebSocket between our processes.
+pub fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .max_message_size(Some(MOST_FRAME_BYTES))
         .max_frame_size(Some(MOST_FRAME_BYTES))
--- /dev/null
+++ b/lib/src/node_links.rs
@@ -0,0 +1,215 @@
+//! WebSocket links of a process on the platform, on the thread that also runs its core.
+//!
+//! A link task decodes what comes and tells the sink; what goes out waits in a bounded queue and
+//! is written in as few writes as possible. A side that does not read is closed, not waited for.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use rand::Rng as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::codec;
+use crate::events::{EventCode, LogEvent};
+use crate::ids::SessionId;
+use crate::links::socket_config;
+use crate::run_message::Packet;
+
+/// Packets that may wait to be written on one link.
+const MOST_UNSENT: usize = 2_048;
+/// How long a connection and its handshake may take.
+const DIAL_LIMIT: Duration = Duration::from_millis(800);
+/// First pause before dialling again.
+const FIRST_PAUSE: Duration = Duration::from_millis(40);
+/// Longest pause before dialling again: a new life at the address is found within it.
+const MOST_PAUSE: Duration = Duration::from_millis(600);
+/// Longest pause once an address has not answered for [`LONG_GONE`].
+const GONE_PAUSE: Duration = Duration::from_secs(3);
+/// See [`GONE_PAUSE`].
+const LONG_GONE: Duration = Duration::from_secs(10);
+/// Path of the links.
+const PATH: &str = "/links";
+
+/// What links tell.
+pub trait LinkSink {
+    /// A link stands; whether this side dialled it.
+    fn link_up(&self, link: SessionId, dialled: bool);
+    /// A packet has come.
+    fn packet(&self, link: SessionId, packet: Packet);
+    /// A link is gone.
+    fn link_down(&self, link: SessionId);
+}
+
+/// The links of one process.
+pub struct NodeLinks {
+    writers: RefCell<BTreeMap<SessionId, mpsc::Sender<Vec<u8>>>>,
+    dialled: RefCell<BTreeSet<SocketAddr>>,
+    next_link: Cell<SessionId>,
+    bytes_sent: Cell<u64>,
+    bytes_received: Cell<u64>,
+}
+
+impl NodeLinks {
+    /// No links yet.
+    pub fn new() -> Rc<Self> {
+        Rc::new(Self {
+            writers: RefCell::default(),
+            dialled: RefCell::default(),
+            next_link: Cell::new(1),
+            bytes_sent: Cell::new(0),
+            bytes_received: Cell::new(0),
+        })
+    }
+
+    /// Bytes sent and received since the start.
+    pub fn traffic(&self) -> (u64, u64) {
+        (self.bytes_sent.get(), self.bytes_received.get())
+    }
+
+    /// Sends a packet; a link that can't take it is closed.
+    pub fn send(&self, link: SessionId, packet: &Packet) {
+        let mut writers = self.writers.borrow_mut();
+        let Some(writer) = writers.get(&link) else {
+            return;
+        };
+        let bytes = codec::encode_value(packet);
+        if writer.try_send(bytes).is_err() {
+            writers.remove(&link);
+        }
+    }
+
+    /// Closes a link once what was sent before is written.
+    pub fn close(&self, link: SessionId) {
+        self.writers.borrow_mut().remove(&link);
+    }
+
+    /// Keeps a connection to an address from now on.
+    pub fn dial(self: &Rc<Self>, address: SocketAddr, sink: Rc<dyn LinkSink>) {
+        if self.dialled.borrow_mut().insert(address) {
+            let links = self.clone();
+            ntex::rt::spawn(links.keep_dialled(address, sink));
+        }
+    }
+
+    async fn keep_dialled(self: Rc<Self>, address: SocketAddr, sink: Rc<dyn LinkSink>) {
+        let mut pause = FIRST_PAUSE;
+        let mut reached = Instant::now();
+        loop {
+            let dialled = tokio::time::timeout(DIAL_LIMIT, dial_once(address)).await;
+            if let Ok(Some(socket)) = dialled {
+                pause = FIRST_PAUSE;
+                self.run(socket, true, &sink).await;
+                reached = Instant::now();
+            }
+            let jittered = pause.mul_f64(rand::rng().random_range(0.7..1.3));
+            tokio::time::sleep(jittered).await;
+            let most = if reached.elapsed() < LONG_GONE {
+                MOST_PAUSE
+            } else {
+                GONE_PAUSE
+            };
+            pause = (pause * 2).min(most);
+        }
+    }
+
+    /// Accepts links. Never returns.
+    pub async fn accept_all(self: Rc<Self>, listener: TcpListener, sink: Rc<dyn LinkSink>) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let (links, sink) = (self.clone(), sink.clone());
+                    ntex::rt::spawn(async move { links.accept_one(stream, sink).await });
+                }
+                Err(e) => {
+                    let detail = format!("accepting links: {e}");
+                    LogEvent::new(EventCode::MalformedFrame, detail).emit();
+                    tokio::time::sleep(FIRST_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn accept_one(&self, stream: TcpStream, sink: Rc<dyn LinkSink>) {
+        let _ = stream.set_nodelay(true);
+        let config = Some(socket_config());
+        let accepted = tokio_tungstenite::accept_async_with_config(stream, config);
+        if let Ok(Ok(socket)) = tokio::time::timeout(DIAL_LIMIT, accepted).await {
+            self.run(socket, false, &sink).await;
+        }
+    }
+
+    /// Carries packets until either side ends the link.
+    async fn run(
+        &self,
+        socket: WebSocketStream<TcpStream>,
+        dialled: bool,
+        sink: &Rc<dyn LinkSink>,
+    ) {
+        let link = self.next_link.get();
+        self.next_link.set(link + 1);
+        let (tx, rx) = mpsc::channel(MOST_UNSENT);
+        self.writers.borrow_mut().insert(link, tx);
+        sink.link_up(link, dialled);
+        self.carry(link, socket, rx, sink).await;
+        self.writers.borrow_mut().remove(&link);
+        sink.link_down(link);
+    }
+
+    async fn carry(
+        &self,
+        link: SessionId,
+        socket: WebSocketStream<TcpStream>,
+        mut unsent: mpsc::Receiver<Vec<u8>>,
+        sink: &Rc<dyn LinkSink>,
+    ) {
+        let (mut write, mut read) = socket.split();
+        let writing = async {
+            while let Some(bytes) = unsent.recv().await {
+                self.bytes_sent
+                    .set(self.bytes_sent.get() + bytes.len() as u64);
+                write.feed(Message::Binary(bytes.into())).await?;
+                if unsent.is_empty() {
+                    write.flush().await?;
+                }
+            }
+            write.close().await
+        };
+        let reading = async {
+            while let Some(Ok(message)) = read.next().await {
+                let Message::Binary(bytes) = message else {
+                    continue;
+                };
+                self.bytes_received
+                    .set(self.bytes_received.get() + bytes.len() as u64);
+                match codec::decode_value(&bytes) {
+                    Ok(packet) => sink.packet(link, packet),
+                    Err(e) => {
+                        let detail = format!("link={link} {e}");
+                        LogEvent::new(EventCode::MalformedFrame, detail).emit();
+                        return;
+                    }
+                }
+            }
+        };
+        tokio::select! {
+            _ = writing => {}
+            () = reading => {}
+        }
+    }
+}
+
+async fn dial_once(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
+    let stream = TcpStream::connect(address).await.ok()?;
+    let _ = stream.set_nodelay(true);
+    let url = format!("ws://{address}{PATH}");
+    let config = Some(socket_config());
+    let dialled = tokio_tungstenite::client_async_with_config(url, stream, config).await;
+    dialled.ok().map(|(socket, _)| socket)
+}
--- /dev/null
+++ b/lib/src/run_message.rs
@@ -0,0 +1,235 @@
+//! Messages between entries and agents, and between entries, for batches on the platform.
+//!
+//! A link is one WebSocket connection; a packet is one message on it. Packets of one link arrive
+//! whole and in order, or the link is gone: TCP sees to that. What a lost link leaves open is
+//! settled by [`Order::Welcome`], which names every run that the entry still waits for.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::{HallName, Incarnation, NodeName};
+use crate::queue::{ConfigVersion, QueueTable};
+use crate::resources::Resources;
+use crate::run::{BatchId, NotStarted, RunEnd, RunKey, RunNumber};
+
+/// Milliseconds on the clock of one agent's life, from its start.
+pub type AgentMillis = u64;
+
+/// What travels on a link.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Packet {
+    /// From an agent to an entry.
+    #[serde(rename = "A")]
+    FromAgent(AgentPacket),
+    /// From an entry to an agent.
+    #[serde(rename = "E")]
+    FromEntry(EntryPacket),
+    /// Between entries.
+    #[serde(rename = "P")]
+    BetweenEntries(PeerPacket),
+}
+
+/// What an agent tells an entry. Every packet carries the agent's clock and load, so that any of
+/// them serves as a heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AgentPacket {
+    /// The agent's clock when it wrote this.
+    #[serde(rename = "t")]
+    pub clock: AgentMillis,
+    /// Resources that are free, zero while the target may get no work.
+    #[serde(rename = "f")]
+    pub free: Resources,
+    /// Starts of this entry that `free` takes into account, counted on this link.
+    #[serde(rename = "s")]
+    pub starts_seen: u64,
+    /// News, in order.
+    #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
+    pub news: Vec<AgentNews>,
+}
+
+/// One piece of news of an agent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum AgentNews {
+    /// First on every link.
+    #[serde(rename = "H")]
+    Hello(AgentIntro),
+    /// The target as it is now known; none while there is none.
+    #[serde(rename = "T")]
+    Target(Option<TargetInfo>),
+    /// A run is over.
+    #[serde(rename = "E")]
+    Ended {
+        /// The run.
+        #[serde(rename = "k")]
+        key: RunKey,
+        /// How it ended.
+        #[serde(rename = "e")]
+        end: RunEnd,
+        /// How long it ran, in milliseconds; 0 if not known.
+        #[serde(rename = "r")]
+        ran_ms: u32,
+    },
+    /// An order to start led to no run.
+    #[serde(rename = "X")]
+    NotStarted {
+        /// The run.
+        #[serde(rename = "k")]
+        key: RunKey,
+        /// Why.
+        #[serde(rename = "w")]
+        reason: NotStarted,
+    },
+    /// A run is far slower than its estimate.
+    #[serde(rename = "S")]
+    Slow {
+        /// The run.
+        #[serde(rename = "k")]
+        key: RunKey,
+        /// How long it has run, in milliseconds.
+        #[serde(rename = "r")]
+        ran_ms: u32,
+        /// How much of it is done, in percent.
+        #[serde(rename = "p")]
+        percent: u32,
+    },
+    /// The agent stops: no new work. Its next life adopts what still runs.
+    #[serde(rename = "L")]
+    Leaving,
+}
+
+/// Who an agent is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentIntro {
+    /// Name of its VM's process.
+    pub name: NodeName,
+    /// Its life.
+    pub life: Incarnation,
+    /// Its data hall.
+    pub hall: HallName,
+}
+
+/// One life of a target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetInfo {
+    /// The life.
+    pub life: Arc<str>,
+    /// The service that it runs.
+    pub service: Arc<str>,
+    /// All that it has.
+    pub capacity: Resources,
+    /// Its labels, the rack among them.
+    pub labels: Vec<String>,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
+/// What an entry tells an agent.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EntryPacket {
+    /// Until when, on the agent's clock, the entry answers for its runs; past it the agent stops
+    /// them.
+    #[serde(rename = "l")]
+    pub lease_until: AgentMillis,
+    /// Tasks that wait at the entry for free resources.
+    #[serde(rename = "w")]
+    pub waiting: u32,
+    /// Orders, to be obeyed in turn.
+    #[serde(rename = "o", default, skip_serializing_if = "Vec::is_empty")]
+    pub orders: Vec<Order>,
+}
+
+/// One order of an entry.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Order {
+    /// Answer to a hello.
+    #[serde(rename = "W")]
+    Welcome(Welcome),
+    /// Start tasks.
+    #[serde(rename = "S")]
+    Start(StartOrder),
+    /// Stop these runs; an end of each is awaited.
+    #[serde(rename = "K")]
+    Stop(Vec<RunKey>),
+    /// More entries than the agent was told of before.
+    #[serde(rename = "N")]
+    Entries(Vec<SocketAddr>),
+}
+
+/// An entry's answer to an agent's hello.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Welcome {
+    /// Name of the entry's VM's process.
+    pub name: NodeName,
+    /// The entry's life.
+    pub life: Incarnation,
+    /// Entries that it knows, by the address of their links.
+    pub entries: Vec<SocketAddr>,
+    /// Runs that it waits for here, with what each takes.
+    pub claims: Vec<(RunKey, Resources)>,
+}
+
+/// Tasks of one step to start on one target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// The batch.
+    #[serde(rename = "b")]
+    pub batch: BatchId,
+    /// The step.
+    #[serde(rename = "s")]
+    pub step: u16,
+    /// The service whose targets may run it.
+    #[serde(rename = "v")]
+    pub service: Arc<str>,
+    /// What every task is given.
+    #[serde(rename = "p")]
+    pub payload: Arc<str>,
+    /// What each task takes.
+    #[serde(rename = "z")]
+    pub size: Resources,
+    /// How long each may take, in milliseconds.
+    #[serde(rename = "e")]
+    pub estimate_ms: u32,
+    /// Not to be obeyed later than this, on the agent's clock.
+    #[serde(rename = "u")]
+    pub start_by: AgentMillis,
+    /// Position in the step and number of the run.
+    #[serde(rename = "k")]
+    pub runs: Vec<(u16, RunNumber)>,
+}
+
+/// What entries tell each other.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PeerPacket {
+    /// News, in order.
+    pub news: Vec<PeerNews>,
+}
+
+/// One piece of news of an entry to another.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerNews {
+    /// First on every link, from both sides.
+    Hello(PeerIntro),
+    /// A configuration newer than the one that the other is known to hold.
+    Config(Arc<QueueTable>),
+    /// More entries than the other was told of before.
+    Entries(Vec<SocketAddr>),
+    /// Sign of life on a quiet link.
+    Heartbeat,
+}
+
+/// Who an entry is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerIntro {
+    /// Name of its VM's process.
+    pub name: NodeName,
+    /// Its life.
+    pub life: Incarnation,
+    /// Address of its links.
+    pub address: SocketAddr,
+    /// Version of the configuration that it holds.
+    pub config: ConfigVersion,
+    /// Entries that it knows.
+    pub entries: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/lib/src/target_lease.rs
@@ -0,0 +1,246 @@
+//! The agent's hold on its target: fencing token, the target's clock, renewals and the list of
+//! ends.
+//!
+//! One renewal extends the lease of everything that runs on the target, so it is sent for as long
+//! as anything does. Its answer lists what runs and what has ended, and is the only authority on
+//! both.
+
+use std::time::Duration;
+
+use crate::ids::Now;
+use crate::run::RunKey;
+use crate::run_book::FencingToken;
+
+/// Number of an end in one life of a target.
+pub type EndNumber = u64;
+/// Milliseconds on a target's clock.
+pub type TargetMillis = u64;
+
+/// Added to a token that the target refuses as too low, in milliseconds of the time of day from
+/// which tokens are made: more than any clock is expected to have been ahead.
+const TOKEN_STEP: FencingToken = 10_000;
+/// Longest time that a renewal waits at the target for an end. A third of the shortest lease seen
+/// (1 s), so that one lost renewal can be made good before the lease runs out.
+const MOST_WAIT: Duration = Duration::from_millis(330);
+/// Shortest wait that is worth a call.
+const LEAST_WAIT: Duration = Duration::from_millis(20);
+/// How long an answer may take beyond the wait that was asked for.
+const ANSWER_SLACK: Duration = Duration::from_millis(200);
+/// Pause before a renewal that failed is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(30);
+/// Unanswered calls in a row after which the target counts as silent.
+const SILENT_AFTER: u32 = 2;
+/// Slack on a lease's end: targets' clocks may be 2% slow, and a stop takes its time.
+const LAPSE_SLACK: Duration = Duration::from_millis(120);
+
+/// A renewal to be sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Renewal {
+    /// Its number, to match the answer.
+    pub number: u64,
+    /// Its token.
+    pub token: FencingToken,
+    /// New end of the lease on the target's clock; none to look only.
+    pub until: Option<TargetMillis>,
+    /// Ends up to this one are known.
+    pub last_seen: EndNumber,
+    /// How long the target may wait for an end before it answers.
+    pub wait: Duration,
+    /// When the answer counts as lost.
+    pub limit: Duration,
+}
+
+/// A run that the target listed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ListedRun {
+    /// The run.
+    pub key: RunKey,
+    /// How much of it is done, in percent.
+    pub percent: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct InFlight {
+    number: u64,
+    sent_at: Now,
+    token: FencingToken,
+}
+
+/// What an answered renewal was.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answered {
+    /// When it was sent.
+    pub sent_at: Now,
+    /// Its token.
+    pub token: FencingToken,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct TargetLease {
+    length: Duration,
+    token: FencingToken,
+    clock: Option<(TargetMillis, Now)>,
+    last_seen: EndNumber,
+    in_flight: Option<InFlight>,
+    next_number: u64,
+    retry_at: Option<Now>,
+    lapses_at: Now,
+    silent_calls: u32,
+}
+
+impl TargetLease {
+    /// A hold that has not been answered yet. `length` is the longest lease that targets give.
+    pub fn new(now: Now, length: Duration, token: FencingToken) -> Self {
+        let mut lease = Self {
+            length,
+            token,
+            clock: None,
+            last_seen: 0,
+            in_flight: None,
+            next_number: 1,
+            retry_at: None,
+            lapses_at: now,
+            silent_calls: 0,
+        };
+        // The agent's life before this one may have renewed just before it ended.
+        lease.note_renewed(now);
+        lease
+    }
+
+    /// The token for orders.
+    pub fn token(&self) -> FencingToken {
+        self.token
+    }
+
+    /// Makes every order with the present token, that has not reached the target, void. Takes
+    /// effect when the next renewal is answered.
+    pub fn raise_token(&mut self) {
+        self.token += 1;
+    }
+
+    /// Steps over a token that the target has seen from an earlier life of the agent.
+    pub fn step_over(&mut self, refused: FencingToken) {
+        if refused >= self.token {
+            self.token = refused + TOKEN_STEP;
+        }
+    }
+
+    /// Learns the target's clock from an answer.
+    pub fn learn_clock(&mut self, now: Now, clock: TargetMillis) {
+        self.clock = Some((clock, now));
+        self.silent_calls = 0;
+    }
+
+    /// End of a lease that begins now, on the target's clock, and notes that it was asked for.
+    pub fn new_until(&mut self, now: Now) -> Option<TargetMillis> {
+        let (clock, at) = self.clock?;
+        let elapsed = now.saturating_sub(at) + self.length;
+        self.note_renewed(now);
+        Some(clock + elapsed.as_millis() as u64)
+    }
+
+    fn note_renewed(&mut self, now: Now) {
+        let length = self.length + self.length / 50;
+        self.lapses_at = self.lapses_at.max(now + length + LAPSE_SLACK);
+    }
+
+    /// When everything on the target has lapsed if no renewal is sent any more.
+    pub fn lapses_at(&self) -> Now {
+        self.lapses_at
+    }
+
+    /// Whether the target leaves calls unanswered.
+    pub fn is_silent(&self) -> bool {
+        self.silent_calls >= SILENT_AFTER
+    }
+
+    /// Notes that a call was not answered.
+    pub fn note_silence(&mut self) {
+        self.silent_calls += 1;
+    }
+
+    /// Whether an end is news.
+    pub fn is_new_end(&mut self, number: EndNumber) -> bool {
+        let is_new = number > self.last_seen;
+        self.last_seen = self.last_seen.max(number);
+        is_new
+    }
+
+    /// Forgets what belonged to another life of the target.
+    pub fn reset_life(&mut self) {
+        self.clock = None;
+        self.last_seen = 0;
+        self.in_flight = None;
+        self.retry_at = None;
+        self.silent_calls = 0;
+    }
+
+    /// A renewal, if none is on the way and no pause is kept. `most_wait` bounds the wait for an
+    /// end; `renew` is false to look only.
+    pub fn next(&mut self, now: Now, most_wait: Duration, renew: bool) -> Option<Renewal> {
+        if self.in_flight.is_some() || self.retry_at.is_some_and(|at| at > now) {
+            return None;
+        }
+        // The first call only learns the clock; after a lost answer there is no time to wait.
+        let wait = if self.clock.is_none() || self.silent_calls > 0 {
+            Duration::ZERO
+        } else {
+            most_wait.clamp(LEAST_WAIT, MOST_WAIT)
+        };
+        Some(self.send(now, renew, wait))
+    }
+
+    /// A renewal that does not wait, though another may be on the way.
+    pub fn at_once(&mut self, now: Now, renew: bool) -> Renewal {
+        self.send(now, renew, Duration::ZERO)
+    }
+
+    fn send(&mut self, now: Now, renew: bool, wait: Duration) -> Renewal {
+        self.retry_at = None;
+        // A silent target is only looked at: its leases must run out for its runs to be over.
+        let until = if renew && !self.is_silent() {
+            self.new_until(now)
+        } else {
+            None
+        };
+        let number = self.next_number;
+        self.next_number += 1;
+        self.in_flight = Some(InFlight {
+            number,
+            sent_at: now,
+            token: self.token,
+        });
+        Renewal {
+            number,
+            token: self.token,
+            until,
+            last_seen: self.last_seen,
+            wait,
+            limit: wait + ANSWER_SLACK,
+        }
+    }
+
+    /// Notes the answer to a renewal. None if a later one has taken its place: what it lists may
+    /// then be out of date.
+    pub fn answered(&mut self, number: u64) -> Option<Answered> {
+        let in_flight = self.in_flight.filter(|f| f.number == number)?;
+        self.in_flight = None;
+        Some(Answered {
+            sent_at: in_flight.sent_at,
+            token: in_flight.token,
+        })
+    }
+
+    /// Notes that a renewal failed; it is tried again after a pause.
+    pub fn failed(&mut self, now: Now, number: u64) {
+        if self.answered(number).is_some() {
+            self.retry_at = Some(now + RETRY_PAUSE);
+        }
+    }
+
+    /// When a failed renewal is due again.
+    pub fn retry_at(&self) -> Option<Now> {
+        self.retry_at
+    }
+}
--- /dev/null
+++ b/lib/src/wake_timer.rs
@@ -0,0 +1,73 @@
+//! One timer for a core: it sleeps until the time that the core asked for last.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Instant;
+
+use tokio::sync::Notify;
+
+use crate::ids::Now;
+
+/// See the module.
+pub struct WakeTimer {
+    origin: Instant,
+    at: Cell<Option<Now>>,
+    /// Until when the sleeper sleeps; none if for good, zero if it is awake.
+    sleeps_until: Cell<Option<Now>>,
+    moved: Notify,
+}
+
+impl WakeTimer {
+    /// A timer that counts from `origin`.
+    pub fn new(origin: Instant) -> Rc<Self> {
+        Rc::new(Self {
+            origin,
+            at: Cell::new(None),
+            sleeps_until: Cell::new(Some(Now::ZERO)),
+            moved: Notify::new(),
+        })
+    }
+
+    /// Time since the origin.
+    pub fn now(&self) -> Now {
+        self.origin.elapsed()
+    }
+
+    /// Sets the time of the next wake. The sleeper is disturbed only if it would come too late; if
+    /// it comes too early it sleeps again.
+    pub fn set(&self, at: Option<Now>) {
+        self.at.set(at);
+        let Some(at) = at else {
+            return;
+        };
+        if self.sleeps_until.get().is_none_or(|until| at < until) {
+            self.moved.notify_one();
+        }
+    }
+
+    /// Calls `wake` whenever the time set has come. Never returns.
+    pub async fn run(self: Rc<Self>, wake: impl Fn()) {
+        loop {
+            match self.at.get() {
+                Some(at) if at <= self.now() => {
+                    self.at.set(None);
+                    wake();
+                }
+                Some(at) => {
+                    self.sleeps_until.set(Some(at));
+                    let until = tokio::time::Instant::from_std(self.origin + at);
+                    tokio::select! {
+                        () = tokio::time::sleep_until(until) => {}
+                        () = self.moved.notified() => {}
+                    }
+                    self.sleeps_until.set(Some(Now::ZERO));
+                }
+                None => {
+                    self.sleeps_until.set(None);
+                    self.moved.notified().await;
+                    self.sleeps_until.set(Some(Now::ZERO));
+                }
+            }
+        }
+    }
+}
