targets: probes of outcasts are paced by time; slow means three times the estimate

A probe that was stopped by a move told nothing, and the mark "probe out" then stood for good. Besides, moves at 1.8 times the estimate hit sound runs, for estimates are off by 40%. Ruled out: want of room (places were free on the two), refusals by the agents.

Change: an outcast gets one task an entry every 600 ms, whatever became of the last one, and learns its pace with more weight. A run is slow from three times its estimate on, looked at from 0.6 on.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -686,7 +686,7 @@
             },
             run,
         };
-        self.board.sent_start(link, size);
+        self.board.sent_start(self.now, link, size);
         self.table.note_out(self.now, key, &agent);
     }
 
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -31,11 +31,14 @@
 const STOP_BOUND: Duration = Duration::from_millis(500);
 /// How long an adopted run waits for an entry to claim it: the time of a few dials.
 const CLAIM_GRACE: Duration = Duration::from_millis(700);
-/// A run is looked at for slowness once it has taken this many times its estimate. Estimates are
-/// off by up to 40%, and the slowest sound targets take 1.25 times as long.
-const SLOW_FACTOR: f64 = 1.8;
+/// A run is slow if its progress promises an end after this many times its estimate. Estimates
+/// are off by 40% as a rule and by twice that now and then, and the slowest sound targets take
+/// 1.25 times as long; ailing ones take four times or more.
+const SLOW_FACTOR: f64 = 3.0;
 /// Added to the above: the time of a call or two.
-const SLOW_SLACK: Duration = Duration::from_millis(30);
+const SLOW_SLACK: Duration = Duration::from_millis(20);
+/// Share of its estimate after which a run's progress is looked at.
+const LOOK_SHARE: f64 = 0.6;
 /// How often one run's slowness is reported.
 const SLOW_AGAIN: Duration = Duration::from_millis(300);
 /// Most ends that a target lists at once; a full list may have a next page.
@@ -866,7 +869,7 @@
         let allowed = run.estimate.mul_f64(SLOW_FACTOR) + SLOW_SLACK;
         let projected = ran.mul_f64(100.0 / f64::from(percent.max(1)));
         let is_slow = run.estimate > Duration::ZERO
-            && ran * 2 > run.estimate
+            && ran >= run.estimate.mul_f64(LOOK_SHARE)
             && projected > allowed
             && run.slow_report_at <= now;
         if !is_slow || run.stopping.is_some() {
@@ -963,7 +966,7 @@
         let mut shortest = CALM_WAIT;
         for (_, run) in self.book.iter() {
             let since = run.running_since.unwrap_or(self.now);
-            let look = since + run.estimate.mul_f64(SLOW_FACTOR / 2.0) + SLOW_SLACK;
+            let look = since + run.estimate.mul_f64(LOOK_SHARE) + SLOW_SLACK;
             let look = look.max(run.slow_report_at);
             if run.estimate > Duration::ZERO && look > self.now {
                 shortest = shortest.min(look - self.now);
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -18,13 +18,16 @@
 /// An agent that has not been heard for so long gets no work: two heartbeats and a half.
 const FRESH: Duration = Duration::from_millis(650);
 /// Weight of one run in the average of run time over estimate.
-const PACE_WEIGHT: f64 = 0.2;
+const PACE_WEIGHT: f64 = 0.15;
+/// The same for a target that is far too slow: its few probes must bring it back within seconds.
+const PROBE_WEIGHT: f64 = 0.5;
 /// Share of failed runs, averaged, above which a target is set aside.
 const FAILING: f64 = 0.45;
 /// Weight of one run in the average share of failures: two failures in a row set a target aside.
 const FAILURE_WEIGHT: f64 = 0.3;
-/// A target set aside gets one probe after this.
-const PROBE_AFTER: Duration = Duration::from_millis(700);
+/// An outcast, which fails what it starts or is far too slow, gets one task of each entry in this
+/// time. A time and not an answer paces probes: a probe may be stopped before it tells anything.
+const PROBE_EVERY: Duration = Duration::from_millis(600);
 /// A target that refused a start as unwell or silent gets none for this long.
 const UNWELL_PAUSE: Duration = Duration::from_millis(250);
 /// Cost of a full target over an empty one, as a share of the run time: agents obey orders in
@@ -62,7 +65,8 @@
     pace: f64,
     failures: f64,
     closed_until: Now,
-    probe_out: bool,
+    /// When an outcast may get its next probe.
+    probe_at: Now,
 }
 
 /// What a task needs of a target.
@@ -99,7 +103,7 @@
             pace: 1.0,
             failures: 0.0,
             closed_until: Now::ZERO,
-            probe_out: false,
+            probe_at: Now::ZERO,
         }
     }
 
@@ -253,12 +257,14 @@
     }
 
     /// Notes a start sent to a target.
-    pub fn sent_start(&mut self, link: SessionId, size: Resources) {
+    pub fn sent_start(&mut self, now: Now, link: SessionId, size: Resources) {
         let best_pace = self.best_pace();
         if let Some(view) = self.views.get_mut(&link) {
             view.starts_sent += 1;
             view.unseen.push_back(size);
-            view.probe_out |= view.is_outcast(best_pace);
+            if view.is_outcast(best_pace) {
+                view.probe_at = now + PROBE_EVERY;
+            }
         }
     }
 
@@ -278,7 +284,7 @@
                 && view.serves(need)
                 && need.size.fits_in(view.room())
                 && !is_full(view);
-            if !is_open || (view.is_outcast(best_pace) && view.probe_out) {
+            if !is_open || (view.is_outcast(best_pace) && view.probe_at > now) {
                 continue;
             }
             // A little chance keeps entries from all choosing the same one.
@@ -303,22 +309,19 @@
         let was_aside = view.is_set_aside();
         match outcome {
             Outcome::Done(pace) => {
-                view.probe_out = false;
                 view.failures *= 1.0 - FAILURE_WEIGHT;
                 view.learn_pace(pace);
             }
             Outcome::Failed => {
-                view.probe_out = false;
                 view.failures += FAILURE_WEIGHT * (1.0 - view.failures);
             }
             Outcome::Slow(pace) => view.learn_pace(pace.max(view.pace)),
             Outcome::Unwell => {
-                view.probe_out = false;
                 view.closed_until = now + UNWELL_PAUSE;
             }
         }
-        if view.is_set_aside() && outcome == Outcome::Failed {
-            view.closed_until = now + PROBE_AFTER;
+        if view.is_set_aside() && !was_aside {
+            view.probe_at = now + PROBE_EVERY;
         }
         match (was_aside, view.is_set_aside()) {
             (false, true) => Verdict::SetAside,
@@ -343,7 +346,12 @@
 
     fn learn_pace(&mut self, pace: f64) {
         let pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-        self.pace += PACE_WEIGHT * (pace - self.pace);
+        let weight = if self.pace > TOO_SLOW {
+            PROBE_WEIGHT
+        } else {
+            PACE_WEIGHT
+        };
+        self.pace += weight * (pace - self.pace);
     }
 
     /// Run time over estimate, averaged.
