links: a dial gives up on a silent VM after 150 ms

Cause: after all VMs lost power, agents were up 0.3 s before the entries, but their dials hung on the dead addresses for 0.8 s, so entries had no target for half a second and refused what came. Ruled out: start of the processes (20 ms), the configuration (13 ms from another entry).

Change: a limit of its own on the connection, shorter pauses between dials; while no target can be had a batch waits for up to 500 ms before it is refused.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -44,6 +44,8 @@
 const RETRY_BUSY: Duration = Duration::from_millis(500);
 /// Share of the objective that a batch may wait before anything of it is placed, at least.
 const WAIT_SHARE: f64 = 0.23;
+/// The same while no target can be had: agents find an entry that has just started within this.
+const WAIT_FOR_TARGETS: Duration = Duration::from_millis(500);
 /// A slow run is moved if the move takes less than this share of what it still needs.
 const MOVE_GAIN: f64 = 0.7;
 /// What a move costs on top of the work: a stop, its news and an order.
@@ -448,7 +450,10 @@
         let chain = spec.longest_chain();
         let objective = chain.mul_f64(queue.stretch) + queue.target_latency;
         let latest = objective.saturating_sub(chain);
-        let wait = latest.max(objective.mul_f64(WAIT_SHARE));
+        let mut wait = latest.max(objective.mul_f64(WAIT_SHARE));
+        if self.board.usable(self.now) == 0 {
+            wait = wait.max(WAIT_FOR_TARGETS);
+        }
         BatchTimes {
             arrived,
             due: arrived + objective,
--- a/lib/src/node_links.rs
+++ b/lib/src/node_links.rs
@@ -13,6 +13,7 @@
 use rand::Rng as _;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::tungstenite::Message;
 
@@ -24,12 +25,16 @@
 
 /// Packets that may wait to be written on one link.
 const MOST_UNSENT: usize = 2_048;
-/// How long a connection and its handshake may take.
-const DIAL_LIMIT: Duration = Duration::from_millis(800);
+/// How long a connection may take: a VM without power says nothing, and the next try may find it
+/// back. Round trips take 25 ms between regions.
+const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// How long the handshake on a connection may take: a process that has just started, or is
+/// slowed down, answers late.
+const HANDSHAKE_LIMIT: Duration = Duration::from_millis(800);
 /// First pause before dialling again.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 /// Longest pause before dialling again: a new life at the address is found within it.
-const MOST_PAUSE: Duration = Duration::from_millis(600);
+const MOST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause once an address has not answered for [`LONG_GONE`].
 const GONE_PAUSE: Duration = Duration::from_secs(3);
 /// See [`GONE_PAUSE`].
@@ -102,8 +107,7 @@
         let mut pause = FIRST_PAUSE;
         let mut reached = Instant::now();
         loop {
-            let dialled = tokio::time::timeout(DIAL_LIMIT, dial_once(address)).await;
-            if let Ok(Some(socket)) = dialled {
+            if let Some(socket) = dial_once(address).await {
                 pause = FIRST_PAUSE;
                 self.run(socket, true, &sink).await;
                 reached = Instant::now();
@@ -140,7 +144,7 @@
         let _ = stream.set_nodelay(true);
         let config = Some(socket_config());
         let accepted = tokio_tungstenite::accept_async_with_config(stream, config);
-        if let Ok(Ok(socket)) = tokio::time::timeout(DIAL_LIMIT, accepted).await {
+        if let Ok(Ok(socket)) = timeout(HANDSHAKE_LIMIT, accepted).await {
             self.run(socket, false, &sink).await;
         }
     }
@@ -206,10 +210,12 @@
 }
 
 async fn dial_once(address: SocketAddr) -> Option<WebSocketStream<TcpStream>> {
-    let stream = TcpStream::connect(address).await.ok()?;
+    let connected = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+    let stream = connected.ok()?.ok()?;
     let _ = stream.set_nodelay(true);
     let url = format!("ws://{address}{PATH}");
     let config = Some(socket_config());
-    let dialled = tokio_tungstenite::client_async_with_config(url, stream, config).await;
-    dialled.ok().map(|(socket, _)| socket)
+    let dialled = tokio_tungstenite::client_async_with_config(url, stream, config);
+    let (socket, _) = timeout(HANDSHAKE_LIMIT, dialled).await.ok()?.ok()?;
+    Some(socket)
 }
