agents: a changed load is told within 36 ms, brim-full targets cost more

Change: an agent tells a changed load after 12 ms for each link that it has; a target that an order would fill to the brim costs more in the choice.

--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -16,8 +16,11 @@
 /// A closed link may be back within this; then the entry's runs are stopped. Well under the
 /// 1.3 s after which callers of a dead entry hand their batches in again elsewhere.
 const RECONNECT_GRACE: Duration = Duration::from_millis(250);
-/// How often an entry with waiting tasks is told of resources that fall free.
-const NEWS_OF_ROOM: Duration = Duration::from_millis(10);
+/// How often an entry with waiting tasks is told of a changed load.
+const LOAD_TO_WAITING: Duration = Duration::from_millis(10);
+/// How often any other entry is told of a changed load, for each link that the agent has: three
+/// entries hear of it within 36 ms, and what an agent sends does not grow with their number.
+const LOAD_PER_LINK: Duration = Duration::from_millis(12);
 
 /// A link to an entry.
 #[derive(Debug, Default)]
@@ -36,20 +39,21 @@
     pub heard: Now,
     /// When something was last sent.
     pub sent: Now,
-    /// Whether more room is to be told of.
-    pub owes_room: bool,
+    /// Whether the load has changed since the last packet.
+    pub owes_load: bool,
 }
 
 impl EntryLink {
     /// When a packet is due.
-    fn due_at(&self) -> Now {
+    fn due_at(&self, load_every: Duration) -> Now {
         if !self.news.is_empty() {
             return Now::ZERO;
         }
-        if self.owes_room && self.waiting > 0 {
-            return self.sent + NEWS_OF_ROOM;
+        match (self.owes_load, self.waiting > 0) {
+            (true, true) => self.sent + LOAD_TO_WAITING,
+            (true, false) => self.sent + load_every,
+            (false, _) => self.sent + HEARTBEAT,
         }
-        self.sent + HEARTBEAT
     }
 }
 
@@ -144,22 +148,27 @@
         }
     }
 
-    /// Notes that resources have fallen free.
-    pub fn note_room(&mut self) {
+    /// Notes that the load has changed.
+    pub fn note_load(&mut self) {
         for link in self.links.values_mut() {
-            link.owes_room = true;
+            link.owes_load = true;
         }
     }
 
+    fn load_every(&self) -> Duration {
+        (LOAD_PER_LINK * self.links.len() as u32).min(HEARTBEAT)
+    }
+
     /// Links on which a packet is due, with their news.
     pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, u64, Vec<AgentNews>)> {
         let mut due = Vec::new();
+        let load_every = self.load_every();
         for (id, link) in &mut self.links {
-            if link.due_at() > now {
+            if link.due_at(load_every) > now {
                 continue;
             }
             link.sent = now;
-            link.owes_room = false;
+            link.owes_load = false;
             due.push((*id, link.starts_seen, std::mem::take(&mut link.news)));
         }
         due
@@ -177,7 +186,8 @@
 
     /// When something is due next.
     pub fn next_wake(&self) -> Option<Now> {
-        let due = |link: &EntryLink| link.due_at().min(link.heard + SILENT_LINK);
+        let load_every = self.load_every();
+        let due = |link: &EntryLink| link.due_at(load_every).min(link.heard + SILENT_LINK);
         self.links.values().map(due).min()
     }
 }
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -510,6 +510,7 @@
             slow_report_at: Now::ZERO,
         };
         self.book.insert(key, run);
+        self.entries.note_load();
         self.send_start(key, target.life).inspect_err(|_| {
             self.book.remove(key);
         })
@@ -647,7 +648,7 @@
             EventCode::RunEnded,
             format!("run={key} end={end:?} ran_ms={ran_ms} still_running={running}"),
         );
-        self.entries.note_room();
+        self.entries.note_load();
         if let Some(owner) = run.owner {
             self.entries
                 .tell(owner, AgentNews::Ended { key, end, ran_ms });
@@ -656,7 +657,7 @@
 
     fn not_started(&mut self, key: RunKey, reason: NotStarted) {
         if let Some(run) = self.book.remove(key) {
-            self.entries.note_room();
+            self.entries.note_load();
             self.refuse(run.owner, key, reason);
         }
     }
@@ -800,7 +801,7 @@
         for (life, key, size) in std::mem::take(&mut self.early_claims) {
             self.claim(life, key, size);
         }
-        self.entries.note_room();
+        self.entries.note_load();
     }
 
     fn listed_running(&mut self, listed: &ListedRun) {
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -33,6 +33,11 @@
 /// Cost of a full target over an empty one, as a share of the run time: agents obey orders in
 /// turn, and a spread batch is hurt less by one bad target.
 const CROWD_COST: f64 = 0.35;
+/// Cost of a target that would be filled to the brim: another entry may have filled it meanwhile,
+/// and an order that finds no room costs about 10 ms.
+const TIGHT_COST: f64 = 0.15;
+/// Share of a target that is left free where it does not count as tight.
+const TIGHT_SHARE: f64 = 0.1;
 /// Cost of one order that the agent has not confirmed yet: the time it takes an agent to obey it,
 /// about 4 ms, over the shortest usual task, 60 ms.
 const QUEUED_COST: f64 = 0.05;
@@ -145,6 +150,9 @@
         let used = info.capacity.minus(self.room()).plus(need.size);
         let used = used.share_of(info.capacity);
         let mut cost = self.pace * (1.0 + CROWD_COST * used);
+        if used > 1.0 - TIGHT_SHARE {
+            cost += TIGHT_COST;
+        }
         cost += QUEUED_COST * self.unseen.len() as f64;
         if self.hall != *hall {
             cost += FAR_HALL_COST;
