entries: tell each other of batches being closed; lost orders no longer close a target

The caller had come to a second entry at once while the first was still stopping.

Change: an entry whose caller goes while runs are out tells its peers, which hold the batch until it is over there or must be. Unanswered starts get a reason of their own; only renewals count towards silence; after a lost answer renewals wait 60 ms for 2 s.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -16,6 +16,7 @@
 use crate::batch_table::{
     Batch, BatchNews, BatchState, BatchTable, BatchTimes, CloseReason, RunOver, TaskState,
 };
+use crate::closing_elsewhere::ClosingElsewhere;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{HallName, Incarnation, NodeName, Now, RequestId, SessionId};
 use crate::peer_book::PeerBook;
@@ -227,6 +228,7 @@
     table: BatchTable,
     board: TargetBoard,
     peers: PeerBook,
+    elsewhere: ClosingElsewhere,
     outboxes: BTreeMap<SessionId, Outbox>,
     /// Agents that are lost with runs out, and when these are proven over.
     lost: BTreeMap<NodeName, Now>,
@@ -246,6 +248,7 @@
             table: BatchTable::default(),
             board: TargetBoard::default(),
             peers: PeerBook::default(),
+            elsewhere: ClosingElsewhere::default(),
             outboxes: BTreeMap::new(),
             lost: BTreeMap::new(),
             needs_placing: false,
@@ -473,6 +476,9 @@
             format!("job={id:016x} why=caller_gone age_ms={age_ms}"),
         );
         self.close(id, CloseReason::CallerGone);
+        if self.table.get(id).is_some() {
+            self.peers.tell_others(None, &PeerNews::Closing(vec![id]));
+        }
     }
 
     fn ask(&mut self, question: &Question) {
@@ -529,6 +535,9 @@
         let Some(batch) = self.table.remove(id) else {
             return;
         };
+        if batch.state == BatchState::Closing(CloseReason::CallerGone) && batch.is_tried {
+            self.peers.tell_others(None, &PeerNews::Closed(vec![id]));
+        }
         if let Some(request) = batch.request {
             let reply = if batch.is_tried {
                 Reply::GaveUp
@@ -610,6 +619,9 @@
 
     /// Places what waits of a batch; false if some of it found no room.
     fn place(&mut self, id: BatchId) -> bool {
+        if self.elsewhere.held_until(self.now, id).is_some() {
+            return true;
+        }
         let Some(batch) = self.table.get(id) else {
             return true;
         };
@@ -1040,6 +1052,16 @@
                     self.offer_config(&table, "entry");
                 }
                 PeerNews::Entries(addresses) => self.learn_entries(Some(link), addresses),
+                PeerNews::Closing(ids) => {
+                    for id in ids {
+                        self.elsewhere.note(self.now, id, LOST_PROOF);
+                    }
+                }
+                PeerNews::Closed(ids) => {
+                    for id in ids {
+                        self.needs_placing |= self.elsewhere.over(id);
+                    }
+                }
                 PeerNews::Heartbeat => {}
             }
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
 //! - state: [`run_book`], [`target_lease`], [`entry_leases`], [`batch_table`], [`target_board`],
-//!   [`peer_book`];
+//!   [`peer_book`], [`closing_elsewhere`];
 //! - the cores: [`batch_entry`] and [`run_agent`];
 //! - what runs them: [`platform_ports`], [`node_links`], [`wake_timer`], [`entry_node`],
 //!   [`agent_node`], [`line_log`], [`figures`].
@@ -29,6 +29,7 @@
 pub mod batch;
 pub mod batch_entry;
 pub mod batch_table;
+pub mod closing_elsewhere;
 pub mod codec;
 pub mod config_chain;
 pub mod config_document;
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -144,6 +144,8 @@
     Superseded,
     /// The target said that it is unwell.
     Unhealthy,
+    /// The order was not answered, and has been fenced off since.
+    Unanswered,
     /// The target does not answer, or its agent has not learnt its state yet.
     Unreachable,
     /// The target serves another service.
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -23,9 +23,9 @@
 
 /// How long a start may go unanswered. The target is on this VM and answers within a few
 /// milliseconds; the rest is for a VM that is slowed down.
-const START_LIMIT: Duration = Duration::from_millis(150);
-/// How often a stop is sent again until the end is listed: four times the time a stop may take.
-const STOP_AGAIN: Duration = Duration::from_millis(200);
+const START_LIMIT: Duration = Duration::from_millis(100);
+/// How often a stop is sent again until the end is listed: twice the time a stop may take.
+const STOP_AGAIN: Duration = Duration::from_millis(100);
 /// A run of an entry whose lease ran out must be over by then, or the target's whole lease is let
 /// lapse. Bounds what entries take for proof.
 const STOP_BOUND: Duration = Duration::from_millis(500);
@@ -681,7 +681,6 @@
             StartAnswer::Full => self.not_started(key, NotStarted::Full),
             StartAnswer::Unhealthy => self.not_started(key, NotStarted::Unhealthy),
             StartAnswer::Refused => {
-                self.lease.note_silence();
                 self.not_started(key, NotStarted::Unreachable);
             }
             StartAnswer::OtherLife => {
@@ -722,7 +721,6 @@
     /// The start may have been done or may be done later. A higher token, once the target has
     /// seen it, makes the second impossible, and its lists tell the first.
     fn start_unanswered(&mut self, key: RunKey, token: FencingToken) {
-        self.lease.note_silence();
         self.log(
             EventCode::StartUnanswered,
             format!("run={key} token={token}"),
@@ -760,10 +758,7 @@
                 self.end_life("another life answers");
                 self.tell_target();
             }
-            RenewalAnswer::Silent => {
-                self.lease.note_silence();
-                self.lease.failed(self.now, number);
-            }
+            RenewalAnswer::Silent => self.lease.unanswered(self.now, number),
         }
     }
 
@@ -851,7 +846,7 @@
             }
         }
         for key in never {
-            self.not_started(key, NotStarted::Unreachable);
+            self.not_started(key, NotStarted::Unanswered);
         }
         for key in gone {
             self.end_run(key, RunEnd::Lost);
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -215,6 +215,11 @@
     Config(Arc<QueueTable>),
     /// More entries than the other was told of before.
     Entries(Vec<SocketAddr>),
+    /// Batches whose caller has gone while runs of theirs are out: the caller may come to another
+    /// entry, which must not start them before these runs are over.
+    Closing(Vec<BatchId>),
+    /// Batches named so before, of which nothing runs any more.
+    Closed(Vec<BatchId>),
     /// Sign of life on a quiet link.
     Heartbeat,
 }
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -25,10 +25,15 @@
 /// Shortest wait that is worth a call.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
 /// How long an answer may take beyond the wait that was asked for.
-const ANSWER_SLACK: Duration = Duration::from_millis(200);
+const ANSWER_SLACK: Duration = Duration::from_millis(120);
+/// For so long after a lost answer renewals wait only [`LOSSY_WAIT`], so that the next loss is
+/// noticed sooner.
+const LOSSY_FOR: Duration = Duration::from_secs(2);
+/// See [`LOSSY_FOR`].
+const LOSSY_WAIT: Duration = Duration::from_millis(60);
 /// Pause before a renewal that failed is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
-/// Unanswered calls in a row after which the target counts as silent.
+/// Unanswered renewals in a row after which the target counts as silent.
 const SILENT_AFTER: u32 = 2;
 /// Slack on a lease's end: targets' clocks may be 2% slow, and a stop takes its time.
 const LAPSE_SLACK: Duration = Duration::from_millis(120);
@@ -87,6 +92,7 @@
     retry_at: Option<Now>,
     lapses_at: Now,
     silent_calls: u32,
+    lossy_until: Now,
 }
 
 impl TargetLease {
@@ -102,6 +108,7 @@
             retry_at: None,
             lapses_at: now,
             silent_calls: 0,
+            lossy_until: Now::ZERO,
         };
         // The agent's life before this one may have renewed just before it ended.
         lease.note_renewed(now);
@@ -155,9 +162,11 @@
         self.silent_calls >= SILENT_AFTER
     }
 
-    /// Notes that a call was not answered.
-    pub fn note_silence(&mut self) {
+    /// Notes that a renewal was not answered; it is tried again after a pause.
+    pub fn unanswered(&mut self, now: Now, number: u64) {
         self.silent_calls += 1;
+        self.lossy_until = now + LOSSY_FOR;
+        self.failed(now, number);
     }
 
     /// Whether an end is news.
@@ -185,6 +194,8 @@
         // The first call only learns the clock; after a lost answer there is no time to wait.
         let wait = if self.clock.is_none() || self.silent_calls > 0 {
             Duration::ZERO
+        } else if self.lossy_until > now {
+            most_wait.clamp(LEAST_WAIT, LOSSY_WAIT)
         } else {
             most_wait.clamp(LEAST_WAIT, MOST_WAIT)
         };
@@ -232,7 +243,7 @@
         })
     }
 
-    /// Notes that a renewal failed; it is tried again after a pause.
+    /// Notes that a renewal was refused; it is tried again after a pause.
     pub fn failed(&mut self, now: Now, number: u64) {
         if self.answered(number).is_some() {
             self.retry_at = Some(now + RETRY_PAUSE);
