agent: a new life of a target is learnt before it gets work

Cause: after a crash the agent kept its claim to know the target's lists, but had dropped the target's clock, which only a renewal brings back; with nothing running none was sent. Change: the lists of a new life, and of a target that refused a connection, are read before it gets work; until then it shows nothing free. Failed renewals pause longer in a row.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -217,7 +217,8 @@
     past_lives: Vec<Arc<str>>,
     lease: TargetLease,
     book: RunBook,
-    /// Whether the target's lists have been read in this life of the agent.
+    /// Whether the target's lists have been read, in this life of the agent and of the target, and
+    /// no connection has been refused since.
     knows_lists: bool,
     /// Claims that came before the lists were read.
     early_claims: Vec<(Incarnation, RunKey, Resources)>,
@@ -625,6 +626,8 @@
         );
         self.past_lives.push(life);
         self.lease.reset_life();
+        // The next life's clock is learnt with its lists.
+        self.knows_lists = false;
         self.end_all(RunEnd::Lost);
     }
 
@@ -681,6 +684,8 @@
             StartAnswer::Full => self.not_started(key, NotStarted::Full),
             StartAnswer::Unhealthy => self.not_started(key, NotStarted::Unhealthy),
             StartAnswer::Refused => {
+                // Nothing more is started before the lists have been read again.
+                self.knows_lists = false;
                 self.not_started(key, NotStarted::Unreachable);
             }
             StartAnswer::OtherLife => {
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -31,8 +31,10 @@
 const LOSSY_FOR: Duration = Duration::from_secs(2);
 /// See [`LOSSY_FOR`].
 const LOSSY_WAIT: Duration = Duration::from_millis(60);
-/// Pause before a renewal that failed is tried again.
+/// Pause before a renewal that failed is tried again, for each failure in a row.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
+/// Failures in a row beyond which the pause grows no more: a target that returns is found in time.
+const MOST_PAUSES: u32 = 7;
 /// Unanswered renewals in a row after which the target counts as silent.
 const SILENT_AFTER: u32 = 2;
 /// Slack on a lease's end: targets' clocks may be 2% slow, and a stop takes its time.
@@ -246,7 +248,8 @@
     /// Notes that a renewal was refused; it is tried again after a pause.
     pub fn failed(&mut self, now: Now, number: u64) {
         if self.answered(number).is_some() {
-            self.retry_at = Some(now + RETRY_PAUSE);
+            let pauses = self.silent_calls.clamp(1, MOST_PAUSES);
+            self.retry_at = Some(now + RETRY_PAUSE * pauses);
         }
     }
 
