--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -952,7 +952,9 @@
     }
 
     fn renew(&mut self) {
-        if self.book.is_empty() && self.knows_lists {
+        // A silent target is asked until it answers, though nothing may be left to renew.
+        let is_idle = self.book.is_empty() && self.knows_lists && !self.lease.is_silent();
+        if is_idle {
             return;
         }
         let wait = self.shortest_look();
