tests: the real programs as processes beside stand-ins of the platform

Change: the store and targets over HTTP with faults, formats of the platform's side in platform/, a fleet of processes on loopback addresses, eight tests: adoption by an agent's next life, orphans of a killed entry, planned stops, callers gone, the store silent at a start, 16 bad requests, SIGHUP. Log writes are cut at whole lines of 4 KB, so that collectors keep them whole.

--- /dev/null
+++ b/cli/tests/test_platform.rs
@@ -0,0 +1,241 @@
+//! The real programs as processes, beside stand-ins that speak the platform's protocol.
+
+use std::io::{Read as _, Write as _};
+use std::net::TcpStream;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use platform::client::PlatformClient;
+use testutils::platform_stand_ins::Fault;
+use testutils::process_fleet::{self, HOST, PREFIX, ProcessFleet, Role, Signal};
+use trestleknot_lib::worker_threads::run_system;
+
+const PROGRAM: &str = env!("CARGO_BIN_EXE_trestleknot");
+/// How long a caller waits.
+const PATIENCE: Duration = Duration::from_millis(6_000);
+
+/// A folder of the build tree for one test.
+fn folder(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{name}-{}", std::process::id()))
+}
+
+/// Runs a test on a fleet that is ready.
+fn with_fleet<F>(name: &'static str, network: u8, entries: usize, agents: usize, test: F)
+where
+    F: AsyncFnOnce(&mut ProcessFleet) + 'static,
+{
+    let folder = folder(name);
+    let fleet = ProcessFleet::start(Path::new(PROGRAM), &folder, network, entries, agents);
+    let mut fleet = fleet.expect("a fleet on loopback addresses");
+    run_system(name, async move {
+        let reports = ProcessFleet::report_forever(fleet.targets.clone(), fleet.agent_addresses());
+        ntex::rt::spawn(reports);
+        let addresses: Vec<_> = (0..entries).map(|i| fleet.entry_address(i)).collect();
+        let is_ready = process_fleet::await_ready(&addresses, Duration::from_secs(10)).await;
+        assert!(is_ready, "not ready: {}", fleet.log(0));
+        test(&mut fleet).await;
+    });
+    let _ = std::fs::remove_dir_all(folder);
+}
+
+async fn client(fleet: &ProcessFleet, entry: usize) -> PlatformClient {
+    PlatformClient::new(&fleet.entry_address(entry).to_string()).await
+}
+
+async fn submit(
+    client: &PlatformClient,
+    id: u64,
+    count: u32,
+    work_ms: u64,
+) -> Option<(u16, String)> {
+    process_fleet::submit(client, id, count, work_ms, PATIENCE).await
+}
+
+fn succeeded() -> Option<(u16, String)> {
+    Some((200, "{\"state\":\"succeeded\"}".to_owned()))
+}
+
+#[test]
+fn test_serve_batch_is_answered_and_explained() {
+    with_fleet("calm", 61, 2, 3, async |fleet| {
+        let client = client(fleet, 0).await;
+        assert_eq!(submit(&client, 0xab, 12, 60).await, succeeded());
+        ntex::time::sleep(Duration::from_millis(400)).await;
+        let entry_log = fleet.log(0);
+        for step in ["batch admitted", "tasks sent to a target", "batch answered"] {
+            let line = format!("{step}: job=00000000000000ab");
+            assert!(entry_log.contains(&line), "{line} is missing: {entry_log}");
+        }
+        let agents = (2..5).map(|i| fleet.log(i)).collect::<String>();
+        assert!(agents.contains("run ended: run=00000000000000ab.0.0.0#"));
+    });
+}
+
+#[test]
+fn test_serve_agent_killed_its_next_life_adopts() {
+    with_fleet("adopt", 62, 1, 1, async |fleet| {
+        let client = client(fleet, 0).await;
+        let answer = ntex::rt::spawn({
+            let client = client.clone();
+            async move { submit(&client, 1, 3, 1_500).await }
+        });
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        fleet.signal(1, Signal::Kill);
+        assert!(fleet.await_end(1, Duration::from_secs(2)));
+        fleet.start_process(1).expect("the agent starts again");
+        assert_eq!(answer.await.expect("the caller"), succeeded());
+        let starts = fleet.targets[0].target().records.len();
+        assert_eq!(starts, 3, "each task was started once: {}", fleet.log(1));
+        assert!(fleet.log(1).contains("adopted"), "{}", fleet.log(1));
+    });
+}
+
+#[test]
+fn test_serve_entry_killed_its_runs_are_stopped() {
+    with_fleet("orphans", 63, 2, 1, async |fleet| {
+        let client = client(fleet, 0).await;
+        let answer = ntex::rt::spawn({
+            let client = client.clone();
+            async move { submit(&client, 2, 3, 3_000).await }
+        });
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(fleet.targets[0].target().running(), 3);
+        fleet.signal(0, Signal::Kill);
+        assert_eq!(answer.await.expect("the caller"), None);
+        // A caller comes again after 1.3 s; by then nothing may run any more.
+        ntex::time::sleep(Duration::from_millis(1_000)).await;
+        assert_eq!(fleet.targets[0].target().running(), 0, "{}", fleet.log(2));
+    });
+}
+
+#[test]
+fn test_serve_planned_stops_cut_off_nothing() {
+    with_fleet("stops", 64, 2, 2, async |fleet| {
+        let first = client(fleet, 0).await;
+        let answer = ntex::rt::spawn({
+            let first = first.clone();
+            async move { submit(&first, 3, 4, 1_200).await }
+        });
+        ntex::time::sleep(Duration::from_millis(200)).await;
+        fleet.signal(0, Signal::Term);
+        fleet.signal(2, Signal::Term);
+        ntex::time::sleep(Duration::from_millis(50)).await;
+        assert!(!process_fleet::is_ready(fleet.entry_address(0)).await);
+        // The balancer sends new batches for two more seconds; they are served.
+        assert_eq!(submit(&first, 4, 2, 100).await, succeeded());
+        assert_eq!(answer.await.expect("the caller"), succeeded());
+        assert!(fleet.await_end(0, Duration::from_secs(6)), "the entry ends");
+        assert!(fleet.await_end(2, Duration::from_secs(6)), "the agent ends");
+        let starts: usize = fleet.targets.iter().map(|t| t.target().records.len()).sum();
+        assert_eq!(starts, 6);
+    });
+}
+
+#[test]
+fn test_serve_caller_gone_its_runs_are_stopped() {
+    with_fleet("gone", 65, 1, 1, async |fleet| {
+        let client = client(fleet, 0).await;
+        let short = Duration::from_millis(250);
+        let answer = process_fleet::submit(&client, 5, 3, 5_000, short).await;
+        assert_eq!(answer, None);
+        ntex::time::sleep(Duration::from_millis(400)).await;
+        assert_eq!(fleet.targets[0].target().running(), 0);
+    });
+}
+
+#[test]
+fn test_serve_store_down_entry_starts_from_another() {
+    with_fleet("store", 66, 2, 1, async |fleet| {
+        fleet.store.set_fault(Fault::Silent);
+        fleet.signal(0, Signal::Kill);
+        assert!(fleet.await_end(0, Duration::from_secs(2)));
+        fleet.start_process(0).expect("the entry starts again");
+        let address = [fleet.entry_address(0)];
+        let is_ready = process_fleet::await_ready(&address, Duration::from_secs(4)).await;
+        assert!(is_ready, "{}", fleet.log(0));
+        let client = client(fleet, 0).await;
+        assert_eq!(submit(&client, 6, 2, 50).await, succeeded());
+    });
+}
+
+/// Sends raw bytes and reads the status line.
+fn raw_status(fleet: &ProcessFleet, request: &str) -> String {
+    let mut stream = TcpStream::connect(fleet.entry_address(0)).expect("connect");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(8)))
+        .expect("a time limit");
+    stream.write_all(request.as_bytes()).expect("send");
+    let mut answer = [0; 12];
+    match stream.read_exact(&mut answer) {
+        Ok(()) => String::from_utf8_lossy(&answer[9..]).into_owned(),
+        Err(e) => e.to_string(),
+    }
+}
+
+fn post(path: &str, host: &str, body: &str) -> String {
+    let length = body.len();
+    format!("POST {path} HTTP/1.1\r\nHost: {host}\r\nContent-Length: {length}\r\n\r\n{body}")
+}
+
+#[test]
+fn test_serve_bad_requests_by_case() {
+    with_fleet("bad", 67, 1, 1, async |fleet| {
+        let good = "{\"steps\":[{\"count\":1,\"cpu\":1}],\"best-effort\":true}";
+        let kept = "{\"steps\":[{\"count\":1,\"cpu\":1}]}";
+        let gang = "{\"steps\":[{\"count\":1,\"gang\":true}],\"best-effort\":true}";
+        let path = format!("{PREFIX}00000000000000aa");
+        let large = format!("{{\"spec\":\"{}\"}}", "x".repeat(70_000));
+        let cases = [
+            (post(&path, HOST, "{"), "400"),
+            (post(&path, HOST, "{\"steps\":[]}"), "400"),
+            (post(&path, HOST, "{\"steps\":[{\"count\":-1}]}"), "400"),
+            (post(&path, HOST, "{\"steps\":[{\"count\":9999}]}"), "400"),
+            (post(&path, HOST, &large), "413"),
+            (post("/q/not-an-id", HOST, good), "404"),
+            (post("/other/00000000000000aa", HOST, good), "404"),
+            (post(&path, "other.example", good), "404"),
+            (post(&path, HOST, kept), "503"),
+            (post(&path, HOST, gang), "503"),
+            (
+                format!("PUT {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n"),
+                "405",
+            ),
+            (
+                format!("GET {PREFIX} HTTP/1.1\r\nHost: {HOST}\r\n\r\n"),
+                "200",
+            ),
+            (
+                format!("GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n"),
+                "410",
+            ),
+            (
+                format!("DELETE {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n"),
+                "410",
+            ),
+            ("nonsense\r\n\r\n".to_owned(), "400"),
+            // A sender that never ends its head is let go.
+            (format!("POST {path} HTTP/1.1\r\nHost:"), "408"),
+        ];
+        for (request, expected) in cases {
+            let head = request.get(..60.min(request.len())).unwrap_or(&request);
+            assert_eq!(raw_status(fleet, &request), expected, "{head}");
+        }
+        assert!(fleet.targets[0].target().records.is_empty());
+        assert!(fleet.is_running(0), "the entry lives");
+        let client = client(fleet, 0).await;
+        assert_eq!(submit(&client, 7, 1, 20).await, succeeded());
+        ntex::time::sleep(Duration::from_millis(400)).await;
+        assert!(fleet.log(0).contains("request rejected"));
+    });
+}
+
+#[test]
+fn test_serve_process_list_by_role() {
+    with_fleet("roles", 68, 1, 1, async |fleet| {
+        assert_eq!(fleet.processes[0].role, Role::Entry);
+        fleet.signal(0, Signal::Hangup);
+        ntex::time::sleep(Duration::from_millis(500)).await;
+        assert!(fleet.is_running(0));
+        assert!(fleet.log(0).contains("settings file read again"));
+    });
+}
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -45,6 +45,9 @@
 const RETRY_BUSY: Duration = Duration::from_millis(500);
 /// Share of the objective that a batch may wait before anything of it is placed, at least.
 const WAIT_SHARE: f64 = 0.23;
+/// How much longer than estimated work may take on the slowest sound targets. What starts later
+/// than the objective allows for that is refused, for it would be late and make others late.
+const SLOWEST_SOUND: f64 = 1.25;
 /// The same while no target can be had: agents find an entry that has just started within this.
 const WAIT_FOR_TARGETS: Duration = Duration::from_millis(500);
 /// A slow run is moved if the move takes less than this share of what it still needs.
@@ -452,7 +455,7 @@
         let arrived = self.now;
         let chain = spec.longest_chain();
         let objective = chain.mul_f64(queue.stretch) + queue.target_latency;
-        let latest = objective.saturating_sub(chain);
+        let latest = objective.saturating_sub(chain.mul_f64(SLOWEST_SOUND));
         let mut wait = latest.max(objective.mul_f64(WAIT_SHARE));
         if self.board.usable(self.now) == 0 {
             wait = wait.max(WAIT_FOR_TARGETS);
--- a/lib/src/line_log.rs
+++ b/lib/src/line_log.rs
@@ -18,6 +18,8 @@
 
 /// How often lines are written.
 const WRITE_EVERY: Duration = Duration::from_millis(250);
+/// Bytes in one write at the most, so that collectors with small buffers keep lines whole.
+const MOST_CHUNK: usize = 4_096;
 /// Lines gathered between two writes at the most: a kilobyte costs processor time, and the
 /// busiest process of today's sizes writes about 150 lines in that time.
 const MOST_LINES: usize = 600;
@@ -89,8 +91,22 @@
             info.number, info.code
         );
     }
-    // There is nowhere left to report a broken standard output.
-    let _ = io::stdout().lock().write_all(gathered.text.as_bytes());
+    let mut rest = gathered.text.as_str();
+    while !rest.is_empty() {
+        let (chunk, after) = rest.split_at(end_of_chunk(rest));
+        // There is nowhere left to report a broken standard output.
+        let _ = io::stdout().lock().write_all(chunk.as_bytes());
+        rest = after;
+    }
+}
+
+/// Where the last whole line within a chunk ends.
+fn end_of_chunk(text: &str) -> usize {
+    let most = text.floor_char_boundary(MOST_CHUNK);
+    if most == text.len() {
+        return most;
+    }
+    text[..most].rfind('\n').map_or(most, |at| at + 1)
 }
 
 impl Append for LineLog {
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,8 @@
 pub mod faults;
 pub mod load;
 pub mod matrix;
+pub mod platform_stand_ins;
+pub mod process_fleet;
 pub mod promises;
 pub mod run_fleet;
 pub mod run_target;
--- /dev/null
+++ b/lib/testutils/src/process_fleet.rs
@@ -0,0 +1,391 @@
+//! The real programs as processes on loopback addresses, one address a VM, beside the stand-ins.
+//!
+//! Processes are ended by their ids only, also when the fleet is dropped.
+
+use std::fs;
+use std::io;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ntex::http::Method;
+use platform::client::PlatformClient;
+use platform::names;
+use platform::settings::PATH_VARIABLE;
+use platform::stand_in_format::{self, PlainBatch, SettingsPlan};
+use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
+use trestleknot_lib::resources::Resources;
+
+use crate::platform_stand_ins::{self, Running, StandIn, StoreStandIn, TargetStandIn};
+use crate::run_target::{RunTarget, SERVICE};
+
+/// Port for callers; the next two are for the balancer's question and for reports.
+const PORT: u16 = 8161;
+/// Port of links.
+const LINK_PORT: u16 = 7720;
+/// Port of stand-ins.
+const STAND_IN_PORT: u16 = 8169;
+/// How often targets report on themselves.
+const REPORT_EVERY: Duration = Duration::from_millis(300);
+/// Host of the queue.
+pub const HOST: &str = "queue.example";
+/// Path of the queue.
+pub const PREFIX: &str = "/q/";
+/// What each target has: eight tasks.
+const CAPACITY: Resources = Resources {
+    cpu_millis: 16_000,
+    memory_mib: 65_536,
+    accelerators: 0,
+};
+/// Thousandths of a core for each task.
+const TASK_CPU: u64 = 2_000;
+
+/// Which program a process runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// An entry.
+    Entry,
+    /// An agent.
+    Agent,
+}
+
+/// A signal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Signal {
+    /// Stop in an orderly way.
+    Term,
+    /// End at once.
+    Kill,
+    /// Stand still.
+    Stop,
+    /// Go on.
+    Continue,
+    /// Read the settings again.
+    Hangup,
+}
+
+impl Signal {
+    fn number(self) -> i32 {
+        match self {
+            Self::Term => libc::SIGTERM,
+            Self::Kill => libc::SIGKILL,
+            Self::Stop => libc::SIGSTOP,
+            Self::Continue => libc::SIGCONT,
+            Self::Hangup => libc::SIGHUP,
+        }
+    }
+}
+
+/// A process of the fleet.
+pub struct Process {
+    /// Its name.
+    pub name: String,
+    /// What it runs.
+    pub role: Role,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// See the module.
+pub struct ProcessFleet {
+    program: PathBuf,
+    folder: PathBuf,
+    network: u8,
+    /// The store.
+    pub store: StoreStandIn,
+    /// The targets.
+    pub targets: Vec<TargetStandIn>,
+    /// Entries first, then agents.
+    pub processes: Vec<Process>,
+    entries: usize,
+    version: u64,
+    _stand_ins: Vec<Running>,
+}
+
+/// Address of VM `host` in a network of its own: 127.`network`.0.`host`.
+fn address(network: u8, host: u8, port: u16) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(127, network, 0, host)), port)
+}
+
+/// First host of entries, agents and targets.
+const ENTRY_HOST: u8 = 10;
+const AGENT_HOST: u8 = 50;
+const TARGET_HOST: u8 = 150;
+const STORE_HOST: u8 = 2;
+
+impl ProcessFleet {
+    /// Starts a fleet. `network` must differ between fleets that run at the same time; `folder`
+    /// takes the settings files and logs.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        network: u8,
+        entries: usize,
+        agents: usize,
+    ) -> io::Result<Self> {
+        fs::create_dir_all(folder)?;
+        let origin = Instant::now();
+        let store = StoreStandIn::default();
+        let mut stand_ins = vec![platform_stand_ins::start(
+            address(network, STORE_HOST, STAND_IN_PORT),
+            StandIn::Store(store.clone()),
+        )?];
+        let mut targets = Vec::new();
+        for index in 0..agents {
+            let target = RunTarget::new(&format!("target-{index}"), CAPACITY, 1.0);
+            let target = TargetStandIn::new(origin, target);
+            let at = address(network, TARGET_HOST + index as u8, STAND_IN_PORT);
+            stand_ins.push(platform_stand_ins::start(
+                at,
+                StandIn::Target(target.clone()),
+            )?);
+            targets.push(target);
+        }
+        let mut fleet = Self {
+            program: program.to_owned(),
+            folder: folder.to_owned(),
+            network,
+            store,
+            targets,
+            processes: Vec::new(),
+            entries,
+            version: 0,
+            _stand_ins: stand_ins,
+        };
+        fleet.publish();
+        for index in 0..entries {
+            fleet.add(Role::Entry, index)?;
+        }
+        for index in 0..agents {
+            fleet.add(Role::Agent, index)?;
+        }
+        Ok(fleet)
+    }
+
+    /// Publishes a new version of the configuration.
+    pub fn publish(&mut self) {
+        self.version += 1;
+        self.store.publish(&table(self.version));
+    }
+
+    fn add(&mut self, role: Role, index: usize) -> io::Result<()> {
+        let host = match role {
+            Role::Entry => ENTRY_HOST,
+            Role::Agent => AGENT_HOST,
+        };
+        let name = format!("{role:?}-{index}").to_lowercase();
+        let entry_addresses = (0..self.entries.min(3)).map(|i| self.entry_link(i));
+        let plan = SettingsPlan {
+            name: name.clone(),
+            ip: address(self.network, host + index as u8, 0).ip(),
+            port: PORT,
+            link_port: LINK_PORT,
+            seeds: entry_addresses.collect(),
+            store: address(self.network, STORE_HOST, STAND_IN_PORT),
+            target: (role == Role::Agent)
+                .then(|| address(self.network, TARGET_HOST + index as u8, STAND_IN_PORT)),
+        };
+        let settings = self.folder.join(format!("{name}.yaml"));
+        fs::write(&settings, stand_in_format::encode_settings(&plan))?;
+        self.processes.push(Process {
+            name,
+            role,
+            settings,
+            child: None,
+        });
+        let last = self.processes.len() - 1;
+        self.start_process(last)
+    }
+
+    fn entry_link(&self, index: usize) -> SocketAddr {
+        address(self.network, ENTRY_HOST + index as u8, LINK_PORT)
+    }
+
+    /// Address of an entry for callers.
+    pub fn entry_address(&self, index: usize) -> SocketAddr {
+        address(self.network, ENTRY_HOST + index as u8, PORT)
+    }
+
+    /// Address of an agent for its target's reports.
+    pub fn agent_address(&self, index: usize) -> SocketAddr {
+        address(self.network, AGENT_HOST + index as u8, PORT + 2)
+    }
+
+    /// Starts a process that does not run.
+    pub fn start_process(&mut self, index: usize) -> io::Result<()> {
+        let process = &mut self.processes[index];
+        let log = fs::OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(self.folder.join(format!("{}.log", process.name)))?;
+        let command = match process.role {
+            Role::Entry => "serve-entry",
+            Role::Agent => "serve-agent",
+        };
+        let child = Command::new(&self.program)
+            .arg(command)
+            .env(PATH_VARIABLE, &process.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        process.child = Some(child);
+        Ok(())
+    }
+
+    /// Whether a process runs, or stands still.
+    pub fn is_running(&mut self, index: usize) -> bool {
+        let process = &mut self.processes[index];
+        let Some(child) = &mut process.child else {
+            return false;
+        };
+        if matches!(child.try_wait(), Ok(None)) {
+            return true;
+        }
+        process.child = None;
+        false
+    }
+
+    /// Sends a signal to a process that this fleet started and has not seen end.
+    pub fn signal(&mut self, index: usize, signal: Signal) {
+        if !self.is_running(index) {
+            return;
+        }
+        if let Some(child) = &self.processes[index].child {
+            // SAFETY: the id is that of a child that has not been waited for, so it is ours.
+            unsafe {
+                libc::kill(child.id() as i32, signal.number());
+            }
+        }
+    }
+
+    /// Waits until a process has ended; says whether it did in time.
+    pub fn await_end(&mut self, index: usize, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            if !self.is_running(index) {
+                return true;
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        false
+    }
+
+    /// What a process has logged.
+    pub fn log(&self, index: usize) -> String {
+        let path = self
+            .folder
+            .join(format!("{}.log", self.processes[index].name));
+        fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Has the targets report to their agents for ever, from the thread that calls it.
+    pub async fn report_forever(targets: Vec<TargetStandIn>, agents: Vec<SocketAddr>) {
+        let mut clients = Vec::new();
+        for agent in &agents {
+            clients.push(PlatformClient::new(&agent.to_string()).await);
+        }
+        loop {
+            for (target, client) in targets.iter().zip(&clients) {
+                let (info, sequence) = target.target().report();
+                let path = stand_in_format::report_path(&info.life);
+                let body = stand_in_format::encode_report(&info, sequence).into_bytes();
+                let request = client.request(Method::POST, &path);
+                let request = request.content_type("application/json");
+                let sent = PlatformClient::call(request, body, Duration::from_millis(200));
+                // An agent that is down is told again.
+                ntex::rt::spawn(async move {
+                    let _ = sent.await;
+                });
+            }
+            ntex::time::sleep(REPORT_EVERY).await;
+        }
+    }
+
+    /// Addresses of all agents for reports.
+    pub fn agent_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.targets.len())
+            .map(|i| self.agent_address(i))
+            .collect()
+    }
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        for process in &mut self.processes {
+            if let Some(child) = &mut process.child {
+                let _ = child.kill();
+                let _ = child.wait();
+            }
+        }
+    }
+}
+
+fn table(version: u64) -> QueueTable {
+    QueueTable {
+        version,
+        queues: vec![Arc::new(Queue {
+            name: "q".into(),
+            host: HOST.to_owned(),
+            path_prefix: PREFIX.to_owned(),
+            service: SERVICE.into(),
+            priority: 0,
+            max_attempts: 3,
+            stretch: 1.6,
+            target_latency: Duration::from_millis(60),
+            needs_advice: false,
+        })],
+        limits: RequestLimits { body_bytes: 65_536 },
+    }
+}
+
+/// Submits a batch of tasks that each take `work_ms`; none if there is no answer.
+pub async fn submit(
+    client: &PlatformClient,
+    id: u64,
+    count: u32,
+    work_ms: u64,
+    limit: Duration,
+) -> Option<(u16, String)> {
+    let body = stand_in_format::encode_batch(&PlainBatch {
+        payload: &work_ms.to_string(),
+        count,
+        cpu_millis: TASK_CPU,
+        estimate: Duration::from_millis(work_ms),
+    });
+    let request = client
+        .request(Method::POST, &format!("{PREFIX}{id:016x}"))
+        .header("host", HOST)
+        .header(names::DEADLINE, limit.as_millis().to_string())
+        .content_type("application/json");
+    let answer = PlatformClient::call(request, body.into_bytes(), limit)
+        .await
+        .ok()?;
+    let text = String::from_utf8_lossy(&answer.body).into_owned();
+    Some((answer.status.as_u16(), text))
+}
+
+/// Asks whether an entry is ready.
+pub async fn is_ready(entry: SocketAddr) -> bool {
+    let ready = SocketAddr::new(entry.ip(), entry.port() + 1);
+    let client = PlatformClient::new(&ready.to_string()).await;
+    let request = client.request(Method::GET, names::READY);
+    let answer = PlatformClient::call(request, Vec::new(), Duration::from_millis(300)).await;
+    answer.is_ok_and(|a| a.status.as_u16() == 200)
+}
+
+/// Waits until all entries are ready; says whether they became so.
+pub async fn await_ready(entries: &[SocketAddr], limit: Duration) -> bool {
+    let until = Instant::now() + limit;
+    for entry in entries {
+        while !is_ready(*entry).await {
+            if Instant::now() > until {
+                return false;
+            }
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    true
+}
