--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -98,7 +98,13 @@
                 Arg::new("kind")
                     .long("kind")
                     .default_value("config")
-                    .value_parser(PossibleValuesParser::new(["config", "entry", "agent"]))
+                    .value_parser(PossibleValuesParser::new([
+                        "config",
+                        "entry",
+                        "agent",
+                        "platform-entry",
+                        "platform-agent",
+                    ]))
                     .help("What the file is"),
             ),
         Command::new("apply")
--- a/cli/src/operators.rs
+++ b/cli/src/operators.rs
@@ -40,6 +40,12 @@
         "agent" => {
             settings::load::<AgentSettings>(&path)?;
         }
+        "platform-entry" => {
+            platform::settings::load_entry(&path)?;
+        }
+        "platform-agent" => {
+            platform::settings::load_agent(&path)?;
+        }
         _ => {
             load_document(&path)?;
         }
--- a/cli/tests/test_commands.rs
+++ b/cli/tests/test_commands.rs
@@ -99,3 +99,9 @@
     });
     insta::assert_snapshot!(apply(&first));
 }
+
+#[test]
+fn test_check_platform_settings_missing_field() {
+    let text = "node: \"a\"\nip: \"10.0.0.1\"\n";
+    insta::assert_snapshot!(check("missing.yaml", "platform-entry", text));
+}
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use platform::client::PlatformClient;
+use platform::names;
 use testutils::platform_stand_ins::Fault;
 use testutils::process_fleet::{self, HOST, PREFIX, ProcessFleet, Role, Signal};
 use trestleknot_lib::worker_threads::run_system;
@@ -180,9 +181,15 @@
 #[test]
 fn test_serve_bad_requests_by_case() {
     with_fleet("bad", 67, 1, 1, async |fleet| {
-        let good = "{\"steps\":[{\"count\":1,\"cpu\":1}],\"best-effort\":true}";
+        let with_request = |steps: &str| {
+            format!(
+                "{{\"steps\":[{steps}],\"{}\":true}}",
+                names::ENDS_WITH_REQUEST
+            )
+        };
+        let good = &with_request("{\"count\":1,\"cpu\":1}");
         let kept = "{\"steps\":[{\"count\":1,\"cpu\":1}]}";
-        let gang = "{\"steps\":[{\"count\":1,\"gang\":true}],\"best-effort\":true}";
+        let gang = &with_request("{\"count\":1,\"gang\":true}");
         let path = format!("{PREFIX}00000000000000aa");
         let large = format!("{{\"spec\":\"{}\"}}", "x".repeat(70_000));
         let cases = [
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -287,7 +287,7 @@
             None => respond(404, ""),
         },
         (&Method::GET, names::LOG_READ) => {
-            let until = Instant::now() + Duration::from_millis(number(req, "wait-ms"));
+            let until = Instant::now() + Duration::from_millis(number(req, names::WAIT));
             loop {
                 match store.read(topic, number(req, "from")) {
                     Err(_) => return respond(410, ""),
