--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::QueueTable;
-use trestleknot_lib::run_agent::RenewalAnswer;
+use trestleknot_lib::run_agent::{RenewalAnswer, StartAnswer};
 use trestleknot_lib::worker_threads::{run_system, spawn};
 
 use crate::run_target::{RunTarget, StartRequest};
@@ -212,7 +212,10 @@
         let order = OrderBody::decode(body)?;
         let now = self.now();
         lock(&self.target).stop(now, order.key()?, order.token, life);
-        Ok(Some((200, "{\"clock-ms\":0}".to_owned())))
+        let clock = now.as_millis() as u64;
+        Ok(stand_in_format::encode_start_answer(
+            &StartAnswer::Started { clock },
+        ))
     }
 
     async fn renew(&self, life: Option<Arc<str>>, body: &[u8]) -> Served {
