--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -246,3 +246,43 @@
         assert!(fleet.log(0).contains("settings file read again"));
     });
 }
+
+#[test]
+fn test_serve_reset_behind_the_request_starts_nothing() {
+    with_fleet("reset", 69, 1, 1, async |fleet| {
+        let with_request = format!(
+            "{{\"spec\":\"900\",\"steps\":[{{\"count\":1,\"cpu\":1}}],\"{}\":true}}",
+            names::ENDS_WITH_REQUEST
+        );
+        // Frozen, the entry finds the request and the reset together in its socket.
+        fleet.signal(0, Signal::Stop);
+        let request = post(&format!("{PREFIX}00000000000000ee"), HOST, &with_request);
+        let stream = TcpStream::connect(fleet.entry_address(0)).expect("connect");
+        (&stream).write_all(request.as_bytes()).expect("send");
+        // A linger of zero makes the close a reset.
+        let linger = libc::linger {
+            l_onoff: 1,
+            l_linger: 0,
+        };
+        let size = std::mem::size_of::<libc::linger>() as u32;
+        // SAFETY: the descriptor is open and the option's value outlives the call.
+        let set = unsafe {
+            libc::setsockopt(
+                std::os::fd::AsRawFd::as_raw_fd(&stream),
+                libc::SOL_SOCKET,
+                libc::SO_LINGER,
+                (&raw const linger).cast(),
+                size,
+            )
+        };
+        assert_eq!(set, 0);
+        drop(stream);
+        fleet.signal(0, Signal::Continue);
+        ntex::time::sleep(Duration::from_millis(600)).await;
+        assert!(
+            fleet.targets[0].target().records.is_empty(),
+            "{}",
+            fleet.log(0)
+        );
+    });
+}
