entry: a stopping entry takes what it can see through, and answers all at its end

Change: after 3.2 s a batch is taken if twice its work fits before the end; whoever still waits at the end hears that it was given up, so no connection ends without an answer.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -58,8 +58,12 @@
 const MOST_MISSES: u32 = 6;
 /// Waiting tasks are counted up to this for agents.
 const MOST_COUNTED: u32 = 1_000;
-/// After the order to stop, new requests are served for so long: the balancer asks every second
-/// and takes an entry out at the second miss.
+/// Times its estimated work that a batch may need at the most, as a stopping entry counts.
+const DRAIN_MARGIN: u32 = 2;
+/// Added to the above for placing and answering.
+const DRAIN_SLACK: Duration = Duration::from_millis(200);
+/// After the order to stop, all new requests are served for so long: the balancer asks every
+/// second and takes an entry out at the second miss.
 const SERVE_ON: Duration = Duration::from_millis(3_200);
 /// Latest end of a drain: before the last sixth of the 6 s that the platform allows.
 const DRAIN_LIMIT: Duration = Duration::from_millis(5_300);
@@ -400,10 +404,7 @@
         if queue.needs_advice {
             return Err(refused(Refusal::Unsupported(Unsupported::Advice)));
         }
-        let is_past_drain = self
-            .draining_since
-            .is_some_and(|since| since + SERVE_ON <= self.now);
-        if is_past_drain {
+        if self.would_outlast_drain(&spec) {
             return Err(refused(Refusal::Draining));
         }
         let times = self.times_of(&spec, &queue, patience);
@@ -430,6 +431,15 @@
         Ok(())
     }
 
+    /// Whether a stopping entry could not see a batch through: callers with open connections send
+    /// for longer than the balancer does.
+    fn would_outlast_drain(&self, spec: &BatchSpec) -> bool {
+        self.draining_since.is_some_and(|since| {
+            let needs = spec.longest_chain() * DRAIN_MARGIN + DRAIN_SLACK;
+            self.now >= since + SERVE_ON && self.now + needs > since + DRAIN_LIMIT
+        })
+    }
+
     /// The same batch again: the caller's connection broke, and what ran of it may not be over
     /// yet. Its tasks go on from where they are.
     fn admit_again(
@@ -1159,12 +1169,23 @@
                 EventCode::DrainCut
             };
             self.log(code, format!("held={held}"));
+            self.give_up_all();
             self.flush();
             self.out.push(EntryAction::Exit);
             self.exited = true;
         }
     }
 
+    /// Answers whoever still waits, so that no connection ends without an answer. Agents stop what
+    /// runs within half a second of this process's end.
+    fn give_up_all(&mut self) {
+        for id in self.table.ids() {
+            if let Some(request) = self.table.take_request(id) {
+                self.out.push(EntryAction::Reply(request, Reply::GaveUp));
+            }
+        }
+    }
+
     fn send_orders(&mut self, link: SessionId) {
         let now = self.now;
         let waiting = self.table.waiting_tasks(MOST_COUNTED);
