targets: a wrong estimate does not move a task for ever

Change: when tasks of one step are slow at two targets, the estimate is wrong and nothing is moved, unless the target gets only probes. A slow run counts against its target if it stands still or another batch's was slow there within 2 s; one ended run shows three times the estimate at most.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -286,3 +286,40 @@
         );
     });
 }
+
+#[test]
+fn test_serve_bodies_in_pieces_by_size() {
+    with_fleet("pieces", 70, 1, 1, async |fleet| {
+        let sizes = [1, 100, 1_000, 1_500, 4_000, 9_000, 17_000, 33_000, 60_000];
+        for (index, size) in sizes.into_iter().enumerate() {
+            for piece in [usize::MAX, 1_460, 8_192] {
+                let body = format!(
+                    "{{\"spec\":\"10\",\"pad\":\"{}\",\"steps\":[{{\"count\":1,\"cpu\":1,\"{}\":10}}],\
+                     \"{}\":true}}",
+                    "x".repeat(size),
+                    names::ESTIMATE,
+                    names::ENDS_WITH_REQUEST
+                );
+                let id = index * 10 + piece % 7;
+                let request = post(&format!("{PREFIX}{id:016x}"), HOST, &body);
+                let stream = TcpStream::connect(fleet.entry_address(0)).expect("connect");
+                for part in request.as_bytes().chunks(piece.min(request.len())) {
+                    (&stream).write_all(part).expect("send");
+                    ntex::time::sleep(Duration::from_millis(2)).await;
+                }
+                stream
+                    .set_read_timeout(Some(Duration::from_secs(3)))
+                    .expect("a time limit");
+                let mut answer = [0; 12];
+                let read = ntex::rt::spawn_blocking(move || {
+                    let read = (&stream).read_exact(&mut answer);
+                    (read.is_ok(), answer)
+                });
+                let (is_read, answer) = read.await.expect("a thread");
+                let status = String::from_utf8_lossy(&answer[9..]).into_owned();
+                assert!(is_read, "{size} bytes in pieces of {piece}: no answer");
+                assert_eq!(status, "200", "{size} bytes in pieces of {piece}");
+            }
+        }
+    });
+}
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -27,7 +27,7 @@
     AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, PeerIntro, PeerNews,
     PeerPacket, StartOrder, Welcome,
 };
-use crate::target_board::{Need, Outcome, TargetBoard, Verdict};
+use crate::target_board::{Need, Outcome, SlowRun, TargetBoard, Verdict};
 
 /// How long an agent keeps an entry's runs after the entry's last word. Three heartbeats.
 pub const ENTRY_LEASE: Duration = Duration::from_millis(800);
@@ -981,6 +981,10 @@
 
     fn learn(&mut self, link: SessionId, outcome: Outcome) {
         let verdict = self.board.learn(self.now, link, outcome);
+        self.log_verdict(link, verdict, &format!("{outcome:?}"));
+    }
+
+    fn log_verdict(&mut self, link: SessionId, verdict: Verdict, cause: &str) {
         let code = match verdict {
             Verdict::Same => return,
             Verdict::SetAside => EventCode::TargetSetAside,
@@ -988,7 +992,7 @@
         };
         if let Some(view) = self.board.get(link) {
             let agent = view.agent.clone();
-            self.log(code, format!("agent={agent} last={outcome:?}"));
+            self.log(code, format!("agent={agent} last={cause}"));
         }
     }
 
@@ -1001,7 +1005,10 @@
         let percent = percent.clamp(1, 100);
         let whole = ran.mul_f64(100.0 / f64::from(percent));
         let pace = whole.as_secs_f64() / estimate.as_secs_f64();
-        self.learn(link, Outcome::Slow(pace));
+        let batch = key.task.batch;
+        let slow = SlowRun { pace, percent };
+        let verdict = self.board.found_slow(self.now, link, batch, slow);
+        self.log_verdict(link, verdict, "slow");
         let rest = whole.saturating_sub(ran);
         let elsewhere = estimate + MOVE_COST;
         if elsewhere > rest.mul_f64(MOVE_GAIN) {
@@ -1010,14 +1017,18 @@
         let Some(agent) = self.board.get(link).map(|v| v.agent.clone()) else {
             return;
         };
-        if !self.has_room_elsewhere(key, &agent) {
+        let Some(batch) = self.table.get_mut(key.task.batch) else {
+            return;
+        };
+        if batch.state != BatchState::Open {
+            return;
+        }
+        let step = &mut batch.steps[usize::from(key.task.step)];
+        let is_estimate_wrong = step.is_slow_everywhere(&agent);
+        if is_estimate_wrong && !self.board.is_outcast(link) {
             return;
         }
-        let is_open = self
-            .table
-            .get(key.task.batch)
-            .is_some_and(|b| b.state == BatchState::Open);
-        if !is_open {
+        if !self.has_room_elsewhere(key, &agent) {
             return;
         }
         if let Some(agent) = self.table.note_stopping(key) {
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -53,6 +53,16 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
+    /// Agent on whose target a task of the step was first found slow.
+    slow_at: Option<NodeName>,
+}
+
+impl Step {
+    /// Notes that a task of the step is slow at an agent; says whether another has been slow at
+    /// another agent before. Then it is the estimate that is wrong, not the targets.
+    pub fn is_slow_everywhere(&mut self, agent: &NodeName) -> bool {
+        *self.slow_at.get_or_insert_with(|| agent.clone()) != *agent
+    }
 }
 
 /// Whether a batch is still wanted.
@@ -119,6 +129,7 @@
             spec: spec.clone(),
             tasks: vec![task.clone(); spec.count as usize],
             left: spec.count,
+            slow_at: None,
         });
         Self {
             request: Some(request),
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -13,6 +13,7 @@
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::queue::Queue;
 use crate::resources::Resources;
+use crate::run::BatchId;
 use crate::run_message::{AgentMillis, TargetInfo};
 
 /// An agent that has not been heard for so long gets no work: two heartbeats and a half.
@@ -45,6 +46,12 @@
 const FAR_HALL_COST: f64 = 0.02;
 /// Slowest and fastest pace that is believed.
 const PACE_BOUNDS: (f64, f64) = (0.3, 30.0);
+/// Slowest pace that one run which ended is believed to show: its estimate may be far off.
+const SLOWEST_ENDED: f64 = 3.0;
+/// Slow runs of two batches within this show that the target is slow, not the estimates.
+const SUSPECT_FOR: Duration = Duration::from_secs(2);
+/// A run of which so little is done, in percent, stands still.
+const STANDS_STILL: u32 = 3;
 /// A target this much slower than the fastest gets only probes.
 const TOO_SLOW: f64 = 2.6;
 
@@ -72,6 +79,8 @@
     closed_until: Now,
     /// When an outcast may get its next probe.
     probe_at: Now,
+    /// Batch of which a run was found slow here last, and when.
+    slow_batch: Option<(BatchId, Now)>,
 }
 
 /// What a task needs of a target.
@@ -109,6 +118,7 @@
             failures: 0.0,
             closed_until: Now::ZERO,
             probe_at: Now::ZERO,
+            slow_batch: None,
         }
     }
 
@@ -183,6 +193,15 @@
     Unwell,
 }
 
+/// A run that is slow.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct SlowRun {
+    /// The share of its estimate that it would take.
+    pub pace: f64,
+    /// How much of it is done, in percent.
+    pub percent: u32,
+}
+
 /// What changed about a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -318,7 +337,7 @@
         match outcome {
             Outcome::Done(pace) => {
                 view.failures *= 1.0 - FAILURE_WEIGHT;
-                view.learn_pace(pace);
+                view.learn_pace(pace.min(SLOWEST_ENDED));
             }
             Outcome::Failed => {
                 view.failures += FAILURE_WEIGHT * (1.0 - view.failures);
@@ -338,11 +357,34 @@
         }
     }
 
-    /// Closes a target for new work until the given time.
-    pub fn close_until(&mut self, link: SessionId, until: Now) {
-        if let Some(view) = self.views.get_mut(&link) {
-            view.closed_until = view.closed_until.max(until);
+    /// Takes in that a run of a batch is slow, with the pace that its progress promises. It counts
+    /// against the target if the run stands still or another batch's was slow there of late.
+    pub fn found_slow(
+        &mut self,
+        now: Now,
+        link: SessionId,
+        batch: BatchId,
+        run: SlowRun,
+    ) -> Verdict {
+        let Some(view) = self.views.get_mut(&link) else {
+            return Verdict::Same;
+        };
+        let is_suspect = view
+            .slow_batch
+            .is_some_and(|(before, at)| before != batch && at + SUSPECT_FOR > now);
+        view.slow_batch = Some((batch, now));
+        if is_suspect || run.percent < STANDS_STILL {
+            return self.learn(now, link, Outcome::Slow(run.pace));
         }
+        Verdict::Same
+    }
+
+    /// Whether a target gets only probes.
+    pub fn is_outcast(&self, link: SessionId) -> bool {
+        let best_pace = self.best_pace();
+        self.views
+            .get(&link)
+            .is_some_and(|view| view.is_outcast(best_pace))
     }
 }
 
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -513,7 +513,13 @@
         }
         let entry = alive[self.rng.random_range(0..alive.len())];
         caller.at = Some((entry, self.entries[entry].life, request));
-        let estimate = self.rng.random_range(0.6..1.4) * caller.work_ms as f64;
+        // Callers' guesses are off by 40%, and now and then by far more.
+        let guess = if id.is_multiple_of(16) {
+            0.08
+        } else {
+            self.rng.random_range(0.6..1.4)
+        };
+        let estimate = guess * caller.work_ms as f64;
         let spec = BatchSpec {
             id,
             payload: caller.work_ms.to_string().into(),
