entry, agent: events apart from cores, placing, directory and drain as controllers

Change: what the cores are told and want stands in batch_event.rs and run_event.rs; placing is lent batches and board for a round; the directory owns configuration, peers and closing batches; the drain owns its times. No decision changes.

--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -19,11 +19,11 @@
 use snafu::ResultExt as _;
 use tokio::signal::unix::{SignalKind, signal};
 use trestleknot_lib::agent_node::AgentNode;
-use trestleknot_lib::batch_entry::{EntryEvent, EntryOptions};
+use trestleknot_lib::batch_event::{EntryEvent, EntryOptions};
 use trestleknot_lib::entry_node::EntryNode;
 use trestleknot_lib::events::{EventCode, LogEvent};
 use trestleknot_lib::line_log::LineLog;
-use trestleknot_lib::run_agent::{AgentEvent, AgentOptions};
+use trestleknot_lib::run_event::{AgentEvent, AgentOptions};
 use trestleknot_lib::worker_threads::run_system;
 
 use crate::error::{CliResult, SystemSnafu};
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -13,19 +13,23 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::batch::{BatchSpec, Unsupported};
+use crate::batch_event::{
+    EntryAction, EntryEvent, EntryLevels, EntryOptions, Question, Refusal, Reply, Submission,
+};
+use crate::batch_placing::{Placed, Placing};
 use crate::batch_table::{
-    Batch, BatchNews, BatchState, BatchTable, BatchTimes, CloseReason, RunOver, TaskState,
+    Batch, BatchNews, BatchState, BatchTable, BatchTimes, CloseReason, RunOver,
 };
-use crate::closing_elsewhere::ClosingElsewhere;
+use crate::entry_directory::EntryDirectory;
+use crate::entry_drain::EntryDrain;
 use crate::events::{EventCode, LogEvent};
-use crate::ids::{HallName, Incarnation, NodeName, Now, RequestId, SessionId};
-use crate::peer_book::PeerBook;
-use crate::queue::{ConfigInForce, Queue, QueueTable};
+use crate::ids::{NodeName, Now, RequestId, SessionId};
+use crate::queue::Queue;
 use crate::resources::Resources;
 use crate::run::{BatchId, NotStarted, RunEnd, RunKey};
 use crate::run_message::{
-    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, PeerIntro, PeerNews,
-    PeerPacket, StartOrder, Welcome,
+    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, PeerPacket, StartOrder,
+    Welcome,
 };
 use crate::target_board::{Need, Outcome, SlowRun, TargetBoard, Verdict};
 
@@ -58,167 +62,6 @@
 const MOST_MISSES: u32 = 6;
 /// Waiting tasks are counted up to this for agents.
 const MOST_COUNTED: u32 = 1_000;
-/// Times its estimated work that a batch may need at the most, as a stopping entry counts.
-const DRAIN_MARGIN: u32 = 2;
-/// Added to the above for placing and answering.
-const DRAIN_SLACK: Duration = Duration::from_millis(200);
-/// After the order to stop, all new requests are served for so long: the balancer asks every
-/// second and takes an entry out at the second miss.
-const SERVE_ON: Duration = Duration::from_millis(3_200);
-/// Latest end of a drain: before the last sixth of the 6 s that the platform allows.
-const DRAIN_LIMIT: Duration = Duration::from_millis(5_300);
-
-/// What an entry is told at start.
-#[derive(Debug, Clone)]
-pub struct EntryOptions {
-    /// Name of the VM's process.
-    pub name: NodeName,
-    /// This life.
-    pub life: Incarnation,
-    /// Data hall.
-    pub hall: HallName,
-    /// Address of its links.
-    pub address: SocketAddr,
-    /// Entries to dial at start.
-    pub seeds: Vec<SocketAddr>,
-    /// Seed of all random choices.
-    pub seed: u64,
-}
-
-/// A batch as it arrives.
-#[derive(Debug, Clone)]
-pub struct Submission {
-    /// Whom to answer.
-    pub request: RequestId,
-    /// Host that the caller named.
-    pub host: String,
-    /// Path that the caller named.
-    pub path: String,
-    /// The batch.
-    pub spec: BatchSpec,
-    /// How long the caller waits.
-    pub patience: Duration,
-}
-
-/// A caller's question about a queue or a batch.
-#[derive(Debug, Clone)]
-pub struct Question {
-    /// Whom to answer.
-    pub request: RequestId,
-    /// Host that the caller named.
-    pub host: String,
-    /// Path that the caller named.
-    pub path: String,
-    /// The batch; none if the question is about the queue.
-    pub batch: Option<BatchId>,
-}
-
-/// What an entry is told.
-#[derive(Debug, Clone)]
-pub enum EntryEvent {
-    /// A time that was asked for has come.
-    Wake,
-    /// A caller submits.
-    Submit(Submission),
-    /// A caller's connection is gone.
-    CallerGone(RequestId),
-    /// A caller asks for a state or a count.
-    Ask(Question),
-    /// A caller cancels.
-    Cancel(Question),
-    /// The platform's store shows a configuration.
-    Config(Arc<QueueTable>),
-    /// More entries, from the platform's store.
-    Entries(Vec<SocketAddr>),
-    /// A link stands; whether this side dialled it.
-    LinkUp(SessionId, bool),
-    /// A link is gone.
-    LinkDown(SessionId),
-    /// A packet has come.
-    Packet(SessionId, Packet),
-    /// Stop in an orderly way.
-    Drain,
-}
-
-/// Why a batch was refused. Nothing of it ran, and nothing will.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
-    /// No configuration yet.
-    NoConfig,
-    /// What it asks for is not carried.
-    Unsupported(Unsupported),
-    /// No room within its time.
-    Busy,
-    /// The entry stops.
-    Draining,
-}
-
-/// What is said to a caller.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Reply {
-    /// Every task has ended well.
-    Succeeded,
-    /// A task has used up its attempts.
-    Failed,
-    /// The batch was cancelled.
-    Cancelled,
-    /// It was not run.
-    Refused {
-        /// Why.
-        why: Refusal,
-        /// When to come back.
-        retry_after: Option<Duration>,
-    },
-    /// Its time is up; some of it ran, and nothing of it runs any more.
-    GaveUp,
-    /// There is no such queue.
-    NoQueue,
-    /// There is no such batch.
-    NoBatch,
-    /// A batch waits.
-    Waiting,
-    /// A batch runs.
-    Running,
-    /// Batches of a queue of which nothing has begun.
-    Pending(usize),
-}
-
-impl Reply {
-    /// Its kind, for counting.
-    pub fn kind(&self) -> &'static str {
-        match self {
-            Self::Succeeded => "succeeded",
-            Self::Failed => "failed",
-            Self::Cancelled => "cancelled",
-            Self::Refused { .. } => "refused",
-            Self::GaveUp => "gave_up",
-            Self::NoQueue => "no_queue",
-            Self::NoBatch => "no_batch",
-            Self::Waiting | Self::Running => "state",
-            Self::Pending(_) => "pending",
-        }
-    }
-}
-
-/// What an entry wants done.
-#[derive(Debug, Clone)]
-pub enum EntryAction {
-    /// Answer a caller.
-    Reply(RequestId, Reply),
-    /// Send a packet.
-    Send(SessionId, Packet),
-    /// Close a link.
-    Close(SessionId),
-    /// Keep a connection to the entry at this address.
-    Dial(SocketAddr),
-    /// Write a line to the log.
-    Log(LogEvent),
-    /// How long a batch took, in milliseconds, and its objective.
-    Measured(u64, u64),
-    /// Stop the process.
-    Exit,
-}
-
 /// Orders that wait to be sent to an agent.
 #[derive(Debug, Default)]
 struct Outbox {
@@ -227,39 +70,36 @@
 
 /// State of an entry.
 pub struct BatchEntry {
-    options: EntryOptions,
+    options: Arc<EntryOptions>,
     now: Now,
     rng: ChaCha8Rng,
     out: Vec<EntryAction>,
-    config: ConfigInForce,
+    directory: EntryDirectory,
     table: BatchTable,
     board: TargetBoard,
-    peers: PeerBook,
-    elsewhere: ClosingElsewhere,
     outboxes: BTreeMap<SessionId, Outbox>,
     /// Agents that are lost with runs out, and when these are proven over.
     lost: BTreeMap<NodeName, Now>,
     needs_placing: bool,
-    draining_since: Option<Now>,
+    drain: EntryDrain,
     exited: bool,
 }
 
 impl BatchEntry {
     /// A new life of an entry.
     pub fn new(options: EntryOptions) -> Self {
+        let options = Arc::new(options);
         Self {
             now: Now::ZERO,
             rng: ChaCha8Rng::seed_from_u64(options.seed ^ options.life),
             out: Vec::new(),
-            config: ConfigInForce::default(),
+            directory: EntryDirectory::new(options.clone(), LOST_PROOF),
             table: BatchTable::default(),
             board: TargetBoard::default(),
-            peers: PeerBook::default(),
-            elsewhere: ClosingElsewhere::default(),
             outboxes: BTreeMap::new(),
             lost: BTreeMap::new(),
             needs_placing: false,
-            draining_since: None,
+            drain: EntryDrain::default(),
             exited: false,
             options,
         }
@@ -285,15 +125,9 @@
     pub fn next_wake(&self) -> Option<Now> {
         let times = [
             self.table.next_wake(),
-            self.peers.next_wake(),
+            self.directory.next_wake(),
             self.lost.values().min().copied(),
-            self.draining_since.map(|since| {
-                if self.now < since + SERVE_ON {
-                    since + SERVE_ON
-                } else {
-                    since + DRAIN_LIMIT
-                }
-            }),
+            self.drain.next_wake(self.now),
         ];
         let soonest = times.into_iter().flatten().min()?;
         Some(soonest.max(self.now + Duration::from_millis(1)))
@@ -301,13 +135,13 @@
 
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
-        let has_config = self.config.table().is_some();
-        has_config && self.draining_since.is_none() && self.board.usable(self.now) > 0
+        let has_config = self.directory.config().table().is_some();
+        has_config && !self.drain.has_begun() && self.board.usable(self.now) > 0
     }
 
     /// Whether connections should be given up after their next answer.
     pub fn is_draining(&self) -> bool {
-        self.draining_since.is_some()
+        self.drain.has_begun()
     }
 
     /// Figures for the metrics page.
@@ -315,13 +149,13 @@
         EntryLevels {
             batches: self.table.len() as u64,
             targets: self.board.usable(self.now) as u64,
-            config_version: self.config.version(),
+            config_version: self.directory.config().version(),
         }
     }
 
     /// Largest body that the configuration allows.
     pub fn body_limit(&self) -> Option<usize> {
-        self.config.table().map(|t| t.limits.body_bytes)
+        self.directory.config().table().map(|t| t.limits.body_bytes)
     }
 
     fn dispatch_event(&mut self, event: EntryEvent) {
@@ -331,8 +165,8 @@
             EntryEvent::CallerGone(request) => self.caller_gone(request),
             EntryEvent::Ask(question) => self.ask(&question),
             EntryEvent::Cancel(question) => self.cancel(&question),
-            EntryEvent::Config(table) => self.offer_config(&table, "store"),
-            EntryEvent::Entries(addresses) => self.learn_entries(None, addresses),
+            EntryEvent::Config(table) => self.directory.offer_config(&table, "store"),
+            EntryEvent::Entries(addresses) => self.learn_entries(addresses),
             EntryEvent::LinkUp(link, dialled) => self.link_up(link, dialled),
             EntryEvent::LinkDown(link) => self.link_down(link),
             EntryEvent::Packet(link, Packet::FromAgent(packet)) => self.agent_packet(link, packet),
@@ -342,7 +176,7 @@
             EntryEvent::Packet(link, Packet::FromEntry(_)) => {
                 self.out.push(EntryAction::Close(link))
             }
-            EntryEvent::Drain => self.drain(),
+            EntryEvent::Drain => self.begin_drain(),
         }
     }
 
@@ -352,11 +186,8 @@
 
     fn wake(&mut self) {
         let seeds = self.options.seeds.clone();
-        self.learn_entries(None, seeds);
-        for link in self.peers.silent(self.now) {
-            self.out.push(EntryAction::Close(link));
-            self.link_down(link);
-        }
+        self.learn_entries(seeds);
+        self.directory.close_silent(self.now);
         let before = self.now.saturating_sub(SILENT_AGENT);
         for link in self.board.silent(before) {
             self.out.push(EntryAction::Close(link));
@@ -367,7 +198,7 @@
     // Callers.
 
     fn queue_of(&self, host: &str, path: &str) -> Result<Arc<Queue>, Reply> {
-        let Some(table) = self.config.table() else {
+        let Some(table) = self.directory.config().table() else {
             return Err(refused(Refusal::NoConfig));
         };
         table.find(host, path).cloned().ok_or(Reply::NoQueue)
@@ -379,7 +210,7 @@
         match self.admit(submission) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
-                let version = self.config.version();
+                let version = self.directory.config().version();
                 self.log(
                     EventCode::BatchRefused,
                     format!("job={id:016x} config={version} answer={reply:?}"),
@@ -404,7 +235,8 @@
         if queue.needs_advice {
             return Err(refused(Refusal::Unsupported(Unsupported::Advice)));
         }
-        if self.would_outlast_drain(&spec) {
+        let chain = spec.longest_chain();
+        if self.drain.would_be_outlasted(self.now, chain) {
             return Err(refused(Refusal::Draining));
         }
         let times = self.times_of(&spec, &queue, patience);
@@ -422,7 +254,7 @@
                 spec.id,
                 queue.name,
                 patience.as_millis(),
-                self.config.version(),
+                self.directory.config().version(),
                 self.table.len(),
             ),
         );
@@ -431,15 +263,6 @@
         Ok(())
     }
 
-    /// Whether a stopping entry could not see a batch through: callers with open connections send
-    /// for longer than the balancer does.
-    fn would_outlast_drain(&self, spec: &BatchSpec) -> bool {
-        self.draining_since.is_some_and(|since| {
-            let needs = spec.longest_chain() * DRAIN_MARGIN + DRAIN_SLACK;
-            self.now >= since + SERVE_ON && self.now + needs > since + DRAIN_LIMIT
-        })
-    }
-
     /// The same batch again: the caller's connection broke, and what ran of it may not be over
     /// yet. Its tasks go on from where they are.
     fn admit_again(
@@ -490,7 +313,7 @@
         );
         self.close(id, CloseReason::CallerGone);
         if self.table.get(id).is_some() {
-            self.peers.tell_others(None, &PeerNews::Closing(vec![id]));
+            self.directory.tell_closing(id);
         }
     }
 
@@ -549,7 +372,7 @@
             return;
         };
         if batch.state == BatchState::Closing(CloseReason::CallerGone) && batch.is_tried {
-            self.peers.tell_others(None, &PeerNews::Closed(vec![id]));
+            self.directory.tell_closed(id);
         }
         if let Some(request) = batch.request {
             let reply = if batch.is_tried {
@@ -618,109 +441,38 @@
             return;
         }
         self.needs_placing = false;
-        let mut misses = 0;
         let ids: Vec<BatchId> = self.table.in_order().collect();
+        let directory = &self.directory;
+        let mut placing = Placing {
+            now: self.now,
+            hall: &self.options.hall,
+            table: &mut self.table,
+            board: &mut self.board,
+            rng: &mut self.rng,
+            placed: Vec::new(),
+        };
+        let mut misses = 0;
         for id in ids {
-            if !self.place(id) {
+            let is_held = directory.is_closing_elsewhere(self.now, id);
+            if !is_held && !placing.place(id) {
                 misses += 1;
-                if misses >= MOST_MISSES {
-                    break;
-                }
             }
-        }
-    }
-
-    /// Places what waits of a batch; false if some of it found no room.
-    fn place(&mut self, id: BatchId) -> bool {
-        if self.elsewhere.held_until(self.now, id).is_some() {
-            return true;
-        }
-        let Some(batch) = self.table.get(id) else {
-            return true;
-        };
-        let steps = batch.steps.len();
-        let mut all_placed = true;
-        for step in 0..steps {
-            if self.table.get(id).is_some_and(|b| b.is_ready(step)) {
-                all_placed &= self.place_step(id, step);
-            }
-        }
-        self.table.note_waiting(id);
-        all_placed
-    }
-
-    fn place_step(&mut self, id: BatchId, step: usize) -> bool {
-        let Some(batch) = self.table.get(id) else {
-            return true;
-        };
-        let queue = batch.queue.clone();
-        let spec = batch.steps[step].spec.clone();
-        let waiting: Vec<(u16, u32, Option<NodeName>)> = batch.steps[step]
-            .tasks
-            .iter()
-            .enumerate()
-            .filter(|(_, t)| t.state == TaskState::Waiting)
-            .map(|(index, t)| (index as u16, t.run, t.avoid.clone()))
-            .collect();
-        let mut by_link: BTreeMap<SessionId, Vec<(u16, u32)>> = BTreeMap::new();
-        let mut all_placed = true;
-        for (index, run, avoid) in waiting {
-            let need = Need {
-                size: spec.size,
-                queue: &queue,
-                required_label: spec.required_label.as_deref(),
-                preferred_rack: spec.preferred_rack.as_deref(),
-                avoid: avoid.as_deref(),
-            };
-            let table = &self.table;
-            let most = spec.most_per_target;
-            let is_full = |view: &crate::target_board::TargetView| {
-                most.is_some_and(|most| table.step_outs_at(&view.agent, id, step as u16) >= most)
-            };
-            let hall = &self.options.hall;
-            let chosen = self
-                .board
-                .choose(self.now, &need, hall, is_full, &mut self.rng);
-            let Some(link) = chosen else {
-                all_placed = false;
+            if misses >= MOST_MISSES {
                 break;
-            };
-            self.note_placed(id, step, index, run, link, spec.size);
-            by_link.entry(link).or_default().push((index, run));
+            }
         }
-        for (link, runs) in by_link {
-            self.order_start(id, step, link, runs);
+        for placed in placing.placed {
+            self.order_start(placed);
         }
-        all_placed
     }
 
-    fn note_placed(
-        &mut self,
-        id: BatchId,
-        step: usize,
-        index: u16,
-        run: u32,
-        link: SessionId,
-        size: Resources,
-    ) {
-        let Some(view) = self.board.get(link) else {
-            return;
-        };
-        let agent = view.agent.clone();
-        let key = RunKey {
-            task: crate::run::TaskKey {
-                batch: id,
-                time: 0,
-                step: step as u16,
-                index,
-            },
-            run,
-        };
-        self.board.sent_start(self.now, link, size);
-        self.table.note_out(self.now, key, &agent);
-    }
-
-    fn order_start(&mut self, id: BatchId, step: usize, link: SessionId, runs: Vec<(u16, u32)>) {
+    fn order_start(&mut self, placed: Placed) {
+        let Placed {
+            link,
+            batch: id,
+            step,
+            runs,
+        } = placed;
         let (Some(batch), Some(view)) = (self.table.get(id), self.board.get(link)) else {
             return;
         };
@@ -804,19 +556,12 @@
 
     fn link_up(&mut self, link: SessionId, dialled: bool) {
         if dialled {
-            let intro = self.peer_intro();
-            let packet = PeerPacket {
-                news: vec![PeerNews::Hello(intro)],
-            };
-            self.out
-                .push(EntryAction::Send(link, Packet::BetweenEntries(packet)));
+            self.directory.greet(link);
         }
     }
 
     fn link_down(&mut self, link: SessionId) {
-        if let Some(peer) = self.peers.leave(link) {
-            self.log(EventCode::PeerLost, format!("entry={}", peer.name));
-        }
+        self.directory.link_down(link);
         self.outboxes.remove(&link);
         let Some(view) = self.board.leave(link) else {
             return;
@@ -889,12 +634,10 @@
         self.lost.remove(&intro.name);
         self.board.join(self.now, link, intro.name, intro.hall);
         self.board.heard(self.now, link, clock, Resources::NONE, 0);
-        let mut entries = self.peers.known();
-        entries.push(self.options.address);
         let welcome = Welcome {
             name: self.options.name.clone(),
             life: self.options.life,
-            entries,
+            entries: self.directory.entries(),
             claims,
         };
         let mut outbox = Outbox {
@@ -1060,131 +803,50 @@
         chosen.is_some()
     }
 
-    // Entries and configuration.
-
-    fn peer_intro(&self) -> PeerIntro {
-        PeerIntro {
-            name: self.options.name.clone(),
-            life: self.options.life,
-            address: self.options.address,
-            config: self.config.version(),
-            entries: self.peers.known(),
-        }
-    }
-
-    fn peer_packet(&mut self, link: SessionId, packet: PeerPacket) {
-        self.peers.heard(self.now, link);
-        for news in packet.news {
-            match news {
-                PeerNews::Hello(intro) => self.peer_joined(link, &intro),
-                PeerNews::Config(table) => {
-                    self.peers.holds(link, table.version);
-                    self.offer_config(&table, "entry");
-                }
-                PeerNews::Entries(addresses) => self.learn_entries(Some(link), addresses),
-                PeerNews::Closing(ids) => {
-                    for id in ids {
-                        self.elsewhere.note(self.now, id, LOST_PROOF);
-                    }
-                }
-                PeerNews::Closed(ids) => {
-                    for id in ids {
-                        self.needs_placing |= self.elsewhere.over(id);
-                    }
-                }
-                PeerNews::Heartbeat => {}
-            }
-        }
-    }
+    // The end, and packets.
 
-    fn peer_joined(&mut self, link: SessionId, intro: &PeerIntro) {
-        self.log(
-            EventCode::PeerJoined,
-            format!(
-                "entry={} life={:x} config={}",
-                intro.name, intro.life, intro.config
-            ),
-        );
-        let is_new = self.peers.join(self.now, link, intro);
-        // Both sides say hello; an answer to an answer is not needed.
-        if is_new {
-            let ours = self.peer_intro();
-            self.peers.tell(link, PeerNews::Hello(ours));
-        }
-        if let Some(table) = self.config.table()
-            && table.version > intro.config
-        {
-            let news = PeerNews::Config(table.clone());
-            self.peers.holds(link, table.version);
-            self.peers.tell(link, news);
-        }
-        let mut addresses = intro.entries.clone();
-        addresses.push(intro.address);
-        self.learn_entries(Some(link), addresses);
+    fn learn_entries(&mut self, addresses: Vec<SocketAddr>) {
+        let fresh = self.directory.learn(None, addresses);
+        self.tell_agents(fresh);
     }
 
-    fn learn_entries(&mut self, from: Option<SessionId>, addresses: Vec<SocketAddr>) {
-        let own = self.options.address;
-        let fresh = self
-            .peers
-            .learn(addresses.into_iter().filter(|a| *a != own));
-        if fresh.is_empty() {
+    fn tell_agents(&mut self, entries: Vec<SocketAddr>) {
+        if entries.is_empty() {
             return;
         }
-        self.log(EventCode::EntriesLearnt, format!("addresses={fresh:?}"));
-        for address in &fresh {
-            self.out.push(EntryAction::Dial(*address));
-        }
-        self.peers
-            .tell_others(from, &PeerNews::Entries(fresh.clone()));
         for outbox in self.outboxes.values_mut() {
-            outbox.orders.push(Order::Entries(fresh.clone()));
+            outbox.orders.push(Order::Entries(entries.clone()));
         }
     }
 
-    fn offer_config(&mut self, table: &Arc<QueueTable>, from: &str) {
-        if !self.config.offer(table) {
-            return;
-        }
-        let version = table.version;
-        let queues = table.queues.len();
-        self.log(
-            EventCode::ConfigInForce,
-            format!("version={version} queues={queues} from={from}"),
-        );
-        self.peers
-            .tell_config(version, &PeerNews::Config(table.clone()));
+    fn peer_packet(&mut self, link: SessionId, packet: PeerPacket) {
+        let effects = self.directory.packet(self.now, link, packet);
+        self.tell_agents(effects.entries);
+        self.needs_placing |= effects.may_place;
     }
 
-    // The end, and packets.
-
-    fn drain(&mut self) {
-        if self.draining_since.is_none() {
-            self.draining_since = Some(self.now);
+    fn begin_drain(&mut self) {
+        if self.drain.begin(self.now) {
             let held = self.table.len();
             self.log(EventCode::Draining, format!("held={held}"));
         }
     }
 
     fn check_drain(&mut self) {
-        let Some(since) = self.draining_since else {
+        if !self.drain.is_over(self.now, self.table.is_empty()) {
             return;
-        };
-        let may_end = self.table.is_empty() && self.now >= since + SERVE_ON;
-        let must_end = self.now >= since + DRAIN_LIMIT;
-        if may_end || must_end {
-            let held = self.table.len();
-            let code = if held == 0 {
-                EventCode::Drained
-            } else {
-                EventCode::DrainCut
-            };
-            self.log(code, format!("held={held}"));
-            self.give_up_all();
-            self.flush();
-            self.out.push(EntryAction::Exit);
-            self.exited = true;
         }
+        let held = self.table.len();
+        let code = if held == 0 {
+            EventCode::Drained
+        } else {
+            EventCode::DrainCut
+        };
+        self.log(code, format!("held={held}"));
+        self.give_up_all();
+        self.flush();
+        self.out.push(EntryAction::Exit);
+        self.exited = true;
     }
 
     /// Answers whoever still waits, so that no connection ends without an answer. Agents stop what
@@ -1221,24 +883,11 @@
         for link in links {
             self.send_orders(link);
         }
-        for (link, news) in self.peers.take_due(self.now) {
-            let packet = Packet::BetweenEntries(PeerPacket { news });
-            self.out.push(EntryAction::Send(link, packet));
-        }
+        let shared = self.directory.flush(self.now);
+        self.out.extend(shared);
     }
 }
 
-/// Figures of an entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EntryLevels {
-    /// Batches held.
-    pub batches: u64,
-    /// Targets that may get work.
-    pub targets: u64,
-    /// Version of the configuration in force.
-    pub config_version: u64,
-}
-
 fn refused(why: Refusal) -> Reply {
     let retry_after = match why {
         Refusal::Unsupported(_) => None,
--- /dev/null
+++ b/lib/src/batch_placing.rs
@@ -0,0 +1,144 @@
+//! Places the tasks of batches on targets.
+//!
+//! It is lent the batches and the board of targets for one round, notes in both what it places,
+//! and leaves the orders to be sent. A task that finds no room ends its step's turn: the step's
+//! tasks are alike.
+
+use std::collections::BTreeMap;
+
+use rand_chacha::ChaCha8Rng;
+
+use crate::batch_table::{BatchTable, TaskState};
+use crate::ids::{HallName, NodeName, Now, SessionId};
+use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
+use crate::target_board::{Need, TargetBoard, TargetView};
+
+/// Tasks of one step that go to one target.
+#[derive(Debug)]
+pub struct Placed {
+    /// Link to the target's agent.
+    pub link: SessionId,
+    /// The batch.
+    pub batch: BatchId,
+    /// The step.
+    pub step: usize,
+    /// Position in the step and number of the run.
+    pub runs: Vec<(u16, RunNumber)>,
+}
+
+/// A task that waits.
+struct Waiting {
+    index: u16,
+    run: RunNumber,
+    avoid: Option<NodeName>,
+}
+
+/// See the module.
+pub struct Placing<'a> {
+    /// Now.
+    pub now: Now,
+    /// Data hall of the entry.
+    pub hall: &'a HallName,
+    /// The batches.
+    pub table: &'a mut BatchTable,
+    /// The targets.
+    pub board: &'a mut TargetBoard,
+    /// Chance.
+    pub rng: &'a mut ChaCha8Rng,
+    /// What was placed.
+    pub placed: Vec<Placed>,
+}
+
+impl Placing<'_> {
+    /// Places what waits of a batch; false if some of it found no room.
+    pub fn place(&mut self, id: BatchId) -> bool {
+        let Some(batch) = self.table.get(id) else {
+            return true;
+        };
+        let steps = batch.steps.len();
+        let mut all_placed = true;
+        for step in 0..steps {
+            if self.table.get(id).is_some_and(|b| b.is_ready(step)) {
+                all_placed &= self.place_step(id, step);
+            }
+        }
+        self.table.note_waiting(id);
+        all_placed
+    }
+
+    fn waiting(&self, id: BatchId, step: usize) -> Vec<Waiting> {
+        let Some(batch) = self.table.get(id) else {
+            return Vec::new();
+        };
+        let tasks = batch.steps[step].tasks.iter().enumerate();
+        let waiting = tasks.filter(|(_, t)| t.state == TaskState::Waiting);
+        waiting
+            .map(|(index, task)| Waiting {
+                index: index as u16,
+                run: task.run,
+                avoid: task.avoid.clone(),
+            })
+            .collect()
+    }
+
+    fn place_step(&mut self, id: BatchId, step: usize) -> bool {
+        let mut by_link: BTreeMap<SessionId, Vec<(u16, RunNumber)>> = BTreeMap::new();
+        let mut all_placed = true;
+        for task in self.waiting(id, step) {
+            let Some(link) = self.place_task(id, step, &task) else {
+                all_placed = false;
+                break;
+            };
+            by_link
+                .entry(link)
+                .or_default()
+                .push((task.index, task.run));
+        }
+        for (link, runs) in by_link {
+            let batch = id;
+            self.placed.push(Placed {
+                link,
+                batch,
+                step,
+                runs,
+            });
+        }
+        all_placed
+    }
+
+    /// Chooses a target for a task and notes that it has it.
+    fn place_task(&mut self, id: BatchId, step: usize, task: &Waiting) -> Option<SessionId> {
+        let batch = self.table.get(id)?;
+        let spec = &batch.steps[step].spec;
+        let need = Need {
+            size: spec.size,
+            queue: &batch.queue,
+            required_label: spec.required_label.as_deref(),
+            preferred_rack: spec.preferred_rack.as_deref(),
+            avoid: task.avoid.as_deref(),
+        };
+        let table = &*self.table;
+        let is_full = |view: &TargetView| {
+            let most = spec.most_per_target;
+            most.is_some_and(|most| table.step_outs_at(&view.agent, id, step as u16) >= most)
+        };
+        let chosen = self
+            .board
+            .choose(self.now, &need, self.hall, is_full, self.rng);
+        let link = chosen?;
+        let size = spec.size;
+        let agent = self.board.get(link)?.agent.clone();
+        let key = RunKey {
+            task: TaskKey {
+                batch: id,
+                time: 0,
+                step: step as u16,
+                index: task.index,
+            },
+            run: task.run,
+        };
+        self.board.sent_start(self.now, link, size);
+        self.table.note_out(self.now, key, &agent);
+        Some(link)
+    }
+}
--- /dev/null
+++ b/lib/src/entry_directory.rs
@@ -0,0 +1,223 @@
+//! What an entry shares with the other entries: the configuration in force, the entries' addresses
+//! and the batches that are being closed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::batch_event::{EntryAction, EntryOptions};
+use crate::closing_elsewhere::ClosingElsewhere;
+use crate::events::{EventCode, LogEvent};
+use crate::ids::{Now, SessionId};
+use crate::peer_book::PeerBook;
+use crate::queue::{ConfigInForce, QueueTable};
+use crate::run::BatchId;
+use crate::run_message::{Packet, PeerIntro, PeerNews, PeerPacket};
+
+/// What another entry's packet means for the rest of this one.
+#[derive(Debug, Default)]
+pub struct PeerEffects {
+    /// Entries learnt, which agents are to be told of.
+    pub entries: Vec<SocketAddr>,
+    /// Whether a batch that was held may be placed now.
+    pub may_place: bool,
+}
+
+/// See the module.
+#[derive(Debug)]
+pub struct EntryDirectory {
+    options: Arc<EntryOptions>,
+    /// How long another entry may take to close a batch.
+    closing_bound: Duration,
+    config: ConfigInForce,
+    peers: PeerBook,
+    elsewhere: ClosingElsewhere,
+    out: Vec<EntryAction>,
+}
+
+impl EntryDirectory {
+    /// Of an entry that knows nothing yet.
+    pub fn new(options: Arc<EntryOptions>, closing_bound: Duration) -> Self {
+        Self {
+            options,
+            closing_bound,
+            config: ConfigInForce::default(),
+            peers: PeerBook::default(),
+            elsewhere: ClosingElsewhere::default(),
+            out: Vec::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &ConfigInForce {
+        &self.config
+    }
+
+    /// Whether a batch must wait until another entry has closed it.
+    pub fn is_closing_elsewhere(&self, now: Now, id: BatchId) -> bool {
+        self.elsewhere.held_until(now, id).is_some()
+    }
+
+    /// All entries known, this one included.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        let mut entries = self.peers.known();
+        entries.push(self.options.address);
+        entries
+    }
+
+    /// When something is due next.
+    pub fn next_wake(&self) -> Option<Now> {
+        self.peers.next_wake()
+    }
+
+    /// What is to be done, with the packets that are due.
+    pub fn flush(&mut self, now: Now) -> Vec<EntryAction> {
+        for (link, news) in self.peers.take_due(now) {
+            self.send(link, news);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn send(&mut self, link: SessionId, news: Vec<PeerNews>) {
+        let packet = Packet::BetweenEntries(PeerPacket { news });
+        self.out.push(EntryAction::Send(link, packet));
+    }
+
+    fn log(&mut self, code: EventCode, detail: String) {
+        let event = LogEvent::new(code, detail);
+        self.out.push(EntryAction::Log(event));
+    }
+
+    fn intro(&self) -> PeerIntro {
+        PeerIntro {
+            name: self.options.name.clone(),
+            life: self.options.life,
+            address: self.options.address,
+            config: self.config.version(),
+            entries: self.peers.known(),
+        }
+    }
+
+    /// Says hello on a link that this entry dialled.
+    pub fn greet(&mut self, link: SessionId) {
+        let hello = PeerNews::Hello(self.intro());
+        self.send(link, vec![hello]);
+    }
+
+    /// Notes that a link is gone.
+    pub fn link_down(&mut self, link: SessionId) {
+        if let Some(peer) = self.peers.leave(link) {
+            self.log(EventCode::PeerLost, format!("entry={}", peer.name));
+        }
+    }
+
+    /// Closes links that have been silent for too long.
+    pub fn close_silent(&mut self, now: Now) {
+        for link in self.peers.silent(now) {
+            self.out.push(EntryAction::Close(link));
+            self.link_down(link);
+        }
+    }
+
+    /// Takes in another entry's packet.
+    pub fn packet(&mut self, now: Now, link: SessionId, packet: PeerPacket) -> PeerEffects {
+        self.peers.heard(now, link);
+        let mut effects = PeerEffects::default();
+        for news in packet.news {
+            match news {
+                PeerNews::Hello(intro) => {
+                    effects.entries.extend(self.peer_joined(now, link, &intro));
+                }
+                PeerNews::Config(table) => {
+                    self.peers.holds(link, table.version);
+                    self.offer_config(&table, "entry");
+                }
+                PeerNews::Entries(addresses) => {
+                    effects.entries.extend(self.learn(Some(link), addresses));
+                }
+                PeerNews::Closing(ids) => {
+                    for id in ids {
+                        self.elsewhere.note(now, id, self.closing_bound);
+                    }
+                }
+                PeerNews::Closed(ids) => {
+                    for id in ids {
+                        effects.may_place |= self.elsewhere.over(id);
+                    }
+                }
+                PeerNews::Heartbeat => {}
+            }
+        }
+        effects
+    }
+
+    fn peer_joined(&mut self, now: Now, link: SessionId, intro: &PeerIntro) -> Vec<SocketAddr> {
+        self.log(
+            EventCode::PeerJoined,
+            format!(
+                "entry={} life={:x} config={}",
+                intro.name, intro.life, intro.config
+            ),
+        );
+        // Both sides say hello; an answer to an answer is not needed.
+        if self.peers.join(now, link, intro) {
+            let hello = PeerNews::Hello(self.intro());
+            self.peers.tell(link, hello);
+        }
+        if let Some(table) = self.config.table()
+            && table.version > intro.config
+        {
+            self.peers.holds(link, table.version);
+            self.peers.tell(link, PeerNews::Config(table.clone()));
+        }
+        let mut addresses = intro.entries.clone();
+        addresses.push(intro.address);
+        self.learn(Some(link), addresses)
+    }
+
+    /// Learns addresses of entries, dials those that are new and passes them on; gives them.
+    pub fn learn(
+        &mut self,
+        from: Option<SessionId>,
+        addresses: Vec<SocketAddr>,
+    ) -> Vec<SocketAddr> {
+        let own = self.options.address;
+        let others = addresses.into_iter().filter(|a| *a != own);
+        let fresh = self.peers.learn(others);
+        if fresh.is_empty() {
+            return fresh;
+        }
+        self.log(EventCode::EntriesLearnt, format!("addresses={fresh:?}"));
+        for address in &fresh {
+            self.out.push(EntryAction::Dial(*address));
+        }
+        let news = PeerNews::Entries(fresh.clone());
+        self.peers.tell_others(from, &news);
+        fresh
+    }
+
+    /// Takes a configuration in force if it is newer, and passes it on.
+    pub fn offer_config(&mut self, table: &Arc<QueueTable>, from: &str) {
+        if !self.config.offer(table) {
+            return;
+        }
+        let version = table.version;
+        let queues = table.queues.len();
+        self.log(
+            EventCode::ConfigInForce,
+            format!("version={version} queues={queues} from={from}"),
+        );
+        let news = PeerNews::Config(table.clone());
+        self.peers.tell_config(version, &news);
+    }
+
+    /// Tells the other entries that a batch is being closed here.
+    pub fn tell_closing(&mut self, id: BatchId) {
+        self.peers.tell_others(None, &PeerNews::Closing(vec![id]));
+    }
+
+    /// Tells the other entries that nothing of a batch runs here any more.
+    pub fn tell_closed(&mut self, id: BatchId) {
+        self.peers.tell_others(None, &PeerNews::Closed(vec![id]));
+    }
+}
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -13,7 +13,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot};
 
-use crate::batch_entry::{BatchEntry, EntryAction, EntryEvent, EntryOptions, Reply};
+use crate::batch_entry::BatchEntry;
+use crate::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
 use crate::events::{EventCode, LogEvent};
 use crate::figures::Figures;
 use crate::ids::{RequestId, SessionId};
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,8 +14,9 @@
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
 //! - state: [`run_book`], [`target_lease`], [`entry_leases`], [`batch_table`], [`target_board`],
-//!   [`peer_book`], [`closing_elsewhere`];
-//! - the cores: [`batch_entry`] and [`run_agent`];
+//!   [`peer_book`], [`closing_elsewhere`], [`entry_directory`], [`entry_drain`];
+//! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
+//!   [`batch_event`] and [`run_event`], and the choice of targets in [`batch_placing`];
 //! - what runs them: [`platform_ports`], [`node_links`], [`wake_timer`], [`entry_node`],
 //!   [`agent_node`], [`line_log`], [`figures`].
 
@@ -28,6 +29,8 @@
 pub mod apply;
 pub mod batch;
 pub mod batch_entry;
+pub mod batch_event;
+pub mod batch_placing;
 pub mod batch_table;
 pub mod closing_elsewhere;
 pub mod codec;
@@ -37,6 +40,8 @@
 pub mod counters;
 pub mod entry;
 pub mod entry_daemon;
+pub mod entry_directory;
+pub mod entry_drain;
 pub mod entry_input;
 mod entry_jobs;
 pub mod entry_leases;
@@ -81,6 +86,7 @@
 pub mod run;
 pub mod run_agent;
 pub mod run_book;
+pub mod run_event;
 pub mod run_message;
 pub mod run_time;
 pub mod settings;
--- a/lib/src/platform_ports.rs
+++ b/lib/src/platform_ports.rs
@@ -9,8 +9,8 @@
 
 use crate::queue::QueueTable;
 use crate::run::RunKey;
-use crate::run_agent::{RenewalAnswer, StartAnswer, StartCall};
 use crate::run_book::FencingToken;
+use crate::run_event::{RenewalAnswer, StartAnswer, StartCall};
 use crate::target_lease::Renewal;
 
 /// Why the platform gave nothing usable.
--- /dev/null
+++ b/lib/src/run_event.rs
@@ -0,0 +1,181 @@
+//! What the agent's core on the platform is told and what it wants done.
+//!
+//! [`AgentAction::Start`] and [`AgentAction::Renew`] are each answered by one event, within the
+//! limit that they name. Actions are carried out in order; each may fail.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::events::LogEvent;
+use crate::ids::{HallName, Incarnation, NodeName, SessionId};
+use crate::run::{RunEnd, RunKey};
+use crate::run_book::FencingToken;
+use crate::run_message::{AgentPacket, EntryPacket, TargetInfo};
+use crate::target_lease::{EndNumber, ListedRun, Renewal, TargetMillis};
+
+/// What an agent is told at start.
+#[derive(Debug, Clone)]
+pub struct AgentOptions {
+    /// Name of the VM's process.
+    pub name: NodeName,
+    /// This life.
+    pub life: Incarnation,
+    /// Data hall.
+    pub hall: HallName,
+    /// Longest lease that targets give.
+    pub lease: Duration,
+    /// First fencing token: the time of day in milliseconds, so that it rises with each life.
+    pub token: FencingToken,
+    /// Entries to dial at start.
+    pub seeds: Vec<SocketAddr>,
+}
+
+/// A target's report on itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TargetReport {
+    /// What it is.
+    pub info: TargetInfo,
+    /// Rises with each report of one life.
+    pub sequence: u64,
+}
+
+/// What the target answered to an order to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartAnswer {
+    /// It runs.
+    Started {
+        /// The target's clock.
+        clock: TargetMillis,
+    },
+    /// A higher fencing token was seen.
+    Fenced,
+    /// A higher number of this task was seen.
+    Superseded,
+    /// The lease asked for is over already.
+    Late,
+    /// No room.
+    Full,
+    /// The target is unwell and has done nothing.
+    Unhealthy,
+    /// Another life of the target answered, which has done nothing.
+    OtherLife,
+    /// The connection was refused: nothing was done.
+    Refused,
+    /// No answer: it may have been done, or may be done later.
+    Silent,
+}
+
+/// What the target answered to a renewal.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RenewalAnswer {
+    /// The lists.
+    Lists {
+        /// The target's clock.
+        clock: TargetMillis,
+        /// What runs.
+        running: Vec<ListedRun>,
+        /// What has ended since the number that was sent.
+        ended: Vec<(EndNumber, RunKey, RunEnd)>,
+    },
+    /// A higher fencing token was seen.
+    Fenced,
+    /// Another life of the target answered.
+    OtherLife,
+    /// No answer.
+    Silent,
+}
+
+/// What an agent is told.
+#[derive(Debug, Clone)]
+pub enum AgentEvent {
+    /// A time that was asked for has come.
+    Wake,
+    /// A link to an entry stands.
+    LinkUp(SessionId),
+    /// A link is gone.
+    LinkDown(SessionId),
+    /// A packet of an entry.
+    Packet(SessionId, EntryPacket),
+    /// The target reports on itself.
+    Report(TargetReport),
+    /// A life of the target says goodbye.
+    TargetLeft(Arc<str>),
+    /// Answer to [`AgentAction::Start`].
+    StartAnswered {
+        /// The run.
+        key: RunKey,
+        /// Token of the order.
+        token: FencingToken,
+        /// The answer.
+        answer: StartAnswer,
+    },
+    /// Answer to [`AgentAction::Renew`].
+    RenewalAnswered {
+        /// Number of the renewal.
+        number: u64,
+        /// The answer.
+        answer: RenewalAnswer,
+    },
+    /// Stop in an orderly way.
+    Drain,
+}
+
+/// A start to be sent to the target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartCall {
+    /// The run.
+    pub key: RunKey,
+    /// What the task is given.
+    pub payload: Arc<str>,
+    /// End of the lease on the target's clock.
+    pub until: TargetMillis,
+    /// Token.
+    pub token: FencingToken,
+    /// Life of the target that is meant.
+    pub life: Arc<str>,
+    /// When the answer counts as lost.
+    pub limit: Duration,
+}
+
+/// What an agent wants done.
+#[derive(Debug, Clone)]
+pub enum AgentAction {
+    /// Send a packet.
+    Send(SessionId, AgentPacket),
+    /// Close a link.
+    Close(SessionId),
+    /// Keep a connection to the entry at this address.
+    Dial(SocketAddr),
+    /// Start a run.
+    Start(StartCall),
+    /// Stop a run. No answer is expected: the end will be listed.
+    Stop {
+        /// The run.
+        key: RunKey,
+        /// Token.
+        token: FencingToken,
+        /// Life of the target that is meant.
+        life: Option<Arc<str>>,
+    },
+    /// Renew the lease and read the lists.
+    Renew {
+        /// The renewal.
+        renewal: Renewal,
+        /// Life of the target that is meant.
+        life: Option<Arc<str>>,
+    },
+    /// Write a line to the log.
+    Log(LogEvent),
+    /// Stop the process.
+    Exit,
+}
+
+/// Figures of an agent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AgentLevels {
+    /// Runs booked.
+    pub runs: u64,
+    /// Links to entries.
+    pub entries: u64,
+}
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -17,7 +17,7 @@
 use tokio::sync::oneshot;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::QueueTable;
-use trestleknot_lib::run_agent::{RenewalAnswer, StartAnswer};
+use trestleknot_lib::run_event::{RenewalAnswer, StartAnswer};
 use trestleknot_lib::worker_threads::{run_system, spawn};
 
 use crate::run_target::{RunTarget, StartRequest};
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -16,14 +16,14 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch::{BatchSpec, StepSpec};
-use trestleknot_lib::batch_entry::{
-    BatchEntry, EntryAction, EntryEvent, EntryOptions, Reply, Submission,
-};
+use trestleknot_lib::batch_entry::BatchEntry;
+use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply, Submission};
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::BatchId;
-use trestleknot_lib::run_agent::{AgentAction, AgentEvent, AgentOptions, RunAgent, TargetReport};
+use trestleknot_lib::run_agent::RunAgent;
+use trestleknot_lib::run_event::{AgentAction, AgentEvent, AgentOptions, TargetReport};
 use trestleknot_lib::run_message::Packet;
 
 use crate::run_target::{LONGEST_LEASE, RunTarget, SERVICE, TargetTrouble};
--- a/lib/testutils/src/run_fleet/checks.rs
+++ b/lib/testutils/src/run_fleet/checks.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use trestleknot_lib::batch_entry::Reply;
+use trestleknot_lib::batch_event::Reply;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::{BatchId, RunEnd, RunKey, TaskKey};
 
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -4,9 +4,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use trestleknot_lib::batch_entry::EntryEvent;
+use trestleknot_lib::batch_event::EntryEvent;
 use trestleknot_lib::ids::SessionId;
-use trestleknot_lib::run_agent::AgentEvent;
+use trestleknot_lib::run_event::AgentEvent;
 use trestleknot_lib::run_message::Packet;
 
 use super::{ENTRIES, Event, Node, RunFleet};
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -7,8 +7,8 @@
 use rand::Rng as _;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::RunKey;
-use trestleknot_lib::run_agent::{AgentEvent, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::run_book::FencingToken;
+use trestleknot_lib::run_event::{AgentEvent, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::target_lease::Renewal;
 
 use super::{Event, RunFleet};
