--- /dev/null
+++ b/lib/tests/test_run_agent.rs
@@ -0,0 +1,266 @@
+//! Single decisions of the platform's agent, event by event.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use trestleknot_lib::ids::{Now, SessionId};
+use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run::{NotStarted, RunKey, TaskKey};
+use trestleknot_lib::run_agent::RunAgent;
+use trestleknot_lib::run_event::{
+    AgentAction, AgentEvent, AgentOptions, RenewalAnswer, StartAnswer, TargetReport,
+};
+use trestleknot_lib::run_message::{
+    AgentNews, EntryPacket, Order, StartOrder, TargetInfo, Welcome,
+};
+
+const LINK: SessionId = 1;
+const SIZE: Resources = Resources {
+    cpu_millis: 2_000,
+    memory_mib: 64,
+    accelerators: 0,
+};
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+fn info(life: &str, leaving: bool) -> TargetInfo {
+    TargetInfo {
+        life: Arc::from(life),
+        service: "service".into(),
+        capacity: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        leaving,
+    }
+}
+
+fn report(life: &str, leaving: bool, sequence: u64) -> AgentEvent {
+    let info = info(life, leaving);
+    AgentEvent::Report(TargetReport { info, sequence })
+}
+
+fn renewals(actions: &[AgentAction]) -> Vec<u64> {
+    let numbers = actions.iter().filter_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(renewal.number),
+        _ => None,
+    });
+    numbers.collect()
+}
+
+fn lists() -> RenewalAnswer {
+    RenewalAnswer::Lists {
+        clock: 1_000,
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+/// An agent with a target whose lists it has read, and one entry.
+fn ready_agent() -> RunAgent {
+    let options = AgentOptions {
+        name: "agent".into(),
+        life: 7,
+        hall: "hall".into(),
+        lease: ms(1_000),
+        token: 100,
+        seeds: Vec::new(),
+    };
+    let mut agent = RunAgent::new(Now::ZERO, options);
+    let actions = agent.handle(ms(1), report("life-1", false, 1));
+    let number = renewals(&actions)[0];
+    let answer = lists();
+    agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
+    agent.handle(ms(3), AgentEvent::LinkUp(LINK));
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: Vec::new(),
+    };
+    agent.handle(ms(4), packet(60_000, vec![Order::Welcome(welcome)]));
+    agent
+}
+
+fn packet(lease_until: u64, orders: Vec<Order>) -> AgentEvent {
+    let packet = EntryPacket {
+        lease_until,
+        waiting: 0,
+        orders,
+    };
+    AgentEvent::Packet(LINK, packet)
+}
+
+fn start(index: u16, start_by: u64) -> Order {
+    Order::Start(StartOrder {
+        batch: 5,
+        step: 0,
+        service: "service".into(),
+        payload: "work".into(),
+        size: SIZE,
+        estimate_ms: 60,
+        start_by,
+        runs: vec![(index, 1)],
+    })
+}
+
+fn key(index: u16) -> RunKey {
+    let task = TaskKey {
+        batch: 5,
+        time: 0,
+        step: 0,
+        index,
+    };
+    RunKey { task, run: 1 }
+}
+
+fn starts(actions: &[AgentAction]) -> usize {
+    let is_start = |a: &&AgentAction| matches!(a, AgentAction::Start(_));
+    actions.iter().filter(is_start).count()
+}
+
+/// Why the actions refuse a run, if they do.
+fn refusal(actions: &[AgentAction]) -> Option<NotStarted> {
+    let sent = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(_, packet) => Some(packet),
+        _ => None,
+    });
+    sent.flat_map(|p| &p.news).find_map(|news| match news {
+        AgentNews::NotStarted { reason, .. } => Some(*reason),
+        _ => None,
+    })
+}
+
+#[test]
+fn test_handle_start_is_sent() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_start_on_leaving_target_is_refused() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), report("life-1", true, 2));
+    let actions = agent.handle(ms(11), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(starts(&actions), 0);
+    assert_eq!(refusal(&actions), Some(NotStarted::Leaving));
+}
+
+#[test]
+fn test_handle_late_report_of_ready_does_not_take_leaving_back() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), report("life-1", true, 3));
+    agent.handle(ms(11), report("life-1", false, 2));
+    let actions = agent.handle(ms(12), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(refusal(&actions), Some(NotStarted::Leaving));
+}
+
+#[test]
+fn test_handle_start_after_its_last_moment_is_refused() {
+    // As after a freeze: the order lay in the socket past its last moment.
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(900), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(starts(&actions), 0);
+    assert_eq!(refusal(&actions), Some(NotStarted::Late));
+}
+
+#[test]
+fn test_handle_start_of_entry_whose_word_ran_out_is_refused() {
+    let mut agent = ready_agent();
+    // The welcome held for long; a new life of the entry has a short word.
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 10,
+        entries: Vec::new(),
+        claims: Vec::new(),
+    };
+    let orders = vec![Order::Welcome(welcome), start(0, 5_000)];
+    let actions = agent.handle(ms(1_000), packet(900, orders));
+    assert_eq!(refusal(&actions), Some(NotStarted::Late));
+}
+
+#[test]
+fn test_handle_new_life_is_learnt_before_it_gets_work() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), report("life-2", false, 1));
+    let asked = renewals(&actions);
+    assert_eq!(asked.len(), 1, "its lists are asked for");
+    let refused = agent.handle(ms(11), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(refusal(&refused), Some(NotStarted::Unreachable));
+    let number = asked[0];
+    let answer = lists();
+    agent.handle(ms(12), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(13), packet(60_000, vec![start(1, 500)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_silent_target_is_asked_until_it_answers() {
+    let mut agent = ready_agent();
+    let mut actions = agent.handle(ms(10), packet(600_000, vec![start(0, 500)]));
+    let mut now = ms(10);
+    // It answers nothing until its leases must have run out.
+    while now < ms(3_000) {
+        // The entry goes on talking, so its link stands.
+        let mut events = vec![AgentEvent::Wake, packet(600_000, Vec::new())];
+        for action in &actions {
+            match action {
+                AgentAction::Renew { renewal, .. } => {
+                    let (number, answer) = (renewal.number, RenewalAnswer::Silent);
+                    events.push(AgentEvent::RenewalAnswered { number, answer });
+                }
+                AgentAction::Start(call) => events.push(AgentEvent::StartAnswered {
+                    key: call.key,
+                    token: call.token,
+                    answer: StartAnswer::Silent,
+                }),
+                _ => {}
+            }
+        }
+        actions = Vec::new();
+        for event in events {
+            now += ms(20);
+            actions.extend(agent.handle(now, event));
+        }
+    }
+    assert_eq!(agent.levels().runs, 0, "what ran has lapsed");
+    // It is asked on, and gets work again once it has answered.
+    let mut asked = renewals(&actions);
+    while asked.is_empty() && now < ms(4_000) {
+        now += ms(20);
+        asked = renewals(&agent.handle(now, packet(600_000, Vec::new())));
+    }
+    let number = *asked.first().expect("it is asked");
+    let answer = lists();
+    agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+    let start_by = now.as_millis() as u64 + 500;
+    let actions = agent.handle(now, packet(600_000, vec![start(1, start_by)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_unanswered_start_is_settled_by_a_higher_token() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), packet(60_000, vec![start(0, 500)]));
+    let silent = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Silent,
+    };
+    let actions = agent.handle(ms(110), silent);
+    assert_eq!(refusal(&actions), None, "nothing is proven yet");
+    let fence = actions.iter().find_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(*renewal),
+        _ => None,
+    });
+    let fence = fence.expect("the lists are asked for");
+    assert!(fence.token > 100, "{fence:?}");
+    let (number, answer) = (fence.number, lists());
+    let actions = agent.handle(ms(112), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(refusal(&actions), Some(NotStarted::Unanswered));
+}
