testutils: the virtual fleet plans wakes in one place

Cause: the same nine lines planned a core's next wake for entries and for agents. Change: Process::sooner_wake, by a small trait of both cores. Behaviour and assertions stay.

--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -149,6 +149,32 @@
     }
 }
 
+/// A core that names the time of its next wake.
+trait Wakes {
+    fn next_wake(&self) -> Option<Now>;
+}
+
+impl Wakes for BatchEntry {
+    fn next_wake(&self) -> Option<Now> {
+        BatchEntry::next_wake(self)
+    }
+}
+
+impl Wakes for RunAgent {
+    fn next_wake(&self) -> Option<Now> {
+        RunAgent::next_wake(self)
+    }
+}
+
+impl<C: Wakes> Process<C> {
+    /// The time of the core's next wake, noted, if it is sooner than the one planned.
+    fn sooner_wake(&mut self) -> Option<Now> {
+        let at = self.core.as_ref()?.next_wake()? + self.born;
+        let is_sooner = self.wake.is_none_or(|planned| at < planned);
+        is_sooner.then(|| *self.wake.insert(at))
+    }
+}
+
 /// A batch and what its caller saw.
 #[derive(Debug, Clone)]
 pub struct Caller {
@@ -417,12 +443,8 @@
         };
         let local = self.now - process.born;
         let actions = core.handle(local, event);
-        let next = core.next_wake().map(|at| at + process.born);
         let life = process.life;
-        if let Some(at) = next
-            && process.wake.is_none_or(|set| at < set)
-        {
-            process.wake = Some(at);
+        if let Some(at) = process.sooner_wake() {
             self.at(at, Event::Wake(Node::Entry(i), life));
         }
         for action in actions {
@@ -452,12 +474,8 @@
         };
         let local = self.now - process.born;
         let actions = core.handle(local, event);
-        let next = core.next_wake().map(|at| at + process.born);
         let life = process.life;
-        if let Some(at) = next
-            && process.wake.is_none_or(|set| at < set)
-        {
-            process.wake = Some(at);
+        if let Some(at) = process.sooner_wake() {
             self.at(at, Event::Wake(Node::Agent(i), life));
         }
         for action in actions {
