agent: lost answers are noticed by measured time; scarce room is promised in turns

Logs of the late ones show ends that the target had listed 150 to 220 ms earlier: a twentieth of the calls to targets goes unanswered there, and a renewal that was lost was noticed 120 ms after its wait only, a start after 100 ms. Besides, three of four orders found no room under load (20,450 in 2 s): ten entries were told of the same free place.

Change: the agent measures how long its target takes to answer, as TCP does for retransmission, and fences a start or repeats a renewal after that (20 to 100 ms); a start proven lost is sent once more in place. While answers are lost renewals wait 20 ms. A process that stood still reads its sockets first. A scarce place is promised to one waiting entry at a time, weighted by what waits there, for 20 ms. Any answer of a target ends its silence, not only those with its clock.

The test of the unanswered start now asks for one start in place under the higher token before the entry is told, and for a second fence: as strict as before, one step longer.

--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 
 use crate::ids::{Incarnation, NodeName, Now, SessionId};
+use crate::resources::Resources;
+use crate::room_shares::{Demand, Room, RoomShares};
 use crate::run_message::AgentNews;
 
 /// How often an agent shows a quiet link that it lives. A third of an entry's lease.
@@ -17,7 +19,7 @@
 /// 1.3 s after which callers of a dead entry hand their batches in again elsewhere.
 const RECONNECT_GRACE: Duration = Duration::from_millis(250);
 /// How often an entry with waiting tasks is told of a changed load.
-const LOAD_TO_WAITING: Duration = Duration::from_millis(10);
+const LOAD_TO_WAITING: Duration = Duration::from_millis(3);
 /// How often any other entry is told of a changed load, for each link that the agent has: three
 /// entries hear of it within 36 ms, and what an agent sends does not grow with their number.
 const LOAD_PER_LINK: Duration = Duration::from_millis(12);
@@ -39,8 +41,10 @@
     pub heard: Now,
     /// When something was last sent.
     pub sent: Now,
-    /// Whether the load has changed since the last packet.
-    pub owes_load: bool,
+    /// Free room that this entry may take.
+    pub share: Resources,
+    /// The share that it was told last.
+    told: Resources,
 }
 
 impl EntryLink {
@@ -49,7 +53,7 @@
         if !self.news.is_empty() {
             return Now::ZERO;
         }
-        match (self.owes_load, self.waiting > 0) {
+        match (self.told != self.share, self.waiting > 0) {
             (true, true) => self.sent + LOAD_TO_WAITING,
             (true, false) => self.sent + load_every,
             (false, _) => self.sent + HEARTBEAT,
@@ -57,11 +61,25 @@
     }
 }
 
+/// A packet that is due.
+#[derive(Debug)]
+pub struct DuePacket {
+    /// The link.
+    pub link: SessionId,
+    /// Free room that the entry may take.
+    pub free: Resources,
+    /// Starts received on the link.
+    pub starts_seen: u64,
+    /// News for the entry.
+    pub news: Vec<AgentNews>,
+}
+
 /// See the module.
 #[derive(Debug, Default)]
 pub struct EntryLeases {
     links: BTreeMap<SessionId, EntryLink>,
     until: BTreeMap<Incarnation, Now>,
+    shares: RoomShares,
 }
 
 impl EntryLeases {
@@ -78,6 +96,7 @@
     /// Notes that a link is gone; its entry has a short grace to come back.
     pub fn closed(&mut self, now: Now, link: SessionId) -> Option<EntryLink> {
         let gone = self.links.remove(&link)?;
+        self.shares.leave(link);
         if let Some(until) = gone.entry.and_then(|e| self.until.get_mut(&e)) {
             *until = (*until).min(now + RECONNECT_GRACE);
         }
@@ -148,10 +167,24 @@
         }
     }
 
-    /// Notes that the load has changed.
-    pub fn note_load(&mut self) {
-        for link in self.links.values_mut() {
-            link.owes_load = true;
+    /// Notes starts that an entry has ordered.
+    pub fn ordered(&mut self, link: SessionId, starts: u64) {
+        if let Some(found) = self.links.get_mut(&link) {
+            found.starts_seen += starts;
+            self.shares.used(link);
+        }
+    }
+
+    /// Shares the target's free room among the entries.
+    pub fn share_room(&mut self, now: Now, room: Room) {
+        let demand = |(link, found): (&SessionId, &EntryLink)| Demand {
+            link: *link,
+            waiting: found.waiting,
+        };
+        let demands: Vec<Demand> = self.links.iter().map(demand).collect();
+        let shares = self.shares.share(now, room, &demands);
+        for (link, share) in self.links.values_mut().zip(shares) {
+            link.share = share;
         }
     }
 
@@ -159,8 +192,8 @@
         (LOAD_PER_LINK * self.links.len() as u32).min(HEARTBEAT)
     }
 
-    /// Links on which a packet is due, with their news.
-    pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, u64, Vec<AgentNews>)> {
+    /// Links on which a packet is due, with what it is to say.
+    pub fn take_due(&mut self, now: Now) -> Vec<DuePacket> {
         let mut due = Vec::new();
         let load_every = self.load_every();
         for (id, link) in &mut self.links {
@@ -168,8 +201,13 @@
                 continue;
             }
             link.sent = now;
-            link.owes_load = false;
-            due.push((*id, link.starts_seen, std::mem::take(&mut link.news)));
+            link.told = link.share;
+            due.push(DuePacket {
+                link: *id,
+                free: link.share,
+                starts_seen: link.starts_seen,
+                news: std::mem::take(&mut link.news),
+            });
         }
         due
     }
@@ -188,6 +226,7 @@
     pub fn next_wake(&self) -> Option<Now> {
         let load_every = self.load_every();
         let due = |link: &EntryLink| link.due_at(load_every).min(link.heard + SILENT_LINK);
-        self.links.values().map(due).min()
+        let links = self.links.values().map(due);
+        links.chain(self.shares.next_wake()).min()
     }
 }
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -51,6 +51,40 @@
         }
     }
 
+    /// This many times as much.
+    #[must_use]
+    pub fn times(self, factor: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis * factor,
+            memory_mib: self.memory_mib * factor,
+            accelerators: self.accelerators * factor,
+        }
+    }
+
+    /// An equal part of this, rounded down. `parts` must not be 0.
+    #[must_use]
+    pub fn divided_by(self, parts: u64) -> Self {
+        Self {
+            cpu_millis: self.cpu_millis / parts,
+            memory_mib: self.memory_mib / parts,
+            accelerators: self.accelerators / parts,
+        }
+    }
+
+    /// How many times this fits in `room`; without end if it is nothing.
+    pub fn times_in(self, room: Self) -> u64 {
+        let kinds = [
+            (self.cpu_millis, room.cpu_millis),
+            (self.memory_mib, room.memory_mib),
+            (self.accelerators, room.accelerators),
+        ];
+        let times = kinds.into_iter().filter(|(part, _)| *part > 0);
+        times
+            .map(|(part, room)| room / part)
+            .min()
+            .unwrap_or(u64::MAX)
+    }
+
     /// The largest share that this takes of any resource of `whole`, from 0 to 1 where it fits.
     pub fn share_of(self, whole: Self) -> f64 {
         let shares = [
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -9,10 +9,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::answer_time::AnswerTime;
 use crate::entry_leases::EntryLeases;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Incarnation, Now, SessionId};
 use crate::resources::Resources;
+use crate::room_shares::Room;
 use crate::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use crate::run_book::{FencingToken, Phase, Run, RunBook, Stopping};
 use crate::run_event::{
@@ -28,6 +30,14 @@
 /// How long a start may go unanswered. The target is on this VM and answers within a few
 /// milliseconds; the rest is for a VM that is slowed down.
 const START_LIMIT: Duration = Duration::from_millis(100);
+/// The same, at the least, where answers are known to come quickly: four times what an answer
+/// takes at a busy target, and a third of the shortest usual task.
+const LEAST_START_LIMIT: Duration = Duration::from_millis(20);
+/// A process that was not heard from for so long may have stood still, with answers unread in its
+/// sockets.
+const STOOD_STILL: Duration = Duration::from_millis(10);
+/// Time to read them, before a start counts as unanswered.
+const CATCH_UP: Duration = Duration::from_millis(4);
 /// How often a stop is sent again until the end is listed: twice the time a stop may take.
 const STOP_AGAIN: Duration = Duration::from_millis(100);
 /// A run of an entry whose lease ran out must be over by then, or the target's whole lease is let
@@ -64,6 +74,10 @@
     past_lives: Vec<Arc<str>>,
     lease: TargetLease,
     book: RunBook,
+    /// How long the target's answers to starts take.
+    start_time: AnswerTime,
+    /// When this process was last found to have stood still, or to have been idle.
+    resumed: Now,
     /// Whether the target's lists have been read, in this life of the agent and of the target, and
     /// no connection has been refused since.
     knows_lists: bool,
@@ -88,6 +102,8 @@
             past_lives: Vec::new(),
             lease,
             book: RunBook::default(),
+            start_time: AnswerTime::new(LEAST_START_LIMIT, START_LIMIT),
+            resumed: now,
             knows_lists: false,
             early_claims: Vec::new(),
             dialled: Vec::new(),
@@ -99,11 +115,15 @@
 
     /// Takes in an event and returns what is to be done, in order.
     pub fn handle(&mut self, now: Now, event: AgentEvent) -> Vec<AgentAction> {
+        if self.now + STOOD_STILL <= now {
+            self.resumed = now;
+        }
         self.now = self.now.max(now);
         if self.exited {
             return Vec::new();
         }
         self.dispatch_event(event);
+        self.fence_overdue_starts();
         self.check_leases();
         self.send_due_stops();
         self.renew();
@@ -116,10 +136,11 @@
     pub fn next_wake(&self) -> Option<Now> {
         let mut times = vec![self.entries.next_wake(), self.lease.retry_at()];
         for (_, run) in self.book.iter() {
-            times.push(self.run_wake(run));
+            times.push(Some(self.run_wake(run)));
         }
         if !self.book.is_empty() || !self.knows_lists {
             times.push(Some(self.lease.lapses_at()));
+            times.push(self.renewal_overdue().map(|(at, _)| at));
         }
         times.push(self.draining_since.map(|since| since + DRAIN_LIMIT));
         let soonest = times.into_iter().flatten().min()?;
@@ -134,12 +155,23 @@
         }
     }
 
-    fn run_wake(&self, run: &Run) -> Option<Now> {
-        match (&run.stopping, run.owner) {
-            (Some(stopping), _) => Some(stopping.resend_at),
-            (None, Some(owner)) => Some(self.entries.until(owner)),
-            (None, None) => Some(run.since + CLAIM_GRACE),
-        }
+    fn run_wake(&self, run: &Run) -> Now {
+        let settled = match (&run.stopping, run.owner) {
+            (Some(stopping), _) => stopping.resend_at,
+            (None, Some(owner)) => self.entries.until(owner),
+            (None, None) => run.since + CLAIM_GRACE,
+        };
+        let answer_by = self.answer_by(run);
+        answer_by.map_or(settled, |by| by.min(settled))
+    }
+
+    /// When a start on the way counts as unanswered.
+    fn answer_by(&self, run: &Run) -> Option<Now> {
+        let Phase::Starting { sent, .. } = run.phase else {
+            return None;
+        };
+        let by = sent + self.start_time.limit();
+        Some(by.max(self.resumed + CATCH_UP))
     }
 
     fn dispatch_event(&mut self, event: AgentEvent) {
@@ -284,11 +316,8 @@
     }
 
     fn start_ordered(&mut self, link: SessionId, order: StartOrder) {
-        let Some(found) = self.entries.get_mut(link) else {
-            return;
-        };
-        found.starts_seen += order.runs.len() as u64;
-        let Some(entry) = found.entry else {
+        self.entries.ordered(link, order.runs.len() as u64);
+        let Some(entry) = self.entries.get_mut(link).and_then(|l| l.entry) else {
             return;
         };
         for &(index, run) in &order.runs {
@@ -353,12 +382,15 @@
             start_by,
             since: self.now,
             running_since: None,
-            phase: Phase::Unsure { token: 0 },
+            phase: Phase::Unsure {
+                token: 0,
+                sent: self.now,
+            },
+            is_resent: false,
             stopping: None,
             slow_report_at: Now::ZERO,
         };
         self.book.insert(key, run);
-        self.entries.note_load();
         self.send_start(key, target.life).inspect_err(|_| {
             self.book.remove(key);
         })
@@ -368,11 +400,11 @@
         let until = self.lease.new_until(self.now);
         let until = until.ok_or(NotStarted::Unreachable)?;
         let token = self.lease.token();
-        let answer_by = self.now + START_LIMIT;
+        let sent = self.now;
         let Some(run) = self.book.get_mut(key) else {
             return Ok(());
         };
-        run.phase = Phase::Starting { token, answer_by };
+        run.phase = Phase::Starting { token, sent };
         self.out.push(AgentAction::Start(StartCall {
             key,
             payload: run.payload.clone(),
@@ -498,7 +530,6 @@
             EventCode::RunEnded,
             format!("run={key} end={end:?} ran_ms={ran_ms} still_running={running}"),
         );
-        self.entries.note_load();
         if let Some(owner) = run.owner {
             self.entries
                 .tell(owner, AgentNews::Ended { key, end, ran_ms });
@@ -507,7 +538,6 @@
 
     fn not_started(&mut self, key: RunKey, reason: NotStarted) {
         if let Some(run) = self.book.remove(key) {
-            self.entries.note_load();
             self.refuse(run.owner, key, reason);
         }
     }
@@ -516,12 +546,17 @@
         if let StartAnswer::Started { clock } = answer {
             self.lease.learn_clock(self.now, clock);
         }
-        let is_awaited = self.book.get(key).is_some_and(|run| match run.phase {
-            Phase::Starting { token: t, .. } | Phase::Unsure { token: t } => t == token,
-            Phase::Running => false,
-        });
-        if !is_awaited {
+        let Some(phase) = self.book.get(key).map(|run| run.phase) else {
             return;
+        };
+        match phase {
+            Phase::Starting { token: t, sent } | Phase::Unsure { token: t, sent } if t == token => {
+                if !matches!(answer, StartAnswer::Silent | StartAnswer::Refused) {
+                    self.start_time.learn(self.now.saturating_sub(sent));
+                    self.lease.note_answer(self.now);
+                }
+            }
+            _ => return,
         }
         match answer {
             StartAnswer::Started { .. } => self.mark_running(key),
@@ -540,7 +575,7 @@
                 self.end_life("another life answers");
                 self.tell_target();
             }
-            StartAnswer::Silent => self.start_unanswered(key, token),
+            StartAnswer::Silent => self.starts_unanswered(&[(key, token)]),
         }
     }
 
@@ -555,37 +590,64 @@
     /// The start never happened; it is sent once more with a token that counts.
     fn start_fenced(&mut self, key: RunKey, token: FencingToken) {
         self.lease.step_over(token);
+        self.send_start_again(key, NotStarted::Late);
+    }
+
+    /// Sends a start again that is known not to have happened, or tells the entry why not.
+    fn send_start_again(&mut self, key: RunKey, reason: NotStarted) {
         let may_retry = self
             .book
             .get(key)
             .is_some_and(|r| r.start_by > self.now && r.stopping.is_none());
         let life = self.target.as_ref().map(|t| t.life.clone());
-        match life {
-            Some(life) if may_retry => {
-                if let Err(reason) = self.send_start(key, life) {
-                    self.not_started(key, reason);
-                }
+        let Some(life) = life.filter(|_| may_retry) else {
+            self.not_started(key, reason);
+            return;
+        };
+        if let Err(reason) = self.send_start(key, life) {
+            self.not_started(key, reason);
+        }
+    }
+
+    /// Gives up on starts whose answers are overdue.
+    fn fence_overdue_starts(&mut self) {
+        let mut overdue = Vec::new();
+        for (key, run) in self.book.iter() {
+            let is_overdue = self.answer_by(run).is_some_and(|by| by <= self.now);
+            if let (Phase::Starting { token, .. }, true) = (run.phase, is_overdue) {
+                overdue.push((key, token));
             }
-            _ => self.not_started(key, NotStarted::Late),
         }
+        self.starts_unanswered(&overdue);
     }
 
-    /// The start may have been done or may be done later. A higher token, once the target has
+    /// These starts may have been done or may be done later. A higher token, once the target has
     /// seen it, makes the second impossible, and its lists tell the first.
-    fn start_unanswered(&mut self, key: RunKey, token: FencingToken) {
-        self.log(
-            EventCode::StartUnanswered,
-            format!("run={key} token={token}"),
-        );
-        if let Some(run) = self.book.get_mut(key) {
-            run.phase = Phase::Unsure { token };
+    fn starts_unanswered(&mut self, starts: &[(RunKey, FencingToken)]) {
+        let mut is_any_new = false;
+        for &(key, token) in starts {
+            let Some(run) = self.book.get_mut(key) else {
+                continue;
+            };
+            let Phase::Starting { sent, .. } = run.phase else {
+                continue;
+            };
+            run.phase = Phase::Unsure { token, sent };
+            is_any_new = true;
+            let after_ms = self.now.saturating_sub(sent).as_millis();
+            self.log(
+                EventCode::StartUnanswered,
+                format!("run={key} token={token} after_ms={after_ms}"),
+            );
+            if self.lease.token() <= token {
+                self.lease.raise_token();
+            }
         }
-        if self.lease.token() <= token {
-            self.lease.raise_token();
+        if is_any_new {
+            let renew = self.may_renew();
+            let renewal = self.lease.at_once(self.now, renew);
+            self.push_renewal(renewal);
         }
-        let renew = self.may_renew();
-        let renewal = self.lease.at_once(self.now, renew);
-        self.push_renewal(renewal);
     }
 
     fn push_renewal(&mut self, renewal: Renewal) {
@@ -648,7 +710,6 @@
         for (life, key, size) in std::mem::take(&mut self.early_claims) {
             self.claim(life, key, size);
         }
-        self.entries.note_load();
     }
 
     fn listed_running(&mut self, listed: &ListedRun) {
@@ -674,6 +735,7 @@
             since: self.now,
             running_since: None,
             phase: Phase::Running,
+            is_resent: false,
             stopping: None,
             slow_report_at: Now::ZERO,
         };
@@ -690,7 +752,7 @@
                 continue;
             }
             match run.phase {
-                Phase::Unsure { token } if token < asked => never.push(key),
+                Phase::Unsure { token, .. } if token < asked => never.push(key),
                 Phase::Running if run.running_since.is_none_or(|since| since < asked_at) => {
                     gone.push(key);
                 }
@@ -698,13 +760,26 @@
             }
         }
         for key in never {
-            self.not_started(key, NotStarted::Unanswered);
+            self.start_lost(key);
         }
         for key in gone {
             self.end_run(key, RunEnd::Lost);
         }
     }
 
+    /// A start was lost on its way. It is sent once more; the second loss is the entry's to mend,
+    /// for a target may swallow all orders.
+    fn start_lost(&mut self, key: RunKey) {
+        let Some(run) = self.book.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut run.is_resent, true) {
+            self.not_started(key, NotStarted::Unanswered);
+        } else {
+            self.send_start_again(key, NotStarted::Unanswered);
+        }
+    }
+
     fn check_slow(&mut self, key: RunKey, percent: u32) {
         let now = self.now;
         let Some(run) = self.book.get_mut(key) else {
@@ -798,7 +873,18 @@
         }
     }
 
+    /// When the renewal on the way counts as unanswered, and its number.
+    fn renewal_overdue(&self) -> Option<(Now, u64)> {
+        let (at, number) = self.lease.overdue_at(self.start_time.limit())?;
+        Some((at.max(self.resumed + CATCH_UP), number))
+    }
+
     fn renew(&mut self) {
+        if let Some((at, number)) = self.renewal_overdue()
+            && at <= self.now
+        {
+            self.lease.unanswered(self.now, number);
+        }
         // A silent target is asked until it answers, though nothing may be left to renew.
         let is_idle = self.book.is_empty() && self.knows_lists && !self.lease.is_silent();
         if is_idle {
@@ -875,15 +961,19 @@
 
     fn flush(&mut self) {
         let clock = self.now.as_millis() as AgentMillis;
-        let free = self.free();
-        for (link, starts_seen, news) in self.entries.take_due(self.now) {
+        let room = Room {
+            free: self.free(),
+            place: self.book.usual_size(),
+        };
+        self.entries.share_room(self.now, room);
+        for due in self.entries.take_due(self.now) {
             let packet = AgentPacket {
                 clock,
-                free,
-                starts_seen,
-                news,
+                free: due.free,
+                starts_seen: due.starts_seen,
+                news: due.news,
             };
-            self.out.push(AgentAction::Send(link, packet));
+            self.out.push(AgentAction::Send(due.link, packet));
         }
     }
 }
--- a/lib/src/run_book.rs
+++ b/lib/src/run_book.rs
@@ -26,13 +26,15 @@
     Starting {
         /// Token of the order.
         token: FencingToken,
-        /// When the start counts as unanswered.
-        answer_by: Now,
+        /// When it was sent.
+        sent: Now,
     },
-    /// Its start was not answered. A higher token settles whether it runs.
+    /// Its start was not answered in time. A higher token settles whether it runs.
     Unsure {
         /// Token of the order.
         token: FencingToken,
+        /// When it was sent.
+        sent: Now,
     },
     /// The target has it.
     Running,
@@ -68,6 +70,8 @@
     pub running_since: Option<Now>,
     /// Where it is.
     pub phase: Phase,
+    /// Whether its start was sent a second time, for the first was lost.
+    pub is_resent: bool,
     /// Stop that was asked for.
     pub stopping: Option<Stopping>,
     /// When its slowness may be reported next.
@@ -79,6 +83,8 @@
 pub struct RunBook {
     runs: BTreeMap<RunKey, Run>,
     booked: Resources,
+    /// Size of the run that was booked last.
+    last_size: Resources,
     unsized_runs: u32,
     ends: BTreeMap<RunKey, RunEnd>,
     ends_order: VecDeque<(Now, RunKey)>,
@@ -88,7 +94,10 @@
     /// Books a run.
     pub fn insert(&mut self, key: RunKey, run: Run) {
         match run.size {
-            Some(size) => self.booked = self.booked.plus(size),
+            Some(size) => {
+                self.booked = self.booked.plus(size);
+                self.last_size = size;
+            }
             None => self.unsized_runs += 1,
         }
         self.runs.insert(key, run);
@@ -168,6 +177,15 @@
         capacity.minus(self.booked)
     }
 
+    /// What a run takes as a rule: the mean of those booked, or the last one; nothing at first.
+    pub fn usual_size(&self) -> Resources {
+        let sized = self.runs.len() as u64 - u64::from(self.unsized_runs);
+        if sized == 0 {
+            return self.last_size;
+        }
+        self.booked.divided_by(sized)
+    }
+
     /// Remembers how a run ended.
     pub fn remember_end(&mut self, now: Now, key: RunKey, end: RunEnd) {
         while let Some(&(at, oldest)) = self.ends_order.front() {
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -24,19 +24,24 @@
 const MOST_WAIT: Duration = Duration::from_millis(330);
 /// Shortest wait that is worth a call.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
-/// How long an answer may take beyond the wait that was asked for.
+/// How long an answer may take beyond the wait that was asked for, until its connection is given
+/// up.
 const ANSWER_SLACK: Duration = Duration::from_millis(120);
 /// For so long after a lost answer renewals wait only [`LOSSY_WAIT`], so that the next loss is
 /// noticed sooner.
 const LOSSY_FOR: Duration = Duration::from_secs(2);
-/// See [`LOSSY_FOR`].
-const LOSSY_WAIT: Duration = Duration::from_millis(60);
-/// Pause before a renewal that failed is tried again, for each failure in a row.
+/// See [`LOSSY_FOR`]. What ends meanwhile is heard of this much later: a third of the shortest
+/// usual task.
+const LOSSY_WAIT: Duration = Duration::from_millis(20);
+/// Pause before a renewal that failed is tried again, for each failure in a row after the first.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 /// Failures in a row beyond which the pause grows no more: a target that returns is found in time.
 const MOST_PAUSES: u32 = 7;
-/// Unanswered renewals in a row after which the target counts as silent.
+/// Unanswered renewals in a row after which the target may count as silent.
 const SILENT_AFTER: u32 = 2;
+/// The target counts as silent only if it has not answered for so long: two calls that are given
+/// up.
+const SILENT_FOR: Duration = Duration::from_millis(240);
 /// Slack on a lease's end: targets' clocks may be 2% slow, and a stop takes its time.
 const LAPSE_SLACK: Duration = Duration::from_millis(120);
 
@@ -71,6 +76,8 @@
     number: u64,
     sent_at: Now,
     token: FencingToken,
+    /// How long the target may wait before it answers.
+    wait: Duration,
 }
 
 /// What an answered renewal was.
@@ -94,6 +101,10 @@
     retry_at: Option<Now>,
     lapses_at: Now,
     silent_calls: u32,
+    /// When the target last answered.
+    heard: Now,
+    /// Whether [`SILENT_AFTER`] and [`SILENT_FOR`] are both passed.
+    is_silent: bool,
     lossy_until: Now,
 }
 
@@ -110,6 +121,8 @@
             retry_at: None,
             lapses_at: now,
             silent_calls: 0,
+            heard: now,
+            is_silent: false,
             lossy_until: Now::ZERO,
         };
         // The agent's life before this one may have renewed just before it ended.
@@ -138,7 +151,14 @@
     /// Learns the target's clock from an answer.
     pub fn learn_clock(&mut self, now: Now, clock: TargetMillis) {
         self.clock = Some((clock, now));
+        self.note_answer(now);
+    }
+
+    /// Notes that the target answers.
+    pub fn note_answer(&mut self, now: Now) {
         self.silent_calls = 0;
+        self.heard = now;
+        self.is_silent = false;
     }
 
     /// End of a lease that begins now, on the target's clock, and notes that it was asked for.
@@ -161,14 +181,28 @@
 
     /// Whether the target leaves calls unanswered.
     pub fn is_silent(&self) -> bool {
-        self.silent_calls >= SILENT_AFTER
+        self.is_silent
     }
 
-    /// Notes that a renewal was not answered; it is tried again after a pause.
+    /// Notes that a renewal was not answered, unless that is known; the next one is due at once
+    /// or, if it is not the first, after a pause.
     pub fn unanswered(&mut self, now: Now, number: u64) {
+        if self.in_flight.is_none_or(|f| f.number != number) {
+            return;
+        }
         self.silent_calls += 1;
+        self.is_silent |= self.silent_calls >= SILENT_AFTER && self.heard + SILENT_FOR <= now;
         self.lossy_until = now + LOSSY_FOR;
-        self.failed(now, number);
+        let pauses = self.silent_calls - 1;
+        self.pause(now, number, pauses.min(MOST_PAUSES));
+    }
+
+    /// When the renewal on the way is overdue, if the target's answers take `limit` at the most,
+    /// and its number.
+    pub fn overdue_at(&self, limit: Duration) -> Option<(Now, u64)> {
+        let in_flight = self.in_flight?;
+        let at = in_flight.sent_at + in_flight.wait + limit;
+        Some((at, in_flight.number))
     }
 
     /// Whether an end is news.
@@ -185,6 +219,7 @@
         self.in_flight = None;
         self.retry_at = None;
         self.silent_calls = 0;
+        self.is_silent = false;
     }
 
     /// A renewal, if none is on the way and no pause is kept. `most_wait` bounds the wait for an
@@ -223,6 +258,7 @@
             number,
             sent_at: now,
             token: self.token,
+            wait,
         });
         Renewal {
             number,
@@ -247,8 +283,11 @@
 
     /// Notes that a renewal was refused; it is tried again after a pause.
     pub fn failed(&mut self, now: Now, number: u64) {
+        self.pause(now, number, 1);
+    }
+
+    fn pause(&mut self, now: Now, number: u64, pauses: u32) {
         if self.answered(number).is_some() {
-            let pauses = self.silent_calls.clamp(1, MOST_PAUSES);
             self.retry_at = Some(now + RETRY_PAUSE * pauses);
         }
     }
--- /dev/null
+++ b/lib/tests/test_room_shares.rs
@@ -0,0 +1,130 @@
+//! How an agent shares scarce room among entries.
+
+use std::time::Duration;
+
+use trestleknot_lib::answer_time::AnswerTime;
+use trestleknot_lib::ids::Now;
+use trestleknot_lib::resources::Resources;
+use trestleknot_lib::room_shares::{Demand, Room, RoomShares};
+
+const PLACE: Resources = Resources {
+    cpu_millis: 2_000,
+    memory_mib: 64,
+    accelerators: 0,
+};
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+fn room(places: u64) -> Room {
+    Room {
+        free: PLACE.times(places),
+        place: PLACE,
+    }
+}
+
+fn demands(waiting: &[u32]) -> Vec<Demand> {
+    let links = (1..).zip(waiting);
+    links
+        .map(|(link, waiting)| Demand {
+            link,
+            waiting: *waiting,
+        })
+        .collect()
+}
+
+/// Places that each entry was told of.
+fn told(shares: &[Resources]) -> Vec<u64> {
+    shares.iter().map(|s| PLACE.times_in(*s)).collect()
+}
+
+#[test]
+fn test_share_by_case() {
+    let cases: [(u64, &[u32], &[u64]); 6] = [
+        (3, &[0, 0, 0], &[3, 3, 3]),
+        (3, &[0, 5, 0], &[3, 3, 3]),
+        (4, &[2, 5, 0], &[2, 2, 4]),
+        (0, &[2, 5, 0], &[0, 0, 0]),
+        (1, &[1, 50, 0], &[0, 1, 0]),
+        (2, &[9, 9, 9], &[1, 1, 0]),
+    ];
+    for (places, waiting, expected) in cases {
+        let mut shares = RoomShares::default();
+        let found = shares.share(ms(0), room(places), &demands(waiting));
+        assert_eq!(told(&found), expected, "{places} places, {waiting:?} wait");
+    }
+}
+
+#[test]
+fn test_share_unused_promise_goes_to_another() {
+    let mut shares = RoomShares::default();
+    let waiting = demands(&[3, 3]);
+    assert_eq!(told(&shares.share(ms(0), room(1), &waiting)), [1, 0]);
+    assert_eq!(told(&shares.share(ms(10), room(1), &waiting)), [1, 0]);
+    let wake = shares.next_wake().expect("the promise runs out");
+    assert_eq!(told(&shares.share(wake, room(1), &waiting)), [0, 1]);
+}
+
+#[test]
+fn test_share_used_promise_leaves_nothing_until_room_returns() {
+    let mut shares = RoomShares::default();
+    let waiting = demands(&[3, 3]);
+    shares.share(ms(0), room(1), &waiting);
+    shares.used(1);
+    assert_eq!(told(&shares.share(ms(1), room(0), &waiting)), [0, 0]);
+    assert_eq!(shares.next_wake(), None);
+    assert_eq!(told(&shares.share(ms(2), room(1), &waiting)), [0, 1]);
+}
+
+#[test]
+fn test_share_turns_follow_what_waits() {
+    let mut shares = RoomShares::default();
+    let waiting = demands(&[10, 30]);
+    let mut turns = [0, 0];
+    for step in 0..40 {
+        let found = told(&shares.share(ms(step), room(1), &waiting));
+        let first = usize::from(found[0] == 0);
+        turns[first] += 1;
+        shares.used(first as u64 + 1);
+    }
+    assert_eq!(turns, [10, 30]);
+}
+
+#[test]
+fn test_share_lost_room_takes_promises_back() {
+    let mut shares = RoomShares::default();
+    let waiting = demands(&[1, 1, 1]);
+    let both = told(&shares.share(ms(0), room(2), &waiting));
+    assert_eq!(both.iter().sum::<u64>(), 2);
+    let one = told(&shares.share(ms(1), room(1), &waiting));
+    assert_eq!(one.iter().sum::<u64>(), 1);
+}
+
+#[test]
+fn test_share_entry_that_left_holds_no_promise() {
+    let mut shares = RoomShares::default();
+    shares.share(ms(0), room(1), &demands(&[5, 1, 1]));
+    shares.leave(1);
+    let waiting: Vec<Demand> = demands(&[5, 1, 1]).split_off(1);
+    assert_eq!(told(&shares.share(ms(1), room(1), &waiting)), [1, 0]);
+}
+
+#[test]
+fn test_limit_follows_answers_within_bounds() {
+    let mut time = AnswerTime::new(ms(20), ms(100));
+    assert_eq!(time.limit(), ms(100), "nothing is known yet");
+    for _ in 0..50 {
+        time.learn(ms(2));
+    }
+    assert_eq!(time.limit(), ms(20));
+    for step in 0..50 {
+        time.learn(ms(if step % 2 == 0 { 5 } else { 25 }));
+    }
+    let unsteady = time.limit();
+    assert!(ms(40) < unsteady && unsteady < ms(100), "{unsteady:?}");
+    for _ in 0..50 {
+        time.learn(ms(400));
+    }
+    assert_eq!(time.limit(), ms(100));
+}
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -5,14 +5,15 @@
 
 use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::resources::Resources;
-use trestleknot_lib::run::{NotStarted, RunKey, TaskKey};
+use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_agent::RunAgent;
 use trestleknot_lib::run_event::{
-    AgentAction, AgentEvent, AgentOptions, RenewalAnswer, StartAnswer, TargetReport,
+    AgentAction, AgentEvent, AgentOptions, RenewalAnswer, StartAnswer, StartCall, TargetReport,
 };
 use trestleknot_lib::run_message::{
     AgentNews, EntryPacket, Order, StartOrder, TargetInfo, Welcome,
 };
+use trestleknot_lib::target_lease::{ListedRun, Renewal};
 
 const LINK: SessionId = 1;
 const SIZE: Resources = Resources {
@@ -243,24 +244,176 @@
     assert_eq!(starts(&actions), 1);
 }
 
+/// The start calls among actions.
+fn start_calls(actions: &[AgentAction]) -> Vec<StartCall> {
+    let calls = actions.iter().filter_map(|a| match a {
+        AgentAction::Start(call) => Some(call.clone()),
+        _ => None,
+    });
+    calls.collect()
+}
+
+/// The renewal that asks for the lists under a new token.
+fn fence(actions: &[AgentAction]) -> Renewal {
+    let found = actions.iter().find_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(*renewal),
+        _ => None,
+    });
+    found.expect("the lists are asked for")
+}
+
+fn silent(token: u64) -> AgentEvent {
+    AgentEvent::StartAnswered {
+        key: key(0),
+        token,
+        answer: StartAnswer::Silent,
+    }
+}
+
 #[test]
 fn test_handle_unanswered_start_is_settled_by_a_higher_token() {
     let mut agent = ready_agent();
     agent.handle(ms(10), packet(60_000, vec![start(0, 500)]));
-    let silent = AgentEvent::StartAnswered {
+    let actions = agent.handle(ms(110), silent(100));
+    assert_eq!(refusal(&actions), None, "nothing is proven yet");
+    assert_eq!(starts(&actions), 0, "nothing is proven yet");
+    let first = fence(&actions);
+    assert!(first.token > 100, "{first:?}");
+
+    // The lists prove that it never happened: it is sent once more, under the token that counts.
+    let (number, answer) = (first.number, lists());
+    let actions = agent.handle(ms(112), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(refusal(&actions), None);
+    let again = start_calls(&actions);
+    assert_eq!(again.len(), 1);
+    assert_eq!((again[0].key, again[0].token), (key(0), first.token));
+
+    // The second loss is the entry's to mend.
+    let actions = agent.handle(ms(212), silent(first.token));
+    let second = fence(&actions);
+    assert!(second.token > first.token, "{second:?}");
+    let (number, answer) = (second.number, lists());
+    let actions = agent.handle(ms(214), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(refusal(&actions), Some(NotStarted::Unanswered));
+    assert_eq!(starts(&actions), 0);
+}
+
+#[test]
+fn test_handle_start_is_fenced_off_sooner_where_answers_come_quickly() {
+    let mut agent = ready_agent();
+    for index in 1..20 {
+        let at = ms(10 * u64::from(index));
+        agent.handle(at, packet(60_000, vec![start(index, 5_000)]));
+        let answered = AgentEvent::StartAnswered {
+            key: key(index),
+            token: 100,
+            answer: StartAnswer::Full,
+        };
+        agent.handle(at + ms(2), answered);
+    }
+    agent.handle(ms(300), packet(60_000, vec![start(0, 5_000)]));
+    let mut now = ms(300);
+    let mut actions = Vec::new();
+    while actions.is_empty() && now < ms(400) {
+        now += ms(1);
+        let woken = agent.handle(now, AgentEvent::Wake);
+        actions = woken
+            .into_iter()
+            .filter(|a| matches!(a, AgentAction::Renew { renewal, .. } if renewal.token > 100))
+            .collect();
+    }
+    assert!(now < ms(330), "it waited until {now:?}");
+
+    // An answer that comes after all counts: it is the target's own word.
+    let late = AgentEvent::StartAnswered {
         key: key(0),
         token: 100,
-        answer: StartAnswer::Silent,
+        answer: StartAnswer::Started { clock: 1_300 },
     };
-    let actions = agent.handle(ms(110), silent);
-    assert_eq!(refusal(&actions), None, "nothing is proven yet");
-    let fence = actions.iter().find_map(|a| match a {
+    agent.handle(now + ms(1), late);
+    let number = fence(&actions).number;
+    let answer = RenewalAnswer::Lists {
+        clock: 1_301,
+        running: vec![ListedRun {
+            key: key(0),
+            percent: 1,
+        }],
+        ended: Vec::new(),
+    };
+    let settled = agent.handle(now + ms(2), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(starts(&settled), 0, "it runs");
+    assert_eq!(agent.levels().runs, 1);
+}
+
+#[test]
+fn test_handle_answers_behind_a_pause_are_read_before_starts_are_fenced_off() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    // The process stands still past the limit, and the answer waits in its socket.
+    let actions = agent.handle(ms(400), AgentEvent::Wake);
+    let is_fence =
+        |a: &AgentAction| matches!(a, AgentAction::Renew { renewal, .. } if renewal.token > 100);
+    assert!(!actions.iter().any(is_fence), "{actions:?}");
+    let answered = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_100 },
+    };
+    let actions = agent.handle(ms(401), answered);
+    assert!(!actions.iter().any(is_fence), "{actions:?}");
+    assert_eq!(agent.levels().runs, 1);
+}
+
+#[test]
+fn test_handle_lost_renewal_is_noticed_by_the_usual_time_of_answers() {
+    let mut agent = ready_agent();
+    let mut now = ms(10);
+    for index in 1..20 {
+        now += ms(10);
+        agent.handle(now, packet(60_000, vec![start(index, 5_000)]));
+        let answered = AgentEvent::StartAnswered {
+            key: key(index),
+            token: 100,
+            answer: StartAnswer::Full,
+        };
+        agent.handle(now + ms(2), answered);
+    }
+    // What was asked for until now is answered; the next renewal is lost.
+    now += ms(3);
+    let mut actions = agent.handle(now, packet(60_000, vec![start(0, 5_000)]));
+    for number in 1..40 {
+        let answer = lists();
+        actions.extend(agent.handle(now, AgentEvent::RenewalAnswered { number, answer }));
+    }
+    let on_the_way = actions.iter().rev().find_map(|a| match a {
         AgentAction::Renew { renewal, .. } => Some(*renewal),
         _ => None,
     });
-    let fence = fence.expect("the lists are asked for");
-    assert!(fence.token > 100, "{fence:?}");
-    let (number, answer) = (fence.number, lists());
-    let actions = agent.handle(ms(112), AgentEvent::RenewalAnswered { number, answer });
-    assert_eq!(refusal(&actions), Some(NotStarted::Unanswered));
+    let lost = on_the_way.expect("a renewal is on the way");
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_200 },
+    };
+    now += ms(1);
+    agent.handle(now, started);
+    let overdue = now + lost.wait + ms(40);
+    let mut again = None;
+    while again.is_none() && now < overdue {
+        now += ms(2);
+        again = renewals(&agent.handle(now, AgentEvent::Wake))
+            .first()
+            .copied();
+    }
+    assert!(again.is_some(), "nothing was asked again until {now:?}");
+
+    // What the first one lists, should it come after all, still counts.
+    let answer = RenewalAnswer::Lists {
+        clock: 1_300,
+        running: Vec::new(),
+        ended: vec![(1, key(0), RunEnd::Done)],
+    };
+    let number = lost.number;
+    agent.handle(now + ms(1), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 0);
 }
