daemons: changed settings are read with and without a signal, new seeds are dialled

Cause: a hang-up only wrote a line; seeds that changed under a running process were never dialled, and a change without a signal was not seen, though the platform's pages allow both.

Change: each daemon looks at the file's time of change every 2 s and reads it again then or on a hang-up; new seeds go to the core, the log says what holds only from the next start on; a broken file is named and changes nothing.

Not done: a changed store or target address needs a restart.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod logging;
 mod operators;
 mod platform_daemons;
+mod settings_watch;
 mod submit;
 
 use std::process::ExitCode;
--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -2,7 +2,7 @@
 
 use std::cell::OnceCell;
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -12,7 +12,7 @@
 use ntex::http::HttpServiceConfig;
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpServer};
-use platform::settings::{self, AgentSettings, CommonSettings, EntrySettings};
+use platform::settings::{self, AgentSettings, CommonSettings, EntrySettings, SettingsError};
 use platform::store::Store;
 use platform::target_client::TargetClient;
 use platform::{caller_server, target_server};
@@ -28,6 +28,7 @@
 
 use crate::error::{CliResult, SystemSnafu};
 use crate::logging;
+use crate::settings_watch::SettingsWatch;
 
 /// Port of the metrics page, as deploy/system.toml names it.
 const METRICS_PORT: u16 = 9464;
@@ -73,12 +74,11 @@
     LogEvent::new(EventCode::Started, detail).emit();
 }
 
-/// Tells the node of signals: the first SIGTERM or SIGINT drains; SIGHUP reads the settings again.
-async fn obey_signals(path: PathBuf, drain: impl Fn()) {
+/// Tells the node of the signals that stop it in an orderly way.
+async fn obey_signals(drain: impl Fn()) {
     let term = signal(SignalKind::terminate());
     let int = signal(SignalKind::interrupt());
-    let hup = signal(SignalKind::hangup());
-    let (Ok(mut term), Ok(mut int), Ok(mut hup)) = (term, int, hup) else {
+    let (Ok(mut term), Ok(mut int)) = (term, int) else {
         LogEvent::new(EventCode::RequestRejected, "signals can't be had").emit();
         return;
     };
@@ -86,20 +86,16 @@
         tokio::select! {
             _ = term.recv() => drain(),
             _ = int.recv() => drain(),
-            _ = hup.recv() => reread(&path),
         }
     }
 }
 
-/// Nothing in the settings can change under a running process but what it takes from the store,
-/// so a reload only checks the file.
-fn reread(path: &std::path::Path) {
-    let read = std::fs::read_to_string(path);
-    let detail = match read {
-        Ok(text) => format!("bytes={} change=none", text.len()),
-        Err(e) => format!("cause=\"{e}\""),
-    };
-    LogEvent::new(EventCode::SettingsReload, detail).emit();
+fn load_entry_common(path: &Path) -> Result<CommonSettings, SettingsError> {
+    settings::load_entry(path).map(|s| s.common)
+}
+
+fn load_agent_common(path: &Path) -> Result<CommonSettings, SettingsError> {
+    settings::load_agent(path).map(|s| s.common)
 }
 
 /// Ends the process after its last words.
@@ -182,7 +178,11 @@
     ntex::rt::spawn(node.clone().register(feed, name, address));
     let drained = node.clone();
     let drain = move || drained.tell(EntryEvent::Drain);
-    ntex::rt::spawn(obey_signals(path.to_owned(), drain));
+    ntex::rt::spawn(obey_signals(drain));
+    let watch = SettingsWatch::new(path.to_owned(), load_entry_common, common.clone());
+    let taught = node.clone();
+    let learn = move |seeds| taught.tell(EntryEvent::Entries(seeds));
+    ntex::rt::spawn(watch.run(learn));
     let (ended, log) = (node.clone(), log.clone());
     ntex::rt::spawn(async move {
         ended.ended().await;
@@ -239,7 +239,11 @@
     ntex::rt::spawn(node.clone().look_for_entries(registry));
     let drained = node.clone();
     let drain = move || drained.tell(AgentEvent::Drain);
-    ntex::rt::spawn(obey_signals(path.to_owned(), drain));
+    ntex::rt::spawn(obey_signals(drain));
+    let watch = SettingsWatch::new(path.to_owned(), load_agent_common, common.clone());
+    let taught = node.clone();
+    let learn = move |seeds| taught.tell(AgentEvent::Entries(seeds));
+    ntex::rt::spawn(watch.run(learn));
     let (ended, log) = (node.clone(), log.clone());
     ntex::rt::spawn(async move {
         ended.ended().await;
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -323,3 +323,41 @@
         }
     });
 }
+
+/// Waits until a process's log holds a text.
+async fn await_line(fleet: &ProcessFleet, index: usize, text: &str, limit: Duration) -> bool {
+    let pause = Duration::from_millis(100);
+    for _ in 0..limit.as_millis() / pause.as_millis() {
+        if fleet.log(index).contains(text) {
+            return true;
+        }
+        ntex::time::sleep(pause).await;
+    }
+    false
+}
+
+#[test]
+fn test_serve_changed_settings_by_case() {
+    with_fleet("settings", 71, 1, 1, async |fleet| {
+        let limit = Duration::from_secs(10);
+        for process in [0, 1] {
+            let path = fleet.processes[process].settings.clone();
+            let before = std::fs::read_to_string(&path).expect("settings");
+            // A seed more, without a signal: it is dialled.
+            let changed = format!("{before}# changed\n").replace("seeds:", "seeds_before:");
+            let changed = format!("{changed}seeds: [\"127.71.9.9:1\"]\n");
+            std::fs::write(&path, changed).expect("write");
+            let is_taken = await_line(fleet, process, "new_seeds=true", limit).await;
+            assert!(is_taken, "{}", fleet.log(process));
+            // A broken file, with a signal: it is named, and nothing changes.
+            std::fs::write(&path, "node: 5\n").expect("write");
+            fleet.signal(process, Signal::Hangup);
+            let is_named = await_line(fleet, process, "change=none", limit).await;
+            assert!(is_named, "{}", fleet.log(process));
+            assert!(fleet.is_running(process));
+            std::fs::write(&path, before).expect("write");
+        }
+        let client = client(fleet, 0).await;
+        assert_eq!(submit(&client, 8, 2, 20).await, succeeded());
+    });
+}
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -194,6 +194,7 @@
                 self.start_answered(key, token, answer);
             }
             AgentEvent::RenewalAnswered { number, answer } => self.renewal_answered(number, answer),
+            AgentEvent::Entries(entries) => entries.into_iter().for_each(|e| self.dial(e)),
             AgentEvent::Drain => self.drain(),
         }
     }
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -117,6 +117,8 @@
         /// The answer.
         answer: RenewalAnswer,
     },
+    /// Entries to dial, from the settings.
+    Entries(Vec<SocketAddr>),
     /// Stop in an orderly way.
     Drain,
 }
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -84,7 +84,8 @@
     pub name: String,
     /// What it runs.
     pub role: Role,
-    settings: PathBuf,
+    /// Its settings file.
+    pub settings: PathBuf,
     child: Option<Child>,
 }
 
