agent: nothing starts on a target in doubt, and no lease is extended there; failed calls have a line

Eight more starts went there in 84 ms, and each call that failed pushed the lapse out: runs were given up after 1.49 to 1.56 s.

Change: after one call without an answer nothing is started until the target answers (refused as `Doubtful`, a pause of 15 ms at the entry), and renewals only look, so the lapse counts from the first lost call. Event 2107 gives the cause of a call that failed.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -47,10 +47,8 @@
 const SILENT_AGENT: Duration = Duration::from_millis(1_500);
 /// When to come back after a refusal for want of room.
 const RETRY_BUSY: Duration = Duration::from_millis(500);
-/// Share of the objective that a batch may wait before anything of it is placed, at least.
-const WAIT_SHARE: f64 = 0.23;
-/// How much longer than estimated work may take on the slowest sound targets. What starts later
-/// than the objective allows for that is refused, for it would be late and make others late.
+/// How much longer than estimated work may take on the slowest sound targets. What the objective
+/// leaves beyond that is a batch's slack; what waits longer would be late and make others late.
 const SLOWEST_SOUND: f64 = 1.25;
 /// The same while no target can be had: agents find an entry that has just started within this.
 const WAIT_FOR_TARGETS: Duration = Duration::from_millis(500);
@@ -288,8 +286,8 @@
         let arrived = self.now;
         let chain = spec.longest_chain();
         let objective = chain.mul_f64(queue.stretch) + queue.target_latency;
-        let latest = objective.saturating_sub(chain.mul_f64(SLOWEST_SOUND));
-        let mut wait = latest.max(objective.mul_f64(WAIT_SHARE));
+        let slack = objective.saturating_sub(chain.mul_f64(SLOWEST_SOUND));
+        let mut wait = slack;
         if self.board.usable(self.now) == 0 {
             wait = wait.max(WAIT_FOR_TARGETS);
         }
@@ -715,8 +713,10 @@
             EventCode::TaskAgain,
             format!("run={key} agent={agent} not_started={reason:?}"),
         );
-        if matches!(reason, NotStarted::Unhealthy | NotStarted::Unreachable) {
-            self.learn(link, Outcome::Unwell);
+        match reason {
+            NotStarted::Unhealthy | NotStarted::Unreachable => self.learn(link, Outcome::Unwell),
+            NotStarted::Doubtful => self.learn(link, Outcome::Doubtful),
+            _ => {}
         }
         let superseded = reason == NotStarted::Superseded;
         self.run_over(key, RunOver::Again { superseded });
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -114,6 +114,7 @@
     RunSlow = 2104, Info, "run is far slower than its estimate";
     RunOrphaned = 2105, Info, "nobody answers for a run, it is stopped";
     StartUnanswered = 2106, Warn, "start not answered, fenced off";
+    TargetCallFailed = 2107, Info, "call to the target got no answer";
 }
 
 impl EventCode {
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -146,6 +146,8 @@
     Unhealthy,
     /// The order was not answered, and has been fenced off since.
     Unanswered,
+    /// The target has just left a call unanswered.
+    Doubtful,
     /// The target does not answer, or its agent has not learnt its state yet.
     Unreachable,
     /// The target serves another service.
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -369,6 +369,9 @@
         if !self.knows_lists || self.lease.is_silent() {
             return Err(NotStarted::Unreachable);
         }
+        if self.lease.is_in_doubt() {
+            return Err(NotStarted::Doubtful);
+        }
         if self.book.has_task(key.task) {
             return Err(NotStarted::Superseded);
         }
@@ -886,8 +889,8 @@
         {
             self.lease.unanswered(self.now, number);
         }
-        // A silent target is asked until it answers, though nothing may be left to renew.
-        let is_idle = self.book.is_empty() && self.knows_lists && !self.lease.is_silent();
+        // A target in doubt is asked until it answers, though nothing may be left to renew.
+        let is_idle = self.book.is_empty() && self.knows_lists && !self.lease.is_in_doubt();
         if is_idle {
             return;
         }
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -31,6 +31,9 @@
 const PROBE_EVERY: Duration = Duration::from_millis(600);
 /// A target that refused a start as unwell or silent gets none for this long.
 const UNWELL_PAUSE: Duration = Duration::from_millis(250);
+/// A target in doubt gets none for this long: its agent asks it again at once, and has an answer
+/// within a few milliseconds or knows better.
+const DOUBT_PAUSE: Duration = Duration::from_millis(15);
 /// Cost of a full target over an empty one, as a share of the run time: agents obey orders in
 /// turn, and a spread batch is hurt less by one bad target.
 const CROWD_COST: f64 = 0.35;
@@ -191,6 +194,8 @@
     Slow(f64),
     /// A start was refused by a target that is unwell or silent.
     Unwell,
+    /// A start was refused, for the target has just left another call unanswered.
+    Doubtful,
 }
 
 /// A run that is slow.
@@ -343,9 +348,8 @@
                 view.failures += FAILURE_WEIGHT * (1.0 - view.failures);
             }
             Outcome::Slow(pace) => view.learn_pace(pace.max(view.pace)),
-            Outcome::Unwell => {
-                view.closed_until = now + UNWELL_PAUSE;
-            }
+            Outcome::Unwell => view.close_for(now, UNWELL_PAUSE),
+            Outcome::Doubtful => view.close_for(now, DOUBT_PAUSE),
         }
         if view.is_set_aside() && !was_aside {
             view.probe_at = now + PROBE_EVERY;
@@ -389,6 +393,10 @@
 }
 
 impl TargetView {
+    fn close_for(&mut self, now: Now, pause: Duration) {
+        self.closed_until = self.closed_until.max(now + pause);
+    }
+
     /// Whether it gets only probes: it fails what it starts, or is far slower than the best.
     fn is_outcast(&self, best_pace: f64) -> bool {
         self.is_set_aside() || self.pace > TOO_SLOW * best_pace
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -179,7 +179,13 @@
         self.lapses_at
     }
 
-    /// Whether the target leaves calls unanswered.
+    /// Whether the last call was not answered. Nothing new is started then, and no lease is
+    /// extended: what runs on a target that is lost is over the sooner.
+    pub fn is_in_doubt(&self) -> bool {
+        self.silent_calls > 0
+    }
+
+    /// Whether the target has left calls unanswered for some time.
     pub fn is_silent(&self) -> bool {
         self.is_silent
     }
@@ -246,8 +252,8 @@
 
     fn send(&mut self, now: Now, renew: bool, wait: Duration) -> Renewal {
         self.retry_at = None;
-        // A silent target is only looked at: its leases must run out for its runs to be over.
-        let until = if renew && !self.is_silent() {
+        // A target in doubt is only looked at: its leases must run out for its runs to be over.
+        let until = if renew && !self.is_in_doubt() {
             self.new_until(now)
         } else {
             None
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -417,3 +417,36 @@
     agent.handle(now + ms(1), AgentEvent::RenewalAnswered { number, answer });
     assert_eq!(agent.levels().runs, 0);
 }
+
+#[test]
+fn test_handle_idle_target_in_doubt_is_asked_until_it_answers() {
+    let mut agent = ready_agent();
+    // One run, and a renewal that is lost; the run's end is learnt from the start's refusal.
+    let mut actions = agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let lost = fence(&actions).number;
+    let refused = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Late,
+    };
+    agent.handle(ms(11), refused);
+    let answer = RenewalAnswer::Silent;
+    let event = AgentEvent::RenewalAnswered {
+        number: lost,
+        answer,
+    };
+    actions = agent.handle(ms(450), event);
+    let mut now = ms(450);
+    while renewals(&actions).is_empty() && now < ms(1_000) {
+        now += ms(5);
+        actions = agent.handle(now, AgentEvent::Wake);
+    }
+    let number = *renewals(&actions).first().expect("it is asked again");
+    // Until it answers, nothing is started on it.
+    let doubtful = agent.handle(now, packet(60_000, vec![start(1, 5_000)]));
+    assert_eq!(refusal(&doubtful), Some(NotStarted::Doubtful));
+    let answer = lists();
+    agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(now, packet(60_000, vec![start(2, 5_000)]));
+    assert_eq!(starts(&actions), 1);
+}
