entry: batches before the first configuration wait for it; links are dialled every 60 ms

Cause: after a loss of all power an entry serves 20 ms before it has its configuration, and 30 to 61 batches were refused in that moment (`NoConfig`); agents that had started before the entries found them 0.15 to 0.35 s late, for dials paused up to 0.2 s and hung for 0.15 s on VMs without power.

Change: such batches are held for 100 ms at the most (early_batches, 200 of them); a dial gives up after 0.1 s and comes again within 60 ms.

--- /dev/null
+++ b/lib/src/batch_entry/agents.rs
@@ -0,0 +1,305 @@
+//! Agents: their links and packets, and what the outcome of a run means.
+
+use std::time::Duration;
+
+use super::{BatchEntry, ENTRY_LEASE, LOST_PROOF, Outbox};
+use crate::batch_event::EntryAction;
+use crate::batch_table::{BatchState, RunOver};
+use crate::events::EventCode;
+use crate::ids::{NodeName, SessionId};
+use crate::resources::Resources;
+use crate::run::{NotStarted, RunEnd, RunKey};
+use crate::run_message::{
+    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, Welcome,
+};
+use crate::target_board::{Need, Outcome, SlowRun, Verdict};
+
+/// An agent's packet is answered at the latest after this much silence from the entry.
+const ANSWER_AFTER: Duration = Duration::from_millis(150);
+/// A slow run is moved if the move takes less than this share of what it still needs.
+const MOVE_GAIN: f64 = 0.7;
+/// What a move costs on top of the work: a stop, its news and an order.
+const MOVE_COST: Duration = Duration::from_millis(25);
+/// Waiting tasks are counted up to this for agents.
+const MOST_COUNTED: u32 = 1_000;
+
+impl BatchEntry {
+    pub(super) fn link_up(&mut self, link: SessionId, dialled: bool) {
+        if dialled {
+            self.directory.greet(link);
+        }
+    }
+
+    pub(super) fn link_down(&mut self, link: SessionId) {
+        self.directory.link_down(link);
+        self.outboxes.remove(&link);
+        let Some(view) = self.board.leave(link) else {
+            return;
+        };
+        let out = self.table.outs_at(&view.agent).len();
+        let silent_ms = self.now.saturating_sub(view.heard).as_millis();
+        let agent = view.agent;
+        self.log(
+            EventCode::AgentLost,
+            format!("agent={agent} runs={out} heard_ms_ago={silent_ms}"),
+        );
+        if out > 0 {
+            self.lost.insert(agent, view.sent + LOST_PROOF);
+        }
+    }
+
+    pub(super) fn agent_packet(&mut self, link: SessionId, packet: AgentPacket) {
+        for news in &packet.news {
+            if let AgentNews::Hello(intro) = news {
+                self.agent_joined(link, intro.clone(), packet.clock);
+            }
+        }
+        self.board.heard(
+            self.now,
+            link,
+            packet.clock,
+            packet.free,
+            packet.starts_seen,
+        );
+        self.needs_placing |= self.table.has_waiting();
+        for news in packet.news {
+            self.agent_news(link, news);
+        }
+        let is_quiet = self
+            .board
+            .get(link)
+            .is_some_and(|v| v.sent + ANSWER_AFTER <= self.now);
+        if is_quiet {
+            self.send_orders(link);
+        }
+    }
+
+    pub(super) fn agent_joined(
+        &mut self,
+        link: SessionId,
+        intro: crate::run_message::AgentIntro,
+        clock: AgentMillis,
+    ) {
+        if let Some(old) = self.board.link_of(&intro.name) {
+            self.out.push(EntryAction::Close(old));
+            self.board.leave(old);
+            self.outboxes.remove(&old);
+        }
+        let keys = self.table.outs_at(&intro.name);
+        let stopping = keys.iter().copied();
+        let stopping: Vec<RunKey> = stopping.filter(|k| self.table.is_stopping(*k)).collect();
+        let claims: Vec<(RunKey, Resources)> = keys
+            .into_iter()
+            .filter_map(|key| {
+                let batch = self.table.get(key.task.batch)?;
+                let step = batch.steps.get(usize::from(key.task.step))?;
+                Some((key, step.spec.size))
+            })
+            .collect();
+        let count = claims.len();
+        self.log(
+            EventCode::AgentJoined,
+            format!("agent={} life={:x} claims={count}", intro.name, intro.life),
+        );
+        self.lost.remove(&intro.name);
+        self.board.join(self.now, link, intro.name, intro.hall);
+        self.board.heard(self.now, link, clock, Resources::NONE, 0);
+        let welcome = Welcome {
+            name: self.options.name.clone(),
+            life: self.options.life,
+            entries: self.directory.entries(),
+            claims,
+        };
+        let mut outbox = Outbox {
+            orders: vec![Order::Welcome(welcome)],
+        };
+        // An order to stop may have been lost with the link before.
+        if !stopping.is_empty() {
+            outbox.orders.push(Order::Stop(stopping));
+        }
+        self.outboxes.insert(link, outbox);
+    }
+
+    pub(super) fn agent_news(&mut self, link: SessionId, news: AgentNews) {
+        match news {
+            AgentNews::Hello(_) => {}
+            AgentNews::Target(info) => {
+                if let Some(view) = self.board.get_mut(link) {
+                    view.info = info;
+                }
+            }
+            AgentNews::Ended { key, end, ran_ms } => self.run_ended(link, key, end, ran_ms),
+            AgentNews::NotStarted { key, reason } => self.run_not_started(link, key, reason),
+            AgentNews::Slow {
+                key,
+                ran_ms,
+                percent,
+            } => self.run_slow(link, key, ran_ms, percent),
+            AgentNews::Leaving => {
+                if let Some(view) = self.board.get_mut(link) {
+                    view.is_leaving = true;
+                    let agent = view.agent.clone();
+                    self.log(EventCode::AgentLeaving, format!("agent={agent}"));
+                }
+            }
+        }
+    }
+
+    pub(super) fn estimate_of(&self, key: RunKey) -> Option<Duration> {
+        let batch = self.table.get(key.task.batch)?;
+        let step = batch.steps.get(usize::from(key.task.step))?;
+        (step.spec.estimate > Duration::ZERO).then_some(step.spec.estimate)
+    }
+
+    pub(super) fn run_ended(&mut self, link: SessionId, key: RunKey, end: RunEnd, ran_ms: u32) {
+        let ran = Duration::from_millis(u64::from(ran_ms));
+        let estimate = self.estimate_of(key);
+        let over = match end {
+            RunEnd::Done => RunOver::Done,
+            RunEnd::Failed => RunOver::Failed,
+            RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Lost => RunOver::Again { superseded: false },
+        };
+        match (end, estimate) {
+            (RunEnd::Done, Some(estimate)) if ran > Duration::ZERO => {
+                let pace = ran.as_secs_f64() / estimate.as_secs_f64();
+                self.learn(link, Outcome::Done(pace));
+            }
+            (RunEnd::Failed, _) => self.learn(link, Outcome::Failed),
+            _ => {}
+        }
+        if over != RunOver::Done {
+            let agent = self.board.get(link).map(|v| v.agent.clone());
+            let agent = agent.as_deref().unwrap_or("-");
+            self.log(
+                EventCode::TaskAgain,
+                format!("run={key} agent={agent} end={end:?} ran_ms={ran_ms}"),
+            );
+        }
+        self.run_over(key, over);
+    }
+
+    pub(super) fn run_not_started(&mut self, link: SessionId, key: RunKey, reason: NotStarted) {
+        let agent = self.board.get(link).map(|v| v.agent.clone());
+        let agent = agent.as_deref().unwrap_or("-");
+        self.log(
+            EventCode::TaskAgain,
+            format!("run={key} agent={agent} not_started={reason:?}"),
+        );
+        match reason {
+            NotStarted::Unhealthy | NotStarted::Unreachable => self.learn(link, Outcome::Unwell),
+            NotStarted::Doubtful => self.learn(link, Outcome::Doubtful),
+            _ => {}
+        }
+        let superseded = reason == NotStarted::Superseded;
+        self.run_over(key, RunOver::Again { superseded });
+    }
+
+    pub(super) fn learn(&mut self, link: SessionId, outcome: Outcome) {
+        let verdict = self.board.learn(self.now, link, outcome);
+        self.log_verdict(link, verdict, &format!("{outcome:?}"));
+    }
+
+    pub(super) fn log_verdict(&mut self, link: SessionId, verdict: Verdict, cause: &str) {
+        let code = match verdict {
+            Verdict::Same => return,
+            Verdict::SetAside => EventCode::TargetSetAside,
+            Verdict::Returned => EventCode::TargetReturned,
+        };
+        if let Some(view) = self.board.get(link) {
+            let agent = view.agent.clone();
+            self.log(code, format!("agent={agent} last={cause}"));
+        }
+    }
+
+    /// Moves a slow run if another target would end it sooner, the stop counted.
+    pub(super) fn run_slow(&mut self, link: SessionId, key: RunKey, ran_ms: u32, percent: u32) {
+        let Some(estimate) = self.estimate_of(key) else {
+            return;
+        };
+        let ran = Duration::from_millis(u64::from(ran_ms));
+        let percent = percent.clamp(1, 100);
+        let whole = ran.mul_f64(100.0 / f64::from(percent));
+        let pace = whole.as_secs_f64() / estimate.as_secs_f64();
+        let batch = key.task.batch;
+        let slow = SlowRun { pace, percent };
+        let verdict = self.board.found_slow(self.now, link, batch, slow);
+        self.log_verdict(link, verdict, "slow");
+        let rest = whole.saturating_sub(ran);
+        let elsewhere = estimate + MOVE_COST;
+        if elsewhere > rest.mul_f64(MOVE_GAIN) {
+            return;
+        }
+        let Some(agent) = self.board.get(link).map(|v| v.agent.clone()) else {
+            return;
+        };
+        let Some(batch) = self.table.get_mut(key.task.batch) else {
+            return;
+        };
+        if batch.state != BatchState::Open {
+            return;
+        }
+        let step = &mut batch.steps[usize::from(key.task.step)];
+        let is_estimate_wrong = step.is_slow_everywhere(&agent);
+        if is_estimate_wrong && !self.board.is_outcast(link) {
+            return;
+        }
+        if !self.has_room_elsewhere(key, &agent) {
+            return;
+        }
+        if let Some(agent) = self.table.note_stopping(key) {
+            self.log(
+                EventCode::TaskMoved,
+                format!("run={key} agent={agent} ran_ms={ran_ms} percent={percent}"),
+            );
+            self.order_stop(key, &agent);
+        }
+    }
+
+    pub(super) fn has_room_elsewhere(&mut self, key: RunKey, agent: &NodeName) -> bool {
+        let Some(batch) = self.table.get(key.task.batch) else {
+            return false;
+        };
+        let spec = &batch.steps[usize::from(key.task.step)].spec;
+        let need = Need {
+            size: spec.size,
+            queue: &batch.queue,
+            required_label: spec.required_label.as_deref(),
+            preferred_rack: None,
+            avoid: None,
+        };
+        let is_same = |view: &crate::target_board::TargetView| view.agent == *agent;
+        let hall = &self.options.hall;
+        let chosen = self
+            .board
+            .choose(self.now, &need, hall, is_same, &mut self.rng);
+        chosen.is_some()
+    }
+
+    pub(super) fn order_stop(&mut self, key: RunKey, agent: &str) {
+        // Without a link the agent's own rules stop it: the entry's lease there runs out.
+        let Some(link) = self.board.link_of(agent) else {
+            return;
+        };
+        if let Some(outbox) = self.outboxes.get_mut(&link) {
+            outbox.orders.push(Order::Stop(vec![key]));
+        }
+    }
+
+    pub(super) fn send_orders(&mut self, link: SessionId) {
+        let now = self.now;
+        let waiting = self.table.waiting_tasks(MOST_COUNTED);
+        let (Some(outbox), Some(view)) = (self.outboxes.get_mut(&link), self.board.get_mut(link))
+        else {
+            return;
+        };
+        view.sent = now;
+        let lease = ENTRY_LEASE.as_millis() as AgentMillis;
+        let packet = EntryPacket {
+            lease_until: view.agent_clock(now) + lease,
+            waiting,
+            orders: std::mem::take(&mut outbox.orders),
+        };
+        self.out
+            .push(EntryAction::Send(link, Packet::FromEntry(packet)));
+    }
+}
--- /dev/null
+++ b/lib/src/batch_entry/callers.rs
@@ -0,0 +1,320 @@
+//! Callers: what is taken in, and what each of them hears.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::BatchEntry;
+use crate::batch::{BatchSpec, Unsupported};
+use crate::batch_event::{EntryAction, Question, Refusal, Reply, Submission};
+use crate::batch_table::{Batch, BatchState, BatchTimes, CloseReason};
+use crate::events::EventCode;
+use crate::ids::RequestId;
+use crate::queue::Queue;
+use crate::run::BatchId;
+
+/// How much longer than estimated work may take on the slowest sound targets. What the objective
+/// leaves beyond that is a batch's slack; what waits longer would be late and make others late.
+const SLOWEST_SOUND: f64 = 1.25;
+/// The same while no target can be had: agents find an entry that has just started within this.
+const WAIT_FOR_TARGETS: Duration = Duration::from_millis(500);
+/// When to come back after a refusal for want of room.
+const RETRY_BUSY: Duration = Duration::from_millis(500);
+
+impl BatchEntry {
+    pub(super) fn queue_of(&self, host: &str, path: &str) -> Result<Arc<Queue>, Reply> {
+        let Some(table) = self.directory.config().table() else {
+            return Err(refused(Refusal::NoConfig));
+        };
+        table.find(host, path).cloned().ok_or(Reply::NoQueue)
+    }
+
+    pub(super) fn submit(&mut self, submission: Submission) {
+        let has_config = self.directory.config().table().is_some();
+        if !has_config && self.early.has_room() {
+            self.early.hold(self.now, submission);
+        } else {
+            self.admit_or_refuse(submission);
+        }
+    }
+
+    /// Takes in what came before the first configuration, or refuses it after a moment.
+    pub(super) fn settle_early(&mut self) {
+        let has_config = self.directory.config().table().is_some();
+        let settled = if has_config {
+            self.early.take_all()
+        } else {
+            self.early.take_expired(self.now)
+        };
+        for submission in settled {
+            self.admit_or_refuse(submission);
+        }
+    }
+
+    pub(super) fn admit_or_refuse(&mut self, submission: Submission) {
+        let request = submission.request;
+        let id = submission.spec.id;
+        match self.admit(submission) {
+            Ok(()) => self.needs_placing = true,
+            Err(reply) => {
+                let version = self.directory.config().version();
+                self.log(
+                    EventCode::BatchRefused,
+                    format!("job={id:016x} config={version} answer={reply:?}"),
+                );
+                self.out.push(EntryAction::Reply(request, reply));
+            }
+        }
+    }
+
+    pub(super) fn admit(&mut self, submission: Submission) -> Result<(), Reply> {
+        let Submission {
+            request,
+            host,
+            path,
+            spec,
+            patience,
+        } = submission;
+        let queue = self.queue_of(&host, &path)?;
+        if let Some(unsupported) = spec.unsupported {
+            return Err(refused(Refusal::Unsupported(unsupported)));
+        }
+        if queue.needs_advice {
+            return Err(refused(Refusal::Unsupported(Unsupported::Advice)));
+        }
+        let chain = spec.longest_chain();
+        if self.drain.would_be_outlasted(self.now, chain) {
+            return Err(refused(Refusal::Draining));
+        }
+        let times = self.times_of(&spec, &queue, patience);
+        if self.table.get(spec.id).is_some() {
+            return self.admit_again(&spec, request, times);
+        }
+        let tasks: u32 = spec.steps.iter().map(|s| s.count).sum();
+        let objective_ms = (times.due - times.arrived).as_millis();
+        let usable = self.board.usable(self.now);
+        self.log(
+            EventCode::BatchAdmitted,
+            format!(
+                "job={:016x} queue={} tasks={tasks} objective_ms={objective_ms} patience_ms={} \
+                 config={} targets={usable} held={}",
+                spec.id,
+                queue.name,
+                patience.as_millis(),
+                self.directory.config().version(),
+                self.table.len(),
+            ),
+        );
+        let batch = Batch::new(&spec, queue, request, times);
+        self.table.insert(spec.id, batch);
+        Ok(())
+    }
+
+    /// The same batch again: the caller's connection broke, and what ran of it may not be over
+    /// yet. Its tasks go on from where they are.
+    pub(super) fn admit_again(
+        &mut self,
+        spec: &BatchSpec,
+        request: RequestId,
+        times: BatchTimes,
+    ) -> Result<(), Reply> {
+        let id = spec.id;
+        let before = self.table.take_request(id);
+        if let Some(before) = before {
+            self.out.push(EntryAction::Reply(before, Reply::GaveUp));
+        }
+        self.log(
+            EventCode::BatchAdmitted,
+            format!("job={id:016x} again=true"),
+        );
+        self.table.reopen(id, request, times);
+        Ok(())
+    }
+
+    pub(super) fn times_of(
+        &self,
+        spec: &BatchSpec,
+        queue: &Queue,
+        patience: Duration,
+    ) -> BatchTimes {
+        let arrived = self.now;
+        let chain = spec.longest_chain();
+        let objective = chain.mul_f64(queue.stretch) + queue.target_latency;
+        let slack = objective.saturating_sub(chain.mul_f64(SLOWEST_SOUND));
+        let mut wait = slack;
+        if self.board.usable(self.now) == 0 {
+            wait = wait.max(WAIT_FOR_TARGETS);
+        }
+        BatchTimes {
+            arrived,
+            due: arrived + objective,
+            give_up: arrived + patience,
+            place_by: arrived + wait.min(patience),
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, request: RequestId) {
+        if self.early.forget(request) {
+            return;
+        }
+        let Some(id) = self.table.of_request(request) else {
+            return;
+        };
+        self.table.take_request(id);
+        let age_ms = self.table.age(self.now, id).as_millis();
+        self.log(
+            EventCode::BatchClosed,
+            format!("job={id:016x} why=caller_gone age_ms={age_ms}"),
+        );
+        self.close(id, CloseReason::CallerGone);
+        if self.table.get(id).is_some() {
+            self.directory.tell_closing(id);
+        }
+    }
+
+    pub(super) fn ask(&mut self, question: &Question) {
+        let reply = match self.queue_of(&question.host, &question.path) {
+            Err(reply) => reply,
+            Ok(queue) => match question.batch {
+                None => Reply::Pending(self.table.pending(&queue.name)),
+                Some(id) => self.state_of(id),
+            },
+        };
+        self.out.push(EntryAction::Reply(question.request, reply));
+    }
+
+    pub(super) fn state_of(&self, id: BatchId) -> Reply {
+        match self.table.get(id) {
+            None => Reply::NoBatch,
+            Some(batch) if batch.is_tried => Reply::Running,
+            Some(_) => Reply::Waiting,
+        }
+    }
+
+    pub(super) fn cancel(&mut self, question: &Question) {
+        let id = question.batch.filter(|id| self.table.get(*id).is_some());
+        let Some(id) = id else {
+            self.out
+                .push(EntryAction::Reply(question.request, Reply::NoBatch));
+            return;
+        };
+        self.log(
+            EventCode::BatchClosed,
+            format!("job={id:016x} why=cancelled"),
+        );
+        if let Some(request) = self.table.take_request(id) {
+            self.out.push(EntryAction::Reply(request, Reply::Cancelled));
+        }
+        self.close(id, CloseReason::Cancelled);
+        self.out
+            .push(EntryAction::Reply(question.request, Reply::Cancelled));
+    }
+
+    /// Stops what runs of a batch and starts nothing more of it.
+    pub(super) fn close(&mut self, id: BatchId, reason: CloseReason) {
+        let stops = self.table.close(id, reason);
+        for (key, agent) in stops {
+            self.order_stop(key, &agent);
+        }
+        if self.table.get(id).is_some_and(|b| b.out == 0) {
+            self.closed(id);
+        }
+    }
+
+    /// A batch that is not wanted has nothing out any more.
+    pub(super) fn closed(&mut self, id: BatchId) {
+        let Some(batch) = self.table.remove(id) else {
+            return;
+        };
+        if batch.state == BatchState::Closing(CloseReason::CallerGone) && batch.is_tried {
+            self.directory.tell_closed(id);
+        }
+        if let Some(request) = batch.request {
+            let reply = if batch.is_tried {
+                Reply::GaveUp
+            } else {
+                busy()
+            };
+            self.answer(id, &batch, request, reply);
+        }
+    }
+
+    pub(super) fn answer(&mut self, id: BatchId, batch: &Batch, request: RequestId, reply: Reply) {
+        let took = self.now.saturating_sub(batch.arrived).as_millis() as u64;
+        let objective = batch.due.saturating_sub(batch.arrived).as_millis() as u64;
+        let queue = &batch.queue.name;
+        let usable = self.board.usable(self.now);
+        self.log(
+            EventCode::BatchAnswered,
+            format!(
+                "job={id:016x} queue={queue} answer={reply:?} took_ms={took} \
+                 objective_ms={objective} tried={} targets={usable}",
+                batch.is_tried
+            ),
+        );
+        if reply == Reply::Succeeded {
+            self.out.push(EntryAction::Measured(took, objective));
+        }
+        self.out.push(EntryAction::Reply(request, reply));
+    }
+
+    /// A task has used up its attempts. The caller hears it at once; the rest is stopped.
+    pub(super) fn failed(&mut self, id: BatchId) {
+        let request = self.table.take_request(id);
+        if let (Some(request), Some(batch)) = (request, self.table.get(id)) {
+            let took = self.now.saturating_sub(batch.arrived).as_millis();
+            let queue = batch.queue.name.clone();
+            self.log(
+                EventCode::BatchAnswered,
+                format!("job={id:016x} queue={queue} answer=Failed took_ms={took}"),
+            );
+            self.out.push(EntryAction::Reply(request, Reply::Failed));
+        }
+        self.close(id, CloseReason::Failed);
+    }
+
+    pub(super) fn end_due_batches(&mut self) {
+        for id in self.table.take_woken(self.now) {
+            let Some(batch) = self.table.get(id) else {
+                continue;
+            };
+            if batch.state != BatchState::Open {
+                continue;
+            }
+            if batch.give_up <= self.now {
+                let out = batch.out;
+                self.log(
+                    EventCode::BatchClosed,
+                    format!("job={id:016x} why=deadline out={out}"),
+                );
+                self.close(id, CloseReason::Deadline);
+            } else if batch.place_by <= self.now && !batch.is_tried {
+                self.close(id, CloseReason::Deadline);
+            }
+        }
+    }
+
+    /// Answers whoever still waits, so that no connection ends without an answer. Agents stop what
+    /// runs within half a second of this process's end.
+    pub(super) fn give_up_all(&mut self) {
+        for submission in self.early.take_all() {
+            self.admit_or_refuse(submission);
+        }
+        for id in self.table.ids() {
+            if let Some(request) = self.table.take_request(id) {
+                self.out.push(EntryAction::Reply(request, Reply::GaveUp));
+            }
+        }
+    }
+}
+
+fn refused(why: Refusal) -> Reply {
+    let retry_after = match why {
+        Refusal::Unsupported(_) => None,
+        Refusal::NoConfig | Refusal::Busy | Refusal::Draining => Some(RETRY_BUSY),
+    };
+    Reply::Refused { why, retry_after }
+}
+
+fn busy() -> Reply {
+    refused(Refusal::Busy)
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod config_document;
 pub mod core_thread;
 pub mod counters;
+pub mod early_batches;
 pub mod entry;
 pub mod entry_daemon;
 pub mod entry_directory;
--- a/lib/src/node_links.rs
+++ b/lib/src/node_links.rs
@@ -26,15 +26,16 @@
 /// Packets that may wait to be written on one link.
 const MOST_UNSENT: usize = 2_048;
 /// How long a connection may take: a VM without power says nothing, and the next try may find it
-/// back. Round trips take 25 ms between regions.
-const CONNECT_LIMIT: Duration = Duration::from_millis(150);
+/// back. Round trips take 25 ms between regions; the rest is for a VM that is slowed down.
+const CONNECT_LIMIT: Duration = Duration::from_millis(100);
 /// How long the handshake on a connection may take: a process that has just started, or is
 /// slowed down, answers late.
 const HANDSHAKE_LIMIT: Duration = Duration::from_millis(800);
 /// First pause before dialling again.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
-/// Longest pause before dialling again: a new life at the address is found within it.
-const MOST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause before dialling again: a new life at the address is found within it, and no
+/// batch is served before. A try costs some 0.1 ms.
+const MOST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest pause once an address has not answered for [`LONG_GONE`].
 const GONE_PAUSE: Duration = Duration::from_secs(3);
 /// See [`GONE_PAUSE`].
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -5,6 +5,9 @@
 //! the target guards nothing, and stops what belongs to an entry that does not answer for it any
 //! more. docs/design/platform.md works out the chain of times.
 
+mod lists;
+mod starts;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,24 +18,15 @@
 use crate::ids::{Incarnation, Now, SessionId};
 use crate::resources::Resources;
 use crate::room_shares::Room;
-use crate::run::{NotStarted, RunEnd, RunKey, TaskKey};
-use crate::run_book::{FencingToken, Phase, Run, RunBook, Stopping};
-use crate::run_event::{
-    AgentAction, AgentEvent, AgentLevels, AgentOptions, RenewalAnswer, StartAnswer, StartCall,
-    TargetReport,
-};
+use crate::run::{RunEnd, RunKey};
+use crate::run_book::{Run, RunBook, Stopping};
+use crate::run_event::{AgentAction, AgentEvent, AgentLevels, AgentOptions, TargetReport};
 use crate::run_message::{
-    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, StartOrder, TargetInfo,
-    Welcome,
+    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, TargetInfo, Welcome,
 };
-use crate::target_lease::{EndNumber, ListedRun, Renewal, TargetLease, TargetMillis};
-
-/// How long a start may go unanswered. The target is on this VM and answers within a few
-/// milliseconds; the rest is for a VM that is slowed down.
-const START_LIMIT: Duration = Duration::from_millis(100);
-/// The same, at the least, where answers are known to come quickly: four times what an answer
-/// takes at a busy target, and a third of the shortest usual task.
-const LEAST_START_LIMIT: Duration = Duration::from_millis(20);
+use crate::target_lease::TargetLease;
+use starts::{LEAST_START_LIMIT, START_LIMIT};
+
 /// A process that was not heard from for so long may have stood still, with answers unread in its
 /// sockets.
 const STOOD_STILL: Duration = Duration::from_millis(10);
@@ -45,23 +39,9 @@
 const STOP_BOUND: Duration = Duration::from_millis(500);
 /// How long an adopted run waits for an entry to claim it: the time of a few dials.
 const CLAIM_GRACE: Duration = Duration::from_millis(700);
-/// A run is slow if its progress promises an end after this many times its estimate. Estimates
-/// are off by 40% as a rule and by twice that now and then, and the slowest sound targets take
-/// 1.25 times as long; ailing ones take four times or more.
-const SLOW_FACTOR: f64 = 3.0;
-/// Added to the above: the time of a call or two.
-const SLOW_SLACK: Duration = Duration::from_millis(20);
-/// Share of its estimate after which a run's progress is looked at.
-const LOOK_SHARE: f64 = 0.6;
-/// How often one run's slowness is reported.
-const SLOW_AGAIN: Duration = Duration::from_millis(300);
-/// Most ends that a target lists at once; a full list may have a next page.
-const FULL_PAGE: usize = 500;
 /// How long a stopping agent waits for what runs. The longest tasks take 3.6 s; the platform
 /// allows 6 s.
 const DRAIN_LIMIT: Duration = Duration::from_millis(5_000);
-/// Longest wait of a renewal while an answer is awaited elsewhere.
-const CALM_WAIT: Duration = Duration::from_secs(1);
 
 /// State of an agent.
 pub struct RunAgent {
@@ -165,15 +145,6 @@
         answer_by.map_or(settled, |by| by.min(settled))
     }
 
-    /// When a start on the way counts as unanswered.
-    fn answer_by(&self, run: &Run) -> Option<Now> {
-        let Phase::Starting { sent, .. } = run.phase else {
-            return None;
-        };
-        let by = sent + self.start_time.limit();
-        Some(by.max(self.resumed + CATCH_UP))
-    }
-
     fn dispatch_event(&mut self, event: AgentEvent) {
         match event {
             AgentEvent::Wake => {
@@ -316,110 +287,6 @@
         );
     }
 
-    fn start_ordered(&mut self, link: SessionId, order: StartOrder) {
-        self.entries.ordered(link, order.runs.len() as u64);
-        let Some(entry) = self.entries.get_mut(link).and_then(|l| l.entry) else {
-            return;
-        };
-        for &(index, run) in &order.runs {
-            let task = TaskKey {
-                batch: order.batch,
-                time: 0,
-                step: order.step,
-                index,
-            };
-            let key = RunKey { task, run };
-            if let Err(reason) = self.start_run(entry, key, &order) {
-                self.refuse(Some(entry), key, reason);
-            }
-        }
-    }
-
-    fn refuse(&mut self, entry: Option<Incarnation>, key: RunKey, reason: NotStarted) {
-        self.log(
-            EventCode::RunNotStarted,
-            format!("run={key} reason={reason:?}"),
-        );
-        if let Some(entry) = entry {
-            self.entries
-                .tell(entry, AgentNews::NotStarted { key, reason });
-        }
-    }
-
-    fn start_run(
-        &mut self,
-        entry: Incarnation,
-        key: RunKey,
-        order: &StartOrder,
-    ) -> Result<(), NotStarted> {
-        if self.draining_since.is_some() {
-            return Err(NotStarted::Leaving);
-        }
-        let start_by = Duration::from_millis(order.start_by);
-        if start_by <= self.now || !self.entries.is_held(self.now, entry) {
-            return Err(NotStarted::Late);
-        }
-        let target = self.target.clone().ok_or(NotStarted::Unreachable)?;
-        if target.leaving {
-            return Err(NotStarted::Leaving);
-        }
-        if target.service != order.service {
-            return Err(NotStarted::WrongService);
-        }
-        if !self.knows_lists || self.lease.is_silent() {
-            return Err(NotStarted::Unreachable);
-        }
-        if self.lease.is_in_doubt() {
-            return Err(NotStarted::Doubtful);
-        }
-        if self.book.has_task(key.task) {
-            return Err(NotStarted::Superseded);
-        }
-        if !order.size.fits_in(self.book.free(target.capacity)) {
-            return Err(NotStarted::Full);
-        }
-        let run = Run {
-            owner: Some(entry),
-            size: Some(order.size),
-            payload: order.payload.clone(),
-            estimate: Duration::from_millis(u64::from(order.estimate_ms)),
-            start_by,
-            since: self.now,
-            running_since: None,
-            phase: Phase::Unsure {
-                token: 0,
-                sent: self.now,
-            },
-            is_resent: false,
-            stopping: None,
-            slow_report_at: Now::ZERO,
-        };
-        self.book.insert(key, run);
-        self.send_start(key, target.life).inspect_err(|_| {
-            self.book.remove(key);
-        })
-    }
-
-    fn send_start(&mut self, key: RunKey, life: Arc<str>) -> Result<(), NotStarted> {
-        let until = self.lease.new_until(self.now);
-        let until = until.ok_or(NotStarted::Unreachable)?;
-        let token = self.lease.token();
-        let sent = self.now;
-        let Some(run) = self.book.get_mut(key) else {
-            return Ok(());
-        };
-        run.phase = Phase::Starting { token, sent };
-        self.out.push(AgentAction::Start(StartCall {
-            key,
-            payload: run.payload.clone(),
-            until,
-            token,
-            life,
-            limit: START_LIMIT,
-        }));
-        Ok(())
-    }
-
     fn stop_ordered(&mut self, link: SessionId, keys: Vec<RunKey>) {
         let entry = self.entries.get_mut(link).and_then(|l| l.entry);
         for key in keys {
@@ -540,285 +407,6 @@
         }
     }
 
-    fn not_started(&mut self, key: RunKey, reason: NotStarted) {
-        if let Some(run) = self.book.remove(key) {
-            self.refuse(run.owner, key, reason);
-        }
-    }
-
-    fn start_answered(&mut self, key: RunKey, token: FencingToken, answer: StartAnswer) {
-        if let StartAnswer::Started { clock } = answer {
-            self.lease.learn_clock(self.now, clock);
-        }
-        let Some(phase) = self.book.get(key).map(|run| run.phase) else {
-            return;
-        };
-        match phase {
-            Phase::Starting { token: t, sent } | Phase::Unsure { token: t, sent } if t == token => {
-                if !matches!(answer, StartAnswer::Silent | StartAnswer::Refused) {
-                    self.start_time.learn(self.now.saturating_sub(sent));
-                    self.lease.note_answer(self.now);
-                }
-            }
-            _ => return,
-        }
-        match answer {
-            StartAnswer::Started { .. } => self.mark_running(key),
-            StartAnswer::Fenced => self.start_fenced(key, token),
-            StartAnswer::Superseded => self.not_started(key, NotStarted::Superseded),
-            StartAnswer::Late => self.not_started(key, NotStarted::Late),
-            StartAnswer::Full => self.not_started(key, NotStarted::Full),
-            StartAnswer::Unhealthy => self.not_started(key, NotStarted::Unhealthy),
-            StartAnswer::Refused => {
-                // Nothing more is started before the lists have been read again.
-                self.knows_lists = false;
-                self.not_started(key, NotStarted::Unreachable);
-            }
-            StartAnswer::OtherLife => {
-                self.not_started(key, NotStarted::Unreachable);
-                self.end_life("another life answers");
-                self.tell_target();
-            }
-            StartAnswer::Silent => self.starts_unanswered(&[(key, token)]),
-        }
-    }
-
-    fn mark_running(&mut self, key: RunKey) {
-        let now = self.now;
-        if let Some(run) = self.book.get_mut(key) {
-            run.phase = Phase::Running;
-            run.running_since.get_or_insert(now);
-        }
-    }
-
-    /// The start never happened; it is sent once more with a token that counts.
-    fn start_fenced(&mut self, key: RunKey, token: FencingToken) {
-        self.lease.step_over(token);
-        self.send_start_again(key, NotStarted::Late);
-    }
-
-    /// Sends a start again that is known not to have happened, or tells the entry why not.
-    fn send_start_again(&mut self, key: RunKey, reason: NotStarted) {
-        let may_retry = self
-            .book
-            .get(key)
-            .is_some_and(|r| r.start_by > self.now && r.stopping.is_none());
-        let life = self.target.as_ref().map(|t| t.life.clone());
-        let Some(life) = life.filter(|_| may_retry) else {
-            self.not_started(key, reason);
-            return;
-        };
-        if let Err(reason) = self.send_start(key, life) {
-            self.not_started(key, reason);
-        }
-    }
-
-    /// Gives up on starts whose answers are overdue.
-    fn fence_overdue_starts(&mut self) {
-        let mut overdue = Vec::new();
-        for (key, run) in self.book.iter() {
-            let is_overdue = self.answer_by(run).is_some_and(|by| by <= self.now);
-            if let (Phase::Starting { token, .. }, true) = (run.phase, is_overdue) {
-                overdue.push((key, token));
-            }
-        }
-        self.starts_unanswered(&overdue);
-    }
-
-    /// These starts may have been done or may be done later. A higher token, once the target has
-    /// seen it, makes the second impossible, and its lists tell the first.
-    fn starts_unanswered(&mut self, starts: &[(RunKey, FencingToken)]) {
-        let mut is_any_new = false;
-        for &(key, token) in starts {
-            let Some(run) = self.book.get_mut(key) else {
-                continue;
-            };
-            let Phase::Starting { sent, .. } = run.phase else {
-                continue;
-            };
-            run.phase = Phase::Unsure { token, sent };
-            is_any_new = true;
-            let after_ms = self.now.saturating_sub(sent).as_millis();
-            self.log(
-                EventCode::StartUnanswered,
-                format!("run={key} token={token} after_ms={after_ms}"),
-            );
-            if self.lease.token() <= token {
-                self.lease.raise_token();
-            }
-        }
-        if is_any_new {
-            let renew = self.may_renew();
-            let renewal = self.lease.at_once(self.now, renew);
-            self.push_renewal(renewal);
-        }
-    }
-
-    fn push_renewal(&mut self, renewal: Renewal) {
-        let life = self.target.as_ref().map(|t| t.life.clone());
-        self.out.push(AgentAction::Renew { renewal, life });
-    }
-
-    fn renewal_answered(&mut self, number: u64, answer: RenewalAnswer) {
-        match answer {
-            RenewalAnswer::Lists {
-                clock,
-                running,
-                ended,
-            } => self.lists_read(number, clock, &running, &ended),
-            RenewalAnswer::Fenced => {
-                let refused = self.lease.token();
-                self.lease.failed(self.now, number);
-                self.lease.step_over(refused);
-            }
-            RenewalAnswer::OtherLife => {
-                self.lease.failed(self.now, number);
-                self.end_life("another life answers");
-                self.tell_target();
-            }
-            RenewalAnswer::Silent => self.lease.unanswered(self.now, number),
-        }
-    }
-
-    fn lists_read(
-        &mut self,
-        number: u64,
-        clock: TargetMillis,
-        running: &[ListedRun],
-        ended: &[(EndNumber, RunKey, RunEnd)],
-    ) {
-        self.lease.learn_clock(self.now, clock);
-        for &(end_number, key, end) in ended {
-            if self.lease.is_new_end(end_number) {
-                self.end_run(key, end);
-            }
-        }
-        let Some(answered) = self.lease.answered(number) else {
-            return;
-        };
-        for listed in running {
-            self.listed_running(listed);
-        }
-        if ended.len() < FULL_PAGE {
-            self.settle_unlisted(answered.sent_at, answered.token, running);
-        }
-        if !self.knows_lists {
-            self.knows_lists = true;
-            let adopted = self.book.len();
-            self.log(EventCode::TargetListsRead, format!("adopted={adopted}"));
-            self.answer_early_claims();
-        }
-    }
-
-    fn answer_early_claims(&mut self) {
-        for (life, key, size) in std::mem::take(&mut self.early_claims) {
-            self.claim(life, key, size);
-        }
-    }
-
-    fn listed_running(&mut self, listed: &ListedRun) {
-        let ListedRun { key, percent } = *listed;
-        if self.book.get(key).is_none() {
-            if self.book.end_of(key).is_none() {
-                self.adopt(key);
-            }
-            return;
-        }
-        self.mark_running(key);
-        self.check_slow(key, percent);
-    }
-
-    fn adopt(&mut self, key: RunKey) {
-        self.log(EventCode::RunAdopted, format!("run={key}"));
-        let run = Run {
-            owner: None,
-            size: None,
-            payload: Arc::from(""),
-            estimate: Duration::ZERO,
-            start_by: Now::ZERO,
-            since: self.now,
-            running_since: None,
-            phase: Phase::Running,
-            is_resent: false,
-            stopping: None,
-            slow_report_at: Now::ZERO,
-        };
-        self.book.insert(key, run);
-    }
-
-    /// Settles runs that the target does not list. Only what was known to run, or was fenced off,
-    /// before the lists were asked for: an answer may be older than a start that it lacks.
-    fn settle_unlisted(&mut self, asked_at: Now, asked: FencingToken, running: &[ListedRun]) {
-        let mut gone = Vec::new();
-        let mut never = Vec::new();
-        for (key, run) in self.book.iter() {
-            if running.iter().any(|l| l.key == key) {
-                continue;
-            }
-            match run.phase {
-                Phase::Unsure { token, .. } if token < asked => never.push(key),
-                Phase::Running if run.running_since.is_none_or(|since| since < asked_at) => {
-                    gone.push(key);
-                }
-                _ => {}
-            }
-        }
-        for key in never {
-            self.start_lost(key);
-        }
-        for key in gone {
-            self.end_run(key, RunEnd::Lost);
-        }
-    }
-
-    /// A start was lost on its way. It is sent once more; the second loss is the entry's to mend,
-    /// for a target may swallow all orders.
-    fn start_lost(&mut self, key: RunKey) {
-        let Some(run) = self.book.get_mut(key) else {
-            return;
-        };
-        if std::mem::replace(&mut run.is_resent, true) {
-            self.not_started(key, NotStarted::Unanswered);
-        } else {
-            self.send_start_again(key, NotStarted::Unanswered);
-        }
-    }
-
-    fn check_slow(&mut self, key: RunKey, percent: u32) {
-        let now = self.now;
-        let Some(run) = self.book.get_mut(key) else {
-            return;
-        };
-        let Some(since) = run.running_since else {
-            return;
-        };
-        let ran = now.saturating_sub(since);
-        let allowed = run.estimate.mul_f64(SLOW_FACTOR) + SLOW_SLACK;
-        let projected = ran.mul_f64(100.0 / f64::from(percent.max(1)));
-        let is_slow = run.estimate > Duration::ZERO
-            && ran >= run.estimate.mul_f64(LOOK_SHARE)
-            && projected > allowed
-            && run.slow_report_at <= now;
-        if !is_slow || run.stopping.is_some() {
-            return;
-        }
-        run.slow_report_at = now + SLOW_AGAIN;
-        let Some(owner) = run.owner else {
-            return;
-        };
-        let ran_ms = ran.as_millis() as u32;
-        self.log(
-            EventCode::RunSlow,
-            format!("run={key} ran_ms={ran_ms} percent={percent}"),
-        );
-        let news = AgentNews::Slow {
-            key,
-            ran_ms,
-            percent,
-        };
-        self.entries.tell(owner, news);
-    }
-
     // Time.
 
     /// Stops what nobody answers for, and gives up what must have lapsed.
@@ -851,15 +439,6 @@
         }
     }
 
-    /// Whether the lease may be renewed: not while an overdue stop has failed for too long.
-    fn may_renew(&self) -> bool {
-        let now = self.now;
-        self.book.iter().all(|(_, run)| {
-            run.stopping
-                .is_none_or(|s| !s.is_overdue_bound || s.since + STOP_BOUND > now)
-        })
-    }
-
     fn send_due_stops(&mut self) {
         let now = self.now;
         let token = self.lease.token();
@@ -877,44 +456,6 @@
         }
     }
 
-    /// When the renewal on the way counts as unanswered, and its number.
-    fn renewal_overdue(&self) -> Option<(Now, u64)> {
-        let (at, number) = self.lease.overdue_at(self.start_time.limit())?;
-        Some((at.max(self.resumed + CATCH_UP), number))
-    }
-
-    fn renew(&mut self) {
-        if let Some((at, number)) = self.renewal_overdue()
-            && at <= self.now
-        {
-            self.lease.unanswered(self.now, number);
-        }
-        // A target in doubt is asked until it answers, though nothing may be left to renew.
-        let is_idle = self.book.is_empty() && self.knows_lists && !self.lease.is_in_doubt();
-        if is_idle {
-            return;
-        }
-        let wait = self.shortest_look();
-        let renew = self.may_renew();
-        if let Some(renewal) = self.lease.next(self.now, wait, renew) {
-            self.push_renewal(renewal);
-        }
-    }
-
-    /// Time until a run is to be looked at for slowness.
-    fn shortest_look(&self) -> Duration {
-        let mut shortest = CALM_WAIT;
-        for (_, run) in self.book.iter() {
-            let since = run.running_since.unwrap_or(self.now);
-            let look = since + run.estimate.mul_f64(LOOK_SHARE) + SLOW_SLACK;
-            let look = look.max(run.slow_report_at);
-            if run.estimate > Duration::ZERO && look > self.now {
-                shortest = shortest.min(look - self.now);
-            }
-        }
-        shortest
-    }
-
     fn drain(&mut self) {
         if self.draining_since.is_some() {
             return;
