soak: proxies that delay, silence, cut one way and reset

Cause: the users ask for connections harmed from outside; the soak only had faults of stand-ins and signals.

Change: a loopback proxy before the store for each process, before each target and before each entry's callers; five more kinds of strikes. Links between our own processes have none: entries tell each other their own addresses.

--- a/lib/testutils/src/bin/soak.rs
+++ b/lib/testutils/src/bin/soak.rs
@@ -3,7 +3,8 @@
 //! `soak --seed N --for 20s` starts entries, agents and stand-ins on loopback addresses, sends
 //! batches and injects a schedule of faults that the seed alone decides: processes killed, paused
 //! and stopped in turn, the store down, slow or losing answers, targets that crash, fall silent or
-//! lose orders, configurations in quick succession, callers that leave. It checks what callers and
+//! lose orders, configurations in quick succession, callers that leave, and connections that
+//! proxies delay, silence, cut one way and reset. It checks what callers and
 //! targets saw and ends with a summary; the exit status is the verdict.
 
 use std::cell::{Cell, RefCell};
@@ -17,6 +18,7 @@
 use platform::client::PlatformClient;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
+use testutils::fault_proxy::{FaultProxy, Harm};
 use testutils::platform_stand_ins::Fault;
 use testutils::process_fleet::{self, ProcessFleet, Signal};
 use testutils::run_target::{RunRecord, TargetTrouble};
@@ -61,6 +63,40 @@
     Orders(usize, Fault, Duration),
     /// Configurations in quick succession.
     Configs(u32),
+    /// A proxy harms what passes.
+    Harm(Path, Harm, Duration),
+    /// A proxy resets its connections.
+    Reset(Path),
+}
+
+/// Which proxy.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Path {
+    /// From a process to the store.
+    Store(usize),
+    /// From an agent to its target.
+    Target(usize),
+    /// From callers to an entry.
+    Callers(usize),
+}
+
+fn random_path(rng: &mut ChaCha8Rng) -> Path {
+    match rng.random_range(0..4) {
+        0 => Path::Store(rng.random_range(0..ENTRIES + AGENTS)),
+        1 => Path::Callers(rng.random_range(0..ENTRIES)),
+        _ => Path::Target(rng.random_range(0..AGENTS)),
+    }
+}
+
+fn random_harm(rng: &mut ChaCha8Rng) -> Harm {
+    let delay = Duration::from_millis(rng.random_range(5..400));
+    let harms = [
+        Harm::Delay(delay),
+        Harm::SilentThere,
+        Harm::SilentBack,
+        Harm::Silent,
+    ];
+    harms[rng.random_range(0..harms.len())]
 }
 
 fn random_strike(rng: &mut ChaCha8Rng) -> Strike {
@@ -68,7 +104,7 @@
     let target = rng.random_range(0..AGENTS);
     let pause = Duration::from_millis(rng.random_range(200..2_500));
     let trouble = TargetTrouble::default();
-    match rng.random_range(0..12) {
+    match rng.random_range(0..17) {
         0 | 1 => Strike::Kill(process, pause / 2),
         2 | 3 => Strike::Pause(process, pause),
         4 => Strike::Stop(process),
@@ -98,7 +134,9 @@
             let faults = [Fault::Silent, Fault::LostAnswer, Fault::Status(503)];
             Strike::Orders(target, faults[rng.random_range(0..3)], pause)
         }
-        _ => Strike::Configs(rng.random_range(2..8)),
+        11 => Strike::Configs(rng.random_range(2..8)),
+        12 | 13 => Strike::Reset(random_path(rng)),
+        _ => Strike::Harm(random_path(rng), random_harm(rng), pause),
     }
 }
 
@@ -196,6 +234,19 @@
             later.push((now + pause, Later::OrdersGood(index)));
         }
         Strike::Configs(count) => (0..count).for_each(|_| fleet.publish()),
+        Strike::Harm(path, harm, pause) => {
+            proxy_of(fleet, path).set_harm(harm);
+            later.push((now + pause, Later::ProxyGood(path)));
+        }
+        Strike::Reset(path) => proxy_of(fleet, path).reset(),
+    }
+}
+
+fn proxy_of(fleet: &ProcessFleet, path: Path) -> &FaultProxy {
+    match path {
+        Path::Store(index) => &fleet.store_proxies[index],
+        Path::Target(index) => &fleet.target_proxies[index],
+        Path::Callers(index) => &fleet.caller_proxies[index],
     }
 }
 
@@ -207,6 +258,7 @@
     StoreGood,
     TargetGood(usize),
     OrdersGood(usize),
+    ProxyGood(Path),
 }
 
 fn end_fault(fleet: &mut ProcessFleet, later: Later) {
@@ -225,6 +277,7 @@
             fleet.targets[index].target().trouble = TargetTrouble::default();
         }
         Later::OrdersGood(index) => fleet.targets[index].set_fault(Fault::None),
+        Later::ProxyGood(path) => proxy_of(fleet, path).set_harm(Harm::None),
     }
 }
 
@@ -322,8 +375,9 @@
             return vec!["the fleet did not become ready".to_owned()];
         }
         let mut clients = Vec::new();
-        for entry in &entries {
-            clients.push(PlatformClient::new(&entry.to_string()).await);
+        for index in 0..ENTRIES {
+            let address = self.fleet.caller_address(index);
+            clients.push(PlatformClient::new(&address.to_string()).await);
         }
         let (clients, begun) = (Rc::new(clients), Instant::now());
         let calling = Rc::new(Cell::new(true));
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod central_queue;
 pub mod embedded;
+pub mod fault_proxy;
 pub mod faults;
 pub mod load;
 pub mod matrix;
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -18,6 +18,7 @@
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
 
+use crate::fault_proxy::FaultProxy;
 use crate::platform_stand_ins::{self, Running, StandIn, StoreStandIn, TargetStandIn};
 use crate::run_target::{RunTarget, SERVICE};
 
@@ -100,6 +101,12 @@
     pub targets: Vec<TargetStandIn>,
     /// Entries first, then agents.
     pub processes: Vec<Process>,
+    /// Between each process and the store.
+    pub store_proxies: Vec<FaultProxy>,
+    /// Between each agent and its target.
+    pub target_proxies: Vec<FaultProxy>,
+    /// Between callers and each entry, for those who ask at [`Self::caller_address`].
+    pub caller_proxies: Vec<FaultProxy>,
     entries: usize,
     version: u64,
     _stand_ins: Vec<Running>,
@@ -115,6 +122,10 @@
 const AGENT_HOST: u8 = 50;
 const TARGET_HOST: u8 = 150;
 const STORE_HOST: u8 = 2;
+/// First host of the proxies before the store (one for each process), the targets and the entries.
+const STORE_PROXY_HOST: u8 = 90;
+const TARGET_PROXY_HOST: u8 = 190;
+const CALLER_PROXY_HOST: u8 = 210;
 
 impl ProcessFleet {
     /// Starts a fleet. `network` must differ between fleets that run at the same time; `folder`
@@ -151,6 +162,9 @@
             store,
             targets,
             processes: Vec::new(),
+            store_proxies: Vec::new(),
+            target_proxies: Vec::new(),
+            caller_proxies: Vec::new(),
             entries,
             version: 0,
             _stand_ins: stand_ins,
@@ -177,6 +191,16 @@
             Role::Agent => AGENT_HOST,
         };
         let name = format!("{role:?}-{index}").to_lowercase();
+        let store = self.proxy_to_store()?;
+        let target = match role {
+            Role::Agent => Some(self.proxy_to_target(index)?),
+            Role::Entry => {
+                let proxy =
+                    FaultProxy::start(self.caller_address(index), self.entry_address(index));
+                self.caller_proxies.push(proxy?);
+                None
+            }
+        };
         let entry_addresses = (0..self.entries.min(3)).map(|i| self.entry_link(i));
         let plan = SettingsPlan {
             name: name.clone(),
@@ -184,9 +208,8 @@
             port: PORT,
             link_port: LINK_PORT,
             seeds: entry_addresses.collect(),
-            store: address(self.network, STORE_HOST, STAND_IN_PORT),
-            target: (role == Role::Agent)
-                .then(|| address(self.network, TARGET_HOST + index as u8, STAND_IN_PORT)),
+            store,
+            target,
         };
         let settings = self.folder.join(format!("{name}.yaml"));
         fs::write(&settings, stand_in_format::encode_settings(&plan))?;
@@ -200,6 +223,28 @@
         self.start_process(last)
     }
 
+    /// A proxy between the process that is added next and the store.
+    fn proxy_to_store(&mut self) -> io::Result<SocketAddr> {
+        let host = STORE_PROXY_HOST + self.processes.len() as u8;
+        let at = address(self.network, host, STAND_IN_PORT);
+        let store = address(self.network, STORE_HOST, STAND_IN_PORT);
+        self.store_proxies.push(FaultProxy::start(at, store)?);
+        Ok(at)
+    }
+
+    /// A proxy between an agent and its target.
+    fn proxy_to_target(&mut self, index: usize) -> io::Result<SocketAddr> {
+        let at = address(self.network, TARGET_PROXY_HOST + index as u8, STAND_IN_PORT);
+        let target = address(self.network, TARGET_HOST + index as u8, STAND_IN_PORT);
+        self.target_proxies.push(FaultProxy::start(at, target)?);
+        Ok(at)
+    }
+
+    /// Where callers reach an entry through its proxy.
+    pub fn caller_address(&self, index: usize) -> SocketAddr {
+        address(self.network, CALLER_PROXY_HOST + index as u8, PORT)
+    }
+
     fn entry_link(&self, index: usize) -> SocketAddr {
         address(self.network, ENTRY_HOST + index as u8, LINK_PORT)
     }
