agent: nothing starts while a lease must run out

Cause, by reading the chain of times once more: a run whose entry is gone and whose stop is not listed within 0.5 s must lapse, so renewals stop; but a start for another entry carried an end of the lease as well, and one lease holds for all runs of a target. The run could outlive the 2.6 s after which its entry starts the task elsewhere.

Change: starts are refused as `Doubtful` while such a run is booked.

--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -146,7 +146,7 @@
     Unhealthy,
     /// The order was not answered, and has been fenced off since.
     Unanswered,
-    /// The target has just left a call unanswered.
+    /// The target has just left a call unanswered, or does not stop what it must.
     Doubtful,
     /// The target does not answer, or its agent has not learnt its state yet.
     Unreachable,
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -113,6 +113,10 @@
     }
 
     pub(super) fn send_start(&mut self, key: RunKey, life: Arc<str>) -> Result<(), NotStarted> {
+        // A start extends the lease of all runs; one that must lapse would go on.
+        if !self.may_renew() {
+            return Err(NotStarted::Doubtful);
+        }
         let until = self.lease.new_until(self.now);
         let until = until.ok_or(NotStarted::Unreachable)?;
         let token = self.lease.token();
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -450,3 +450,60 @@
     let actions = agent.handle(now, packet(60_000, vec![start(2, 5_000)]));
     assert_eq!(starts(&actions), 1);
 }
+
+#[test]
+fn test_handle_nothing_starts_while_a_lease_must_run_out() {
+    let mut agent = ready_agent();
+    // A second entry, which will answer for its runs throughout.
+    let second: SessionId = 2;
+    agent.handle(ms(5), AgentEvent::LinkUp(second));
+    let welcome = Welcome {
+        name: "second".into(),
+        life: 10,
+        entries: Vec::new(),
+        claims: Vec::new(),
+    };
+    let from_second = |orders| {
+        let packet = EntryPacket {
+            lease_until: 60_000,
+            waiting: 0,
+            orders,
+        };
+        AgentEvent::Packet(second, packet)
+    };
+    agent.handle(ms(6), from_second(vec![Order::Welcome(welcome)]));
+    agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_010 },
+    };
+    agent.handle(ms(12), started);
+    // The first entry's link breaks; its run is stopped, but the target lists it on and on.
+    agent.handle(ms(20), AgentEvent::LinkDown(LINK));
+    let mut actions = Vec::new();
+    for step in 2..90 {
+        let now = ms(10 * step);
+        let running = vec![ListedRun {
+            key: key(0),
+            percent: 1,
+        }];
+        let mut answers: Vec<AgentEvent> = renewals(&actions)
+            .into_iter()
+            .map(|number| AgentEvent::RenewalAnswered {
+                number,
+                answer: RenewalAnswer::Lists {
+                    clock: 1_000 + 10 * step,
+                    running: running.clone(),
+                    ended: Vec::new(),
+                },
+            })
+            .collect();
+        answers.push(AgentEvent::Wake);
+        let handled = answers.into_iter().map(|event| agent.handle(now, event));
+        actions = handled.collect::<Vec<_>>().concat();
+    }
+    // A start would extend the lease of that run as well.
+    let actions = agent.handle(ms(900), from_second(vec![start(1, 5_000)]));
+    assert_eq!(starts(&actions), 0, "{actions:?}");
+}
