--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -39,6 +39,7 @@
 const SILENT_AGENT: Duration = Duration::from_millis(1_500);
 /// Batches in a row that find no room before the rest is left for later.
 const MOST_MISSES: u32 = 6;
+
 /// Orders that wait to be sent to an agent.
 #[derive(Debug, Default)]
 struct Outbox {
@@ -176,8 +177,6 @@
         }
     }
 
-    // Callers.
-
     // Runs.
 
     fn place_waiting(&mut self) {
@@ -281,8 +280,6 @@
         }
     }
 
-    // Agents.
-
     // The end, and packets.
 
     fn learn_entries(&mut self, addresses: Vec<SocketAddr>) {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,8 +13,9 @@
 //! Batches on the users' platform have layers of their own, which docs/design/platform.md explains:
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
-//! - state: [`run_book`], [`target_lease`], [`entry_leases`], [`batch_table`], [`target_board`],
-//!   [`peer_book`], [`closing_elsewhere`], [`entry_directory`], [`entry_drain`];
+//! - state: [`answer_time`], [`run_book`], [`target_lease`], [`room_shares`], [`entry_leases`],
+//!   [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
+//!   [`entry_directory`], [`entry_drain`];
 //! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
 //!   [`batch_event`] and [`run_event`], and the choice of targets in [`batch_placing`];
 //! - what runs them: [`platform_ports`], [`node_links`], [`wake_timer`], [`entry_node`],
