--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -298,9 +298,8 @@
     assert_eq!(starts(&actions), 0);
 }
 
-#[test]
-fn test_handle_start_is_fenced_off_sooner_where_answers_come_quickly() {
-    let mut agent = ready_agent();
+/// Starts that the target answers within 2 ms each, until 192 ms.
+fn teach_quick_answers(agent: &mut RunAgent) {
     for index in 1..20 {
         let at = ms(10 * u64::from(index));
         agent.handle(at, packet(60_000, vec![start(index, 5_000)]));
@@ -311,6 +310,12 @@
         };
         agent.handle(at + ms(2), answered);
     }
+}
+
+#[test]
+fn test_handle_start_is_fenced_off_sooner_where_answers_come_quickly() {
+    let mut agent = ready_agent();
+    teach_quick_answers(&mut agent);
     agent.handle(ms(300), packet(60_000, vec![start(0, 5_000)]));
     let mut now = ms(300);
     let mut actions = Vec::new();
@@ -367,19 +372,9 @@
 #[test]
 fn test_handle_lost_renewal_is_noticed_by_the_usual_time_of_answers() {
     let mut agent = ready_agent();
-    let mut now = ms(10);
-    for index in 1..20 {
-        now += ms(10);
-        agent.handle(now, packet(60_000, vec![start(index, 5_000)]));
-        let answered = AgentEvent::StartAnswered {
-            key: key(index),
-            token: 100,
-            answer: StartAnswer::Full,
-        };
-        agent.handle(now + ms(2), answered);
-    }
+    teach_quick_answers(&mut agent);
     // What was asked for until now is answered; the next renewal is lost.
-    now += ms(3);
+    let mut now = ms(203);
     let mut actions = agent.handle(now, packet(60_000, vec![start(0, 5_000)]));
     for number in 1..40 {
         let answer = lists();
