entry: a task that is moved does not go back, nor on for ever

A moved task did not avoid its target, and the step's memory of where it had been slow held one agent only, which counted as a first time for ever.

Change: the mover's target is avoided; a step that was slow at two agents counts as wrongly estimated for good.

--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -246,7 +246,7 @@
         if !self.has_room_elsewhere(key, &agent) {
             return;
         }
-        if let Some(agent) = self.table.note_stopping(key) {
+        if let Some(agent) = self.table.note_moving(key) {
             self.log(
                 EventCode::TaskMoved,
                 format!("run={key} agent={agent} ran_ms={ran_ms} percent={percent}"),
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -55,13 +55,18 @@
     pub left: u32,
     /// Agent on whose target a task of the step was first found slow.
     slow_at: Option<NodeName>,
+    /// Whether tasks of the step have been found slow at two agents.
+    is_estimate_wrong: bool,
 }
 
 impl Step {
-    /// Notes that a task of the step is slow at an agent; says whether another has been slow at
-    /// another agent before. Then it is the estimate that is wrong, not the targets.
+    /// Notes that a task of the step is slow at an agent; says whether tasks have been slow at two
+    /// agents by now. Then it is the estimate that is wrong, not the targets, and moving on would
+    /// go on for ever.
     pub fn is_slow_everywhere(&mut self, agent: &NodeName) -> bool {
-        *self.slow_at.get_or_insert_with(|| agent.clone()) != *agent
+        let first = self.slow_at.get_or_insert_with(|| agent.clone());
+        self.is_estimate_wrong |= *first != *agent;
+        self.is_estimate_wrong
     }
 }
 
@@ -130,6 +135,7 @@
             tasks: vec![task.clone(); spec.count as usize],
             left: spec.count,
             slow_at: None,
+            is_estimate_wrong: false,
         });
         Self {
             request: Some(request),
@@ -501,6 +507,16 @@
         )
     }
 
+    /// Notes that a run is being stopped so that its task goes on elsewhere; gives the agent that
+    /// has it, unless it is being stopped already. Without the note, the task may go back to the
+    /// target that it is moved away from, again and again.
+    pub fn note_moving(&mut self, key: RunKey) -> Option<NodeName> {
+        let agent = self.note_stopping(key)?;
+        let task = self.batches.get_mut(&key.task.batch)?.task_mut(key)?;
+        task.avoid = Some(agent.clone());
+        Some(agent)
+    }
+
     /// Notes that a run is being stopped; says at which agent, if it is out and was not before.
     pub fn note_stopping(&mut self, key: RunKey) -> Option<NodeName> {
         let batch = self.batches.get_mut(&key.task.batch)?;
