agent: a report of another life of the target is asked about before it counts

Cause: a heartbeat that a cut holds back may come after its sender has crashed and another life has registered. The agent took every unknown life that reported for a new one: it counted the living target's runs as over, which then started twice, and banned the living life for good. An agent without memory did the same with runs that it had adopted from lists read without a name.

Change: target_lives keeps what has reported and asks it by name (a look at the lists that renews nothing); a life becomes the current one when it answers, and is over when another answers in its place. Answers to renewals of a past life are dropped, a start's clock counts only with its run.

--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::Notify;
@@ -75,6 +76,7 @@
                 ntex::rt::spawn(self.target.stop(key, token, life));
             }
             AgentAction::Renew { renewal, life } => self.renew(renewal, life),
+            AgentAction::AskLife { look, life } => self.ask_life(look, life),
             AgentAction::Log(event) => {
                 self.figures.event(event.code);
                 event.emit();
@@ -103,7 +105,7 @@
         });
     }
 
-    fn renew(&self, renewal: Renewal, life: Option<std::sync::Arc<str>>) {
+    fn renew(&self, renewal: Renewal, life: Option<Arc<str>>) {
         let Some(me) = self.me.upgrade() else {
             return;
         };
@@ -115,6 +117,18 @@
         });
     }
 
+    fn ask_life(&self, look: Renewal, life: Arc<str>) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        let number = look.number;
+        let answer = self.target.renew(look, Some(life));
+        ntex::rt::spawn(async move {
+            let answer = answer.await.into();
+            me.tell(AgentEvent::LifeAnswered { number, answer });
+        });
+    }
+
     /// The metrics page.
     pub fn metrics(&self) -> String {
         let levels = self.core.borrow().levels();
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -108,6 +108,7 @@
     TargetLeaving = 2002, Info, "target says that it leaves";
     TargetLifeOver = 2003, Warn, "life of the target is over";
     TargetListsRead = 2004, Info, "target's lists read for the first time";
+    TargetLifeReported = 2005, Info, "another life of the target reports, it is asked";
     RunNotStarted = 2101, Info, "order led to no run";
     RunEnded = 2102, Info, "run ended";
     RunAdopted = 2103, Info, "run of an earlier life of the agent adopted";
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -98,6 +98,7 @@
 pub mod status;
 pub mod target_board;
 pub mod target_lease;
+pub mod target_lives;
 pub mod target_table;
 pub mod telemetry;
 pub mod trace;
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -20,11 +20,14 @@
 use crate::room_shares::Room;
 use crate::run::{RunEnd, RunKey};
 use crate::run_book::{Run, RunBook, Stopping};
-use crate::run_event::{AgentAction, AgentEvent, AgentLevels, AgentOptions, TargetReport};
+use crate::run_event::{
+    AgentAction, AgentEvent, AgentLevels, AgentOptions, LifeAnswer, TargetReport,
+};
 use crate::run_message::{
     AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, TargetInfo, Welcome,
 };
 use crate::target_lease::TargetLease;
+use crate::target_lives::{Reported, TargetLives};
 use starts::{LEAST_START_LIMIT, START_LIMIT};
 
 /// A process that was not heard from for so long may have stood still, with answers unread in its
@@ -49,9 +52,7 @@
     now: Now,
     out: Vec<AgentAction>,
     entries: EntryLeases,
-    target: Option<TargetInfo>,
-    report_sequence: u64,
-    past_lives: Vec<Arc<str>>,
+    lives: TargetLives,
     lease: TargetLease,
     book: RunBook,
     /// How long the target's answers to starts take.
@@ -77,9 +78,7 @@
             now,
             out: Vec::new(),
             entries: EntryLeases::default(),
-            target: None,
-            report_sequence: 0,
-            past_lives: Vec::new(),
+            lives: TargetLives::default(),
             lease,
             book: RunBook::default(),
             start_time: AnswerTime::new(LEAST_START_LIMIT, START_LIMIT),
@@ -103,6 +102,7 @@
             return Vec::new();
         }
         self.dispatch_event(event);
+        self.ask_lives();
         self.fence_overdue_starts();
         self.check_leases();
         self.send_due_stops();
@@ -114,7 +114,11 @@
 
     /// When [`AgentEvent::Wake`] is due.
     pub fn next_wake(&self) -> Option<Now> {
-        let mut times = vec![self.entries.next_wake(), self.lease.retry_at()];
+        let mut times = vec![
+            self.entries.next_wake(),
+            self.lease.retry_at(),
+            self.lives.next_wake(),
+        ];
         for (_, run) in self.book.iter() {
             times.push(Some(self.run_wake(run)));
         }
@@ -165,6 +169,7 @@
                 self.start_answered(key, token, answer);
             }
             AgentEvent::RenewalAnswered { number, answer } => self.renewal_answered(number, answer),
+            AgentEvent::LifeAnswered { number, answer } => self.life_answered(number, answer),
             AgentEvent::Entries(entries) => entries.into_iter().for_each(|e| self.dial(e)),
             AgentEvent::Drain => self.drain(),
         }
@@ -190,7 +195,7 @@
             life: self.options.life,
             hall: self.options.hall.clone(),
         };
-        let target = AgentNews::Target(self.target.clone());
+        let target = AgentNews::Target(self.lives.current().cloned());
         if let Some(found) = self.entries.get_mut(link) {
             found.news.push(AgentNews::Hello(intro));
             found.news.push(target);
@@ -319,27 +324,61 @@
     // The target.
 
     fn report(&mut self, report: TargetReport) {
-        let TargetReport { info, sequence } = report;
-        if self.past_lives.contains(&info.life) {
-            return;
+        let life = report.info.life.clone();
+        match self.lives.report(self.now, report) {
+            Reported::Known => {}
+            Reported::Changed => self.target_changed(),
+            Reported::ToBeAsked => {
+                self.log(
+                    EventCode::TargetLifeReported,
+                    format!("life={life} known={:?}", self.lives.current_life()),
+                );
+            }
         }
-        let is_same_life = self.target.as_ref().is_some_and(|t| t.life == info.life);
-        if is_same_life && sequence <= self.report_sequence {
-            return;
+    }
+
+    /// Asks the lives that have reported and are not proven to live yet.
+    fn ask_lives(&mut self) {
+        while let Some(life) = self.lives.take_due(self.now, self.lease.next_number()) {
+            let look = self.lease.look();
+            self.out.push(AgentAction::AskLife { look, life });
         }
-        self.report_sequence = sequence;
-        if self.target.as_ref() == Some(&info) {
+    }
+
+    fn life_answered(&mut self, number: u64, answer: LifeAnswer) {
+        let Some(life) = &self.lives.asked_by(number) else {
             return;
+        };
+        match answer {
+            LifeAnswer::Silent => self.lives.unanswered(self.now, life),
+            LifeAnswer::OtherLife => {
+                self.lives.over(life);
+                self.log(
+                    EventCode::TargetLifeOver,
+                    format!("life={life} runs=0 why=\"another life answers\""),
+                );
+            }
+            LifeAnswer::Lives => {
+                self.end_life("a new life answers");
+                // What was read without a name may have been another life's.
+                self.lease.reset_life();
+                self.knows_lists = false;
+                self.lives.answered(self.now, life);
+                self.target_changed();
+            }
         }
-        if !is_same_life {
-            self.end_life("a new life reports");
-        }
+    }
+
+    fn target_changed(&mut self) {
+        let Some(info) = self.lives.current() else {
+            return;
+        };
         let TargetInfo {
             life,
             service,
             leaving,
             ..
-        } = &info;
+        } = info;
         let detail = format!("life={life} service={service} leaving={leaving}");
         let code = if *leaving {
             EventCode::TargetLeaving
@@ -347,17 +386,16 @@
             EventCode::TargetReported
         };
         self.log(code, detail);
-        self.target = Some(info);
         self.tell_target();
     }
 
     fn tell_target(&mut self) {
-        let news = AgentNews::Target(self.target.clone());
+        let news = AgentNews::Target(self.lives.current().cloned());
         self.entries.tell_all(&news);
     }
 
     fn target_left(&mut self, life: &Arc<str>) {
-        if self.target.as_ref().is_some_and(|t| t.life == *life) {
+        if self.lives.current_life().as_ref() == Some(life) {
             self.end_life("it said goodbye");
             self.tell_target();
         }
@@ -365,16 +403,15 @@
 
     /// The known life of the target is over, and everything that ran on it.
     fn end_life(&mut self, why: &str) {
-        let Some(target) = self.target.take() else {
+        let Some(life) = self.lives.current_life() else {
             return;
         };
         let runs = self.book.len();
-        let life = target.life;
         self.log(
             EventCode::TargetLifeOver,
             format!("life={life} runs={runs} why=\"{why}\""),
         );
-        self.past_lives.push(life);
+        self.lives.over(&life);
         self.lease.reset_life();
         // The next life's clock is learnt with its lists.
         self.knows_lists = false;
@@ -442,7 +479,7 @@
     fn send_due_stops(&mut self) {
         let now = self.now;
         let token = self.lease.token();
-        let life = self.target.as_ref().map(|t| t.life.clone());
+        let life = self.lives.current_life();
         for (key, run) in self.book.iter_mut() {
             let Some(stopping) = &mut run.stopping else {
                 continue;
@@ -491,7 +528,7 @@
     // Packets.
 
     fn free(&self) -> Resources {
-        let Some(target) = &self.target else {
+        let Some(target) = self.lives.current() else {
             return Resources::NONE;
         };
         let is_closed = self.draining_since.is_some()
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -29,7 +29,7 @@
 
 impl RunAgent {
     pub(super) fn push_renewal(&mut self, renewal: Renewal) {
-        let life = self.target.as_ref().map(|t| t.life.clone());
+        let life = self.lives.current_life();
         self.out.push(AgentAction::Renew { renewal, life });
     }
 
@@ -81,6 +81,10 @@
     }
 
     pub(super) fn renewal_answered(&mut self, number: u64, answer: RenewalAnswer) {
+        // Answers on different connections may overtake one another.
+        if self.lease.is_of_past_life(number) {
+            return;
+        }
         match answer {
             RenewalAnswer::Lists {
                 clock,
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -71,7 +71,8 @@
         if start_by <= self.now || !self.entries.is_held(self.now, entry) {
             return Err(NotStarted::Late);
         }
-        let target = self.target.clone().ok_or(NotStarted::Unreachable)?;
+        let target = self.lives.current().cloned();
+        let target = target.ok_or(NotStarted::Unreachable)?;
         if target.leaving {
             return Err(NotStarted::Leaving);
         }
@@ -143,9 +144,6 @@
     }
 
     pub(super) fn start_answered(&mut self, key: RunKey, token: FencingToken, answer: StartAnswer) {
-        if let StartAnswer::Started { clock } = answer {
-            self.lease.learn_clock(self.now, clock);
-        }
         let Some(phase) = self.book.get(key).map(|run| run.phase) else {
             return;
         };
@@ -159,7 +157,10 @@
             _ => return,
         }
         match answer {
-            StartAnswer::Started { .. } => self.mark_running(key),
+            StartAnswer::Started { clock } => {
+                self.lease.learn_clock(self.now, clock);
+                self.mark_running(key);
+            }
             StartAnswer::Fenced => self.start_fenced(key, token),
             StartAnswer::Superseded => self.not_started(key, NotStarted::Superseded),
             StartAnswer::Late => self.not_started(key, NotStarted::Late),
@@ -199,7 +200,7 @@
             .book
             .get(key)
             .is_some_and(|r| r.start_by > self.now && r.stopping.is_none());
-        let life = self.target.as_ref().map(|t| t.life.clone());
+        let life = self.lives.current_life();
         let Some(life) = life.filter(|_| may_retry) else {
             self.not_started(key, reason);
             return;
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -1,7 +1,7 @@
 //! What the agent's core on the platform is told and what it wants done.
 //!
-//! [`AgentAction::Start`] and [`AgentAction::Renew`] are each answered by one event, within the
-//! limit that they name. Actions are carried out in order; each may fail.
+//! [`AgentAction::Start`], [`AgentAction::Renew`] and [`AgentAction::AskLife`] are each answered by
+//! one event, within the limit that they name. Actions are carried out in order; each may fail.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -86,6 +86,27 @@
     Silent,
 }
 
+/// What came of a call that names one life of the target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LifeAnswer {
+    /// That life answered.
+    Lives,
+    /// Another life answered.
+    OtherLife,
+    /// No answer.
+    Silent,
+}
+
+impl From<RenewalAnswer> for LifeAnswer {
+    fn from(answer: RenewalAnswer) -> Self {
+        match answer {
+            RenewalAnswer::Lists { .. } | RenewalAnswer::Fenced => Self::Lives,
+            RenewalAnswer::OtherLife => Self::OtherLife,
+            RenewalAnswer::Silent => Self::Silent,
+        }
+    }
+}
+
 /// What an agent is told.
 #[derive(Debug, Clone)]
 pub enum AgentEvent {
@@ -117,6 +138,13 @@
         /// The answer.
         answer: RenewalAnswer,
     },
+    /// Answer to [`AgentAction::AskLife`].
+    LifeAnswered {
+        /// Number of the look.
+        number: u64,
+        /// The answer.
+        answer: LifeAnswer,
+    },
     /// Entries to dial, from the settings.
     Entries(Vec<SocketAddr>),
     /// Stop in an orderly way.
@@ -167,6 +195,13 @@
         /// Life of the target that is meant.
         life: Option<Arc<str>>,
     },
+    /// Ask the target whether this life of it is the one that answers.
+    AskLife {
+        /// A look at the lists that renews nothing.
+        look: Renewal,
+        /// The life.
+        life: Arc<str>,
+    },
     /// Write a line to the log.
     Log(LogEvent),
     /// Stop the process.
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -98,6 +98,8 @@
     last_seen: EndNumber,
     in_flight: Option<InFlight>,
     next_number: u64,
+    /// First number of a renewal to the present life of the target.
+    first_number: u64,
     retry_at: Option<Now>,
     lapses_at: Now,
     silent_calls: u32,
@@ -118,6 +120,7 @@
             last_seen: 0,
             in_flight: None,
             next_number: 1,
+            first_number: 1,
             retry_at: None,
             lapses_at: now,
             silent_calls: 0,
@@ -190,6 +193,31 @@
         self.is_silent
     }
 
+    /// Whether a renewal was sent to a life of the target that is over. Its answer tells the clock
+    /// and the ends of that life.
+    pub fn is_of_past_life(&self, number: u64) -> bool {
+        number < self.first_number
+    }
+
+    /// Number of the next renewal or look.
+    pub fn next_number(&self) -> u64 {
+        self.next_number
+    }
+
+    /// A look at the lists that renews nothing and takes note of no end.
+    pub fn look(&mut self) -> Renewal {
+        let number = self.next_number;
+        self.next_number += 1;
+        Renewal {
+            number,
+            token: self.token,
+            until: None,
+            last_seen: 0,
+            wait: Duration::ZERO,
+            limit: ANSWER_SLACK,
+        }
+    }
+
     /// Notes that a renewal was not answered, unless that is known; the next one is due at once
     /// or, if it is not the first, after a pause.
     pub fn unanswered(&mut self, now: Now, number: u64) {
@@ -222,6 +250,7 @@
     pub fn reset_life(&mut self) {
         self.clock = None;
         self.last_seen = 0;
+        self.first_number = self.next_number;
         self.in_flight = None;
         self.retry_at = None;
         self.silent_calls = 0;
--- /dev/null
+++ b/lib/src/target_lives.rs
@@ -0,0 +1,191 @@
+//! Which life of its target an agent works with.
+//!
+//! A target that crashes comes back as another life at the same address, and a report can be held
+//! back on its way until its sender is dead. So a report alone proves nothing. Invariant: a life
+//! becomes the current one only once it has answered a call that names it, and is over only once
+//! another life has answered such a call, or once it has said goodbye. Lives follow one another,
+//! so a life that has reported, and in whose place another answers, never comes back.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::ids::Now;
+use crate::run_event::TargetReport;
+use crate::run_message::TargetInfo;
+
+/// Pause before a life that did not answer is asked again: a target in trouble is asked by its
+/// renewals as well.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// A life that neither answers nor reports for so long is not asked any more. Three reports.
+const ASKED_FOR: Duration = Duration::from_millis(4_500);
+/// Lives that may be asked at a time: the living one, and dead ones whose reports came late.
+const MOST_REPORTED: usize = 4;
+/// Dead lives that are remembered. A forgotten one that reports again is merely asked again.
+const MOST_PAST: usize = 64;
+
+/// A life that has reported and has not been proven to live yet.
+#[derive(Debug)]
+struct ReportedLife {
+    report: TargetReport,
+    reported_at: Now,
+    /// Where the question whether it lives stands.
+    question: Question,
+}
+
+/// See [`ReportedLife`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Question {
+    /// It is to be asked at this time.
+    Due(Now),
+    /// The call with this number has asked it.
+    Asked(u64),
+}
+
+impl Question {
+    fn due_at(self) -> Option<Now> {
+        match self {
+            Self::Due(at) => Some(at),
+            Self::Asked(_) => None,
+        }
+    }
+}
+
+/// What a report comes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reported {
+    /// Nothing: it is late, or says what is known.
+    Known,
+    /// The current life has changed.
+    Changed,
+    /// Another life reports, and is to be asked.
+    ToBeAsked,
+}
+
+/// See the module.
+#[derive(Debug, Default)]
+pub struct TargetLives {
+    current: Option<TargetInfo>,
+    /// Number of the current life's last report.
+    sequence: u64,
+    past: VecDeque<Arc<str>>,
+    reported: Vec<ReportedLife>,
+}
+
+impl TargetLives {
+    /// The life that is worked with, if any.
+    pub fn current(&self) -> Option<&TargetInfo> {
+        self.current.as_ref()
+    }
+
+    /// Its name.
+    pub fn current_life(&self) -> Option<Arc<str>> {
+        self.current.as_ref().map(|t| t.life.clone())
+    }
+
+    /// Takes in a report.
+    pub fn report(&mut self, now: Now, report: TargetReport) -> Reported {
+        if self.past.contains(&report.info.life) {
+            return Reported::Known;
+        }
+        if self.current_life().as_ref() == Some(&report.info.life) {
+            return self.report_of_current(report);
+        }
+        self.note_reported(now, report);
+        Reported::ToBeAsked
+    }
+
+    fn report_of_current(&mut self, report: TargetReport) -> Reported {
+        if report.sequence <= self.sequence {
+            return Reported::Known;
+        }
+        self.sequence = report.sequence;
+        if self.current.as_ref() == Some(&report.info) {
+            return Reported::Known;
+        }
+        self.current = Some(report.info);
+        Reported::Changed
+    }
+
+    fn note_reported(&mut self, now: Now, report: TargetReport) {
+        let life = &report.info.life;
+        let before = self
+            .reported
+            .iter_mut()
+            .find(|r| r.report.info.life == *life);
+        if let Some(before) = before {
+            before.reported_at = now;
+            if before.report.sequence < report.sequence {
+                before.report = report;
+            }
+            return;
+        }
+        if self.reported.len() >= MOST_REPORTED {
+            self.reported.remove(0);
+        }
+        self.reported.push(ReportedLife {
+            report,
+            reported_at: now,
+            question: Question::Due(now),
+        });
+    }
+
+    /// The next life that is to be asked now, by the call with this number.
+    pub fn take_due(&mut self, now: Now, number: u64) -> Option<Arc<str>> {
+        self.reported
+            .retain(|r| r.reported_at + ASKED_FOR > now || r.question.due_at().is_none());
+        let is_due = |r: &&mut ReportedLife| r.question.due_at().is_some_and(|at| at <= now);
+        let due = self.reported.iter_mut().find(is_due)?;
+        due.question = Question::Asked(number);
+        Some(due.report.info.life.clone())
+    }
+
+    /// When a life is to be asked next.
+    pub fn next_wake(&self) -> Option<Now> {
+        let due = self.reported.iter().filter_map(|r| r.question.due_at());
+        due.min()
+    }
+
+    /// The life that a call has asked, if the answer still matters.
+    pub fn asked_by(&self, number: u64) -> Option<Arc<str>> {
+        let mut reported = self.reported.iter();
+        let found = reported.find(|r| r.question == Question::Asked(number));
+        found.map(|r| r.report.info.life.clone())
+    }
+
+    /// A reported life has answered: it is the current one from now on. The one before must have
+    /// been ended.
+    pub fn answered(&mut self, now: Now, life: &str) {
+        let mut reported = self.reported.iter();
+        let Some(position) = reported.position(|r| &*r.report.info.life == life) else {
+            return;
+        };
+        let TargetReport { info, sequence } = self.reported.remove(position).report;
+        self.current = Some(info);
+        self.sequence = sequence;
+        // An answer of another life may be on its way from before this one began.
+        for other in &mut self.reported {
+            other.question = Question::Due(now);
+        }
+    }
+
+    /// A reported life has not answered.
+    pub fn unanswered(&mut self, now: Now, life: &str) {
+        let asked = self.reported.iter_mut();
+        for reported in asked.filter(|r| &*r.report.info.life == life) {
+            reported.question = Question::Due(now + ASK_AGAIN);
+        }
+    }
+
+    /// Another life answers in a life's place, or it has said goodbye: it is over for good.
+    pub fn over(&mut self, life: &Arc<str>) {
+        self.reported.retain(|r| r.report.info.life != *life);
+        if self.current_life().as_ref() == Some(life) {
+            self.current = None;
+        }
+        if self.past.len() >= MOST_PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(life.clone());
+    }
+}
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -8,7 +8,8 @@
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_agent::RunAgent;
 use trestleknot_lib::run_event::{
-    AgentAction, AgentEvent, AgentOptions, RenewalAnswer, StartAnswer, StartCall, TargetReport,
+    AgentAction, AgentEvent, AgentOptions, LifeAnswer, RenewalAnswer, StartAnswer, StartCall,
+    TargetReport,
 };
 use trestleknot_lib::run_message::{
     AgentNews, EntryPacket, Order, StartOrder, TargetInfo, Welcome,
@@ -61,6 +62,20 @@
     }
 }
 
+/// Numbers of the questions whether a life of the target lives, with the lives.
+fn questions(actions: &[AgentAction]) -> Vec<(u64, &str)> {
+    let asked = actions.iter().filter_map(|a| match a {
+        AgentAction::AskLife { look, life } => Some((look.number, &**life)),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Answers a question whether a life lives.
+fn life_answered(number: u64, answer: LifeAnswer) -> AgentEvent {
+    AgentEvent::LifeAnswered { number, answer }
+}
+
 /// An agent with a target whose lists it has read, and one entry.
 fn ready_agent() -> RunAgent {
     let options = AgentOptions {
@@ -73,6 +88,9 @@
     };
     let mut agent = RunAgent::new(Now::ZERO, options);
     let actions = agent.handle(ms(1), report("life-1", false, 1));
+    let (number, life) = questions(&actions)[0];
+    assert_eq!(life, "life-1");
+    let actions = agent.handle(ms(1), life_answered(number, LifeAnswer::Lives));
     let number = renewals(&actions)[0];
     let answer = lists();
     agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
@@ -189,6 +207,9 @@
 fn test_handle_new_life_is_learnt_before_it_gets_work() {
     let mut agent = ready_agent();
     let actions = agent.handle(ms(10), report("life-2", false, 1));
+    let (number, life) = questions(&actions)[0];
+    assert_eq!(life, "life-2");
+    let actions = agent.handle(ms(10), life_answered(number, LifeAnswer::Lives));
     let asked = renewals(&actions);
     assert_eq!(asked.len(), 1, "its lists are asked for");
     let refused = agent.handle(ms(11), packet(60_000, vec![start(0, 500)]));
@@ -502,3 +523,127 @@
     let actions = agent.handle(ms(900), from_second(vec![start(1, 5_000)]));
     assert_eq!(starts(&actions), 0, "{actions:?}");
 }
+
+/// An agent on whose target a run of its entry goes, started at 12 ms.
+fn agent_with_run() -> RunAgent {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_010 },
+    };
+    agent.handle(ms(12), started);
+    assert_eq!(agent.levels().runs, 1);
+    agent
+}
+
+#[test]
+fn test_handle_late_report_of_a_dead_life_ends_nothing() {
+    let mut agent = agent_with_run();
+    // A cut held it back until its sender had crashed and the present life had reported.
+    let actions = agent.handle(ms(20), report("life-0", false, 9));
+    assert_eq!(agent.levels().runs, 1, "a report proves nothing");
+    let (number, life) = questions(&actions)[0];
+    assert_eq!(life, "life-0");
+    agent.handle(ms(21), life_answered(number, LifeAnswer::OtherLife));
+    assert_eq!(agent.levels().runs, 1);
+    let actions = agent.handle(ms(22), packet(60_000, vec![start(1, 5_000)]));
+    assert_eq!(starts(&actions), 1, "the living life gets work");
+    // What is known to be dead is not asked again.
+    let actions = agent.handle(ms(23), report("life-0", false, 10));
+    assert_eq!(questions(&actions), []);
+}
+
+#[test]
+fn test_handle_answer_of_a_new_life_ends_the_one_before() {
+    let mut agent = agent_with_run();
+    let actions = agent.handle(ms(20), report("life-2", false, 1));
+    assert_eq!(agent.levels().runs, 1, "a report proves nothing");
+    let (number, _) = questions(&actions)[0];
+    agent.handle(ms(21), life_answered(number, LifeAnswer::Lives));
+    assert_eq!(agent.levels().runs, 0);
+}
+
+#[test]
+fn test_handle_silent_life_is_asked_again_for_a_while() {
+    let mut agent = agent_with_run();
+    let mut actions = agent.handle(ms(20), report("life-2", false, 1));
+    let mut asked = 0;
+    for step in 3..1_000 {
+        let now = ms(10 * step);
+        let mut next = Vec::new();
+        for (number, _) in questions(&actions) {
+            asked += 1;
+            next.extend(agent.handle(now, life_answered(number, LifeAnswer::Silent)));
+        }
+        next.extend(agent.handle(now, AgentEvent::Wake));
+        actions = next;
+    }
+    assert!((10..60).contains(&asked), "asked {asked} times");
+}
+
+#[test]
+fn test_handle_answer_from_before_the_present_life_does_not_end_it() {
+    // An agent that has just started and knows nothing: the dead life's report comes first.
+    let mut agent = ready_agent();
+    let old = agent.handle(ms(20), report("life-2", false, 1));
+    let (old_question, _) = questions(&old)[0];
+    let new = agent.handle(ms(21), report("life-3", false, 1));
+    let (new_question, _) = questions(&new)[0];
+    let actions = agent.handle(ms(22), life_answered(new_question, LifeAnswer::Lives));
+    let (asked_anew, life) = questions(&actions)[0];
+    assert_eq!(life, "life-2");
+    // The dead life's answer was on its way for longer.
+    let late = agent.handle(ms(23), life_answered(old_question, LifeAnswer::Lives));
+    assert_eq!(refusal(&late), None);
+    agent.handle(ms(24), life_answered(asked_anew, LifeAnswer::OtherLife));
+    let number = *renewals(&actions).last().expect("its lists are asked for");
+    let answer = lists();
+    agent.handle(ms(25), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(26), packet(60_000, vec![start(1, 5_000)]));
+    let call = start_calls(&actions).pop().expect("it is started");
+    assert_eq!(&*call.life, "life-3");
+}
+
+#[test]
+fn test_handle_late_lists_of_a_dead_life_are_not_read() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let old = fence(&actions).number;
+    let actions = agent.handle(ms(20), report("life-2", false, 1));
+    let (number, _) = questions(&actions)[0];
+    let actions = agent.handle(ms(21), life_answered(number, LifeAnswer::Lives));
+    let new = fence(&actions).number;
+    let (number, answer) = (new, lists());
+    agent.handle(ms(22), AgentEvent::RenewalAnswered { number, answer });
+    // Its number of ends is far above those of the present life.
+    let answer = RenewalAnswer::Lists {
+        clock: 900_000,
+        running: Vec::new(),
+        ended: vec![(500, key(9), RunEnd::Done)],
+    };
+    let number = old;
+    agent.handle(ms(23), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(24), packet(60_000, vec![start(1, 5_000)]));
+    let call = start_calls(&actions).pop().expect("it is started");
+    assert!(
+        call.until < 100_000,
+        "the dead life's clock: {}",
+        call.until
+    );
+    let started = AgentEvent::StartAnswered {
+        key: key(1),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_020 },
+    };
+    let actions = agent.handle(ms(25), started);
+    let number = renewals(&actions).last().copied().unwrap_or(new + 1);
+    let answer = RenewalAnswer::Lists {
+        clock: 1_030,
+        running: Vec::new(),
+        ended: vec![(1, key(1), RunEnd::Done)],
+    };
+    agent.handle(ms(30), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 0, "its own end is news");
+}
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -75,6 +75,7 @@
         Strike::Trouble(0, slow(6.0), ms(2_000)),
         Strike::Trouble(0, slow(f64::INFINITY), ms(2_000)),
         Strike::LateOrders(0, ms(2_500)),
+        Strike::LateReports(0, ms(2_500)),
         Strike::ClockBack,
     ]
 }
@@ -158,6 +159,7 @@
         Strike::Crash(_) => Strike::Crash(index),
         Strike::Trouble(_, trouble, t) => Strike::Trouble(index, trouble, t),
         Strike::LateOrders(_, t) => Strike::LateOrders(index, t),
+        Strike::LateReports(_, t) => Strike::LateReports(index, t),
         other @ (Strike::Leave(_) | Strike::ClockBack) => other,
     }
 }
@@ -188,6 +190,26 @@
     }
 }
 
+#[test]
+fn test_run_until_late_reports_behind_crashes_keep_promises() {
+    // Reports of dead lives come after those of living ones, while agents lose their memory.
+    for seed in 0..100 {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let mut strikes = Vec::new();
+        for i in 0..AGENTS {
+            let from = rng.random_range(600..3_000);
+            strikes.push((ms(from), Strike::LateReports(i, ms(4_000))));
+            strikes.push((ms(from + rng.random_range(0..3_000)), Strike::Crash(i)));
+            let kill = Strike::Kill(Node::Agent(i));
+            strikes.push((ms(from + rng.random_range(0..4_000)), kill));
+        }
+        let fleet = play(seed, &strikes);
+        assert_kept(&fleet, &format!("seed {seed}, {strikes:?}"));
+        let late = fleet.served(ms(8_000), LOAD_TO);
+        assert!(late > 0.95, "seed {seed}: only {late} served after it");
+    }
+}
+
 #[test]
 fn test_run_until_leaving_target_gets_no_work() {
     let left = ms(2_000);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -80,6 +80,8 @@
     Trouble(usize, TargetTrouble, Duration),
     /// Half of the orders to a target are not answered for a while, and carried out seconds later.
     LateOrders(usize, Duration),
+    /// A target's reports come again seconds later for a while, and half of them only then.
+    LateReports(usize, Duration),
     /// A target says that it leaves.
     Leave(usize),
     /// The time of day from which tokens come is set back by an hour.
@@ -96,6 +98,7 @@
     Order(usize, targets::LateOrder),
     Look(usize),
     Report(usize, bool),
+    LateReport(usize, TargetReport),
     Submit(BatchId),
     Gone(usize, u64, RequestId),
     Start(Node),
@@ -362,6 +365,7 @@
             Event::Order(i, order) => self.late_order(i, order),
             Event::Look(i) => self.look(i),
             Event::Report(i, again) => self.report(i, again),
+            Event::LateReport(i, report) => self.tell_agent(i, AgentEvent::Report(report)),
             Event::Submit(id) => self.submit(id),
             Event::Gone(i, life, request) => {
                 if self.entries[i].life == life {
@@ -493,6 +497,7 @@
             AgentAction::Start(call) => self.order_start(i, call),
             AgentAction::Stop { key, token, life } => self.order_stop(i, key, token, life),
             AgentAction::Renew { renewal, life } => self.order_renewal(i, renewal, life),
+            AgentAction::AskLife { look, life } => self.ask_life(i, look, &life),
             AgentAction::Log(event) => {
                 let line = format!("{:?} agent-{i} {:?} {}", self.now, event.code, event.detail);
                 self.log.push(line);
@@ -501,19 +506,6 @@
         }
     }
 
-    fn report(&mut self, i: usize, again: bool) {
-        if again {
-            self.after(REPORT_EVERY, Event::Report(i, true));
-        }
-        if self.targets[i].is_down(self.now) {
-            return;
-        }
-        let (info, sequence) = self.targets[i].target.report();
-        let life = self.agents[i].life;
-        let event = AgentEvent::Report(TargetReport { info, sequence });
-        self.after(Duration::from_millis(1), Event::Agent(i, life, event));
-    }
-
     // Callers.
 
     fn submit(&mut self, id: BatchId) {
@@ -638,6 +630,10 @@
                 self.targets[i].target.trouble = trouble;
                 self.after(length, Event::End(targets::Ending::Trouble(i)));
             }
+            Strike::LateReports(i, length) => {
+                self.targets[i].delays_reports = true;
+                self.after(length, Event::End(targets::Ending::LateReports(i)));
+            }
             Strike::LateOrders(i, length) => {
                 self.targets[i].loses_orders = true;
                 self.after(length, Event::End(targets::Ending::LateOrders(i)));
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -8,10 +8,12 @@
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::RunKey;
 use trestleknot_lib::run_book::FencingToken;
-use trestleknot_lib::run_event::{AgentEvent, RenewalAnswer, StartAnswer, StartCall};
+use trestleknot_lib::run_event::{
+    AgentEvent, LifeAnswer, RenewalAnswer, StartAnswer, StartCall, TargetReport,
+};
 use trestleknot_lib::target_lease::Renewal;
 
-use super::{Event, RunFleet};
+use super::{Event, REPORT_EVERY, RunFleet};
 use crate::run_target::{RunTarget, StartRequest, TargetTrouble};
 
 /// One way between an agent and its target.
@@ -30,6 +32,7 @@
 pub(super) enum Ending {
     Trouble(usize),
     LateOrders(usize),
+    LateReports(usize),
 }
 
 struct Waiting {
@@ -43,6 +46,8 @@
 pub(super) struct Served {
     pub(super) target: RunTarget,
     pub(super) loses_orders: bool,
+    /// Whether each report comes a second time seconds later, and half of them only then.
+    pub(super) delays_reports: bool,
     down_until: Now,
     waiting: Vec<Waiting>,
 }
@@ -52,6 +57,7 @@
         Self {
             target,
             loses_orders: false,
+            delays_reports: false,
             down_until: Now::ZERO,
             waiting: Vec::new(),
         }
@@ -160,6 +166,43 @@
         self.watch(i);
     }
 
+    pub(super) fn ask_life(&mut self, i: usize, look: Renewal, life: &Arc<str>) {
+        let agent_life = self.agents[i].life;
+        let number = look.number;
+        let answered = |answer| AgentEvent::LifeAnswered { number, answer };
+        let is_lost = self.targets[i].is_down(self.now)
+            || self.targets[i].target.trouble.is_mute
+            || self.loses(i);
+        if is_lost {
+            return self.answer(i, agent_life, look.limit, answered(LifeAnswer::Silent));
+        }
+        let target = &mut self.targets[i].target;
+        let answer = target.renew(self.now, look.token, look.until, look.last_seen, Some(life));
+        self.answer(i, agent_life, DELAY * 2, answered(answer.into()));
+    }
+
+    /// A report on its way to the agent, late if the target's reports are held back.
+    pub(super) fn report(&mut self, i: usize, again: bool) {
+        if again {
+            self.after(REPORT_EVERY, Event::Report(i, true));
+        }
+        if self.targets[i].is_down(self.now) {
+            return;
+        }
+        let (info, sequence) = self.targets[i].target.report();
+        let report = TargetReport { info, sequence };
+        if self.targets[i].delays_reports {
+            let pause = Duration::from_millis(self.rng.random_range(100..4_000));
+            self.after(pause, Event::LateReport(i, report.clone()));
+        }
+        let is_held = self.targets[i].delays_reports && self.rng.random_bool(0.5);
+        if !is_held {
+            let life = self.agents[i].life;
+            let event = AgentEvent::Report(report);
+            self.after(Duration::from_millis(1), Event::Agent(i, life, event));
+        }
+    }
+
     /// Looks at a target again when something happens there by itself.
     fn watch(&mut self, i: usize) {
         if let Some(at) = self.targets[i].target.next_change() {
@@ -241,6 +284,7 @@
         match ending {
             Ending::Trouble(i) => self.targets[i].target.trouble = TargetTrouble::default(),
             Ending::LateOrders(i) => self.targets[i].loses_orders = false,
+            Ending::LateReports(i) => self.targets[i].delays_reports = false,
         }
     }
 }
