agent, entry: one chain of times from the platform's bounds; runs without owner are not renewed

Cause: entry lease, proof of loss, stop bound, graces and drain limits were constants made for leases of 1 s, 6 s of grace and callers back after 1.3 s, while the lease itself came from the settings: at 3 s the proof by time was false. A new life of an agent renewed adopted runs for 0.7 s before any entry claimed them, beyond what an entry that had lost the agent counts on (3.5 s against 2.6 s with a mute target, on paper).

Change: lib/src/timings.rs works every time out of four bounds and refuses impossible ones by name; leases are asked no longer than callers stay away. Runs without an owner are looked at, not renewed, and stopped after 0.2 s.

entry: callers that return after their objective go last

Change: patience far under a queue's median marks a caller as returning; if its objective is past it goes behind the others, else its age counts in its due time.

--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -137,9 +137,20 @@
             .arg(
                 Arg::new("job")
                     .required(true)
-                    .help("Job id, as in its answer"),
+                    .help("Job id, as in its answer; with --logs a batch's or a request's id"),
+            )
+            .arg(
+                Arg::new("logs")
+                    .long("logs")
+                    .value_name("DIR")
+                    .value_parser(value_parser!(PathBuf))
+                    .help("Read the log files of this folder, one a process, and ask nobody"),
+            )
+            .arg(
+                operators_arg()
+                    .required(false)
+                    .required_unless_present("logs"),
             )
-            .arg(operators_arg())
             .arg(json_arg()),
         Command::new("hash-key")
             .about("Print the hash of a team's key, for the configuration")
--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -170,6 +170,7 @@
         address: common.link_address,
         seeds: common.seeds.clone(),
         seed: life,
+        timings: common.timings,
     };
     let node = EntryNode::start(options, listener);
     let feed = Rc::new(Store::new(common.store).await);
@@ -229,7 +230,7 @@
         name: common.name.as_str().into(),
         life,
         hall: common.hall.as_str().into(),
-        lease: settings.lease,
+        timings: common.timings,
         token: time_of_day_ms(),
         seeds: common.seeds.clone(),
     };
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -26,17 +26,8 @@
 use crate::run::{BatchId, RunKey};
 use crate::run_message::{AgentMillis, Order, Packet, PeerPacket, StartOrder};
 use crate::target_board::TargetBoard;
+use crate::usual_patience::UsualPatience;
 
-/// How long an agent keeps an entry's runs after the entry's last word. Three heartbeats.
-pub const ENTRY_LEASE: Duration = Duration::from_millis(800);
-/// How long after the last word to an agent that is lost its runs are proven over: the entry's
-/// lease (0.8 s), the bound on stops (0.5 s), the target's lease on a clock 2% slow (1.02 s),
-/// a stop's time and some slack.
-pub const LOST_PROOF: Duration = Duration::from_millis(2_600);
-/// How long an order to start may take to reach the target. Later ones are refused by the agent.
-const START_WINDOW: Duration = Duration::from_millis(500);
-/// A link to an agent that has been silent for so long is closed.
-const SILENT_AGENT: Duration = Duration::from_millis(1_500);
 /// Batches in a row that find no room before the rest is left for later.
 const MOST_MISSES: u32 = 6;
 
@@ -61,6 +52,7 @@
     needs_placing: bool,
     drain: EntryDrain,
     early: EarlyBatches,
+    usual_patience: UsualPatience,
     exited: bool,
 }
 
@@ -72,14 +64,15 @@
             now: Now::ZERO,
             rng: ChaCha8Rng::seed_from_u64(options.seed ^ options.life),
             out: Vec::new(),
-            directory: EntryDirectory::new(options.clone(), LOST_PROOF),
+            directory: EntryDirectory::new(options.clone(), options.timings.lost_proof),
             table: BatchTable::default(),
             board: TargetBoard::default(),
             outboxes: BTreeMap::new(),
             lost: BTreeMap::new(),
             needs_placing: false,
-            drain: EntryDrain::default(),
+            drain: EntryDrain::new(&options.timings),
             early: EarlyBatches::default(),
+            usual_patience: UsualPatience::default(),
             exited: false,
             options,
         }
@@ -170,7 +163,7 @@
         let seeds = self.options.seeds.clone();
         self.learn_entries(seeds);
         self.directory.close_silent(self.now);
-        let before = self.now.saturating_sub(SILENT_AGENT);
+        let before = self.now.saturating_sub(self.options.timings.silent_link);
         for link in self.board.silent(before) {
             self.out.push(EntryAction::Close(link));
             self.link_down(link);
@@ -220,7 +213,8 @@
             return;
         };
         let spec = &batch.steps[step].spec;
-        let start_by = view.agent_clock(self.now) + START_WINDOW.as_millis() as AgentMillis;
+        let window = self.options.timings.start_window.as_millis() as AgentMillis;
+        let start_by = view.agent_clock(self.now) + window;
         let order = StartOrder {
             batch: id,
             step: step as u16,
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::{BatchEntry, ENTRY_LEASE, LOST_PROOF, Outbox};
+use super::{BatchEntry, Outbox};
 use crate::batch_event::EntryAction;
 use crate::batch_table::{BatchState, RunOver};
 use crate::events::EventCode;
@@ -14,8 +14,6 @@
 };
 use crate::target_board::{Need, Outcome, SlowRun, Verdict};
 
-/// An agent's packet is answered at the latest after this much silence from the entry.
-const ANSWER_AFTER: Duration = Duration::from_millis(150);
 /// A slow run is moved if the move takes less than this share of what it still needs.
 const MOVE_GAIN: f64 = 0.7;
 /// What a move costs on top of the work: a stop, its news and an order.
@@ -44,7 +42,8 @@
             format!("agent={agent} runs={out} heard_ms_ago={silent_ms}"),
         );
         if out > 0 {
-            self.lost.insert(agent, view.sent + LOST_PROOF);
+            self.lost
+                .insert(agent, view.sent + self.options.timings.lost_proof);
         }
     }
 
@@ -65,10 +64,11 @@
         for news in packet.news {
             self.agent_news(link, news);
         }
+        let answer_after = self.options.timings.answer_after();
         let is_quiet = self
             .board
             .get(link)
-            .is_some_and(|v| v.sent + ANSWER_AFTER <= self.now);
+            .is_some_and(|v| v.sent + answer_after <= self.now);
         if is_quiet {
             self.send_orders(link);
         }
@@ -293,7 +293,7 @@
             return;
         };
         view.sent = now;
-        let lease = ENTRY_LEASE.as_millis() as AgentMillis;
+        let lease = self.options.timings.entry_lease.as_millis() as AgentMillis;
         let packet = EntryPacket {
             lease_until: view.agent_clock(now) + lease,
             waiting,
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -53,13 +53,16 @@
     pub(super) fn admit_or_refuse(&mut self, submission: Submission) {
         let request = submission.request;
         let id = submission.spec.id;
+        let caller_request = submission.caller_request.clone();
         match self.admit(submission) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
                 let version = self.directory.config().version();
                 self.log(
                     EventCode::BatchRefused,
-                    format!("job={id:016x} config={version} answer={reply:?}"),
+                    format!(
+                        "job={id:016x} request={caller_request} config={version} answer={reply:?}"
+                    ),
                 );
                 self.out.push(EntryAction::Reply(request, reply));
             }
@@ -73,6 +76,7 @@
             path,
             spec,
             patience,
+            caller_request,
         } = submission;
         let queue = self.queue_of(&host, &path)?;
         if let Some(unsupported) = spec.unsupported {
@@ -85,18 +89,22 @@
         if self.drain.would_be_outlasted(self.now, chain) {
             return Err(refused(Refusal::Draining));
         }
-        let times = self.times_of(&spec, &queue, patience);
+        let caller_return = self.options.timings.caller_return;
+        let is_returning = self
+            .usual_patience
+            .is_returning(&queue.name, patience, caller_return);
+        let times = self.times_of(&spec, &queue, patience, is_returning);
         if self.table.get(spec.id).is_some() {
-            return self.admit_again(&spec, request, times);
+            return self.admit_again(&spec, request, times, &caller_request);
         }
         let tasks: u32 = spec.steps.iter().map(|s| s.count).sum();
-        let objective_ms = (times.due - times.arrived).as_millis();
+        let due_ms = (times.due - times.arrived).as_millis();
         let usable = self.board.usable(self.now);
         self.log(
             EventCode::BatchAdmitted,
             format!(
-                "job={:016x} queue={} tasks={tasks} objective_ms={objective_ms} patience_ms={} \
-                 config={} targets={usable} held={}",
+                "job={:016x} request={caller_request} queue={} tasks={tasks} due_ms={due_ms} patience_ms={} \
+                 returning={is_returning} config={} targets={usable} held={}",
                 spec.id,
                 queue.name,
                 patience.as_millis(),
@@ -116,6 +124,7 @@
         spec: &BatchSpec,
         request: RequestId,
         times: BatchTimes,
+        caller_request: &str,
     ) -> Result<(), Reply> {
         let id = spec.id;
         let before = self.table.take_request(id);
@@ -124,7 +133,7 @@
         }
         self.log(
             EventCode::BatchAdmitted,
-            format!("job={id:016x} again=true"),
+            format!("job={id:016x} request={caller_request} again=true"),
         );
         self.table.reopen(id, request, times);
         Ok(())
@@ -135,6 +144,7 @@
         spec: &BatchSpec,
         queue: &Queue,
         patience: Duration,
+        is_returning: bool,
     ) -> BatchTimes {
         let arrived = self.now;
         let chain = spec.longest_chain();
@@ -144,9 +154,17 @@
         if self.board.usable(self.now) == 0 {
             wait = wait.max(WAIT_FOR_TARGETS);
         }
+        let age = if is_returning {
+            self.options.timings.caller_return
+        } else {
+            Duration::ZERO
+        };
+        let left = objective.saturating_sub(age);
+        let is_overdue = left.is_zero();
         BatchTimes {
             arrived,
-            due: arrived + objective,
+            due: arrived + if is_overdue { objective } else { left },
+            is_overdue,
             give_up: arrived + patience,
             place_by: arrived + wait.min(patience),
         }
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -13,6 +13,7 @@
 use crate::queue::QueueTable;
 use crate::run::BatchId;
 use crate::run_message::Packet;
+use crate::timings::Timings;
 
 /// What an entry is told at start.
 #[derive(Debug, Clone)]
@@ -29,6 +30,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Seed of all random choices.
     pub seed: u64,
+    /// The chain of times.
+    pub timings: Timings,
 }
 
 /// A batch as it arrives.
@@ -44,6 +47,8 @@
     pub spec: BatchSpec,
     /// How long the caller waits.
     pub patience: Duration,
+    /// The caller's own id of its request, for the log; empty if it gave none.
+    pub caller_request: Arc<str>,
 }
 
 /// A caller's question about a queue or a batch.
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -109,6 +109,8 @@
     pub arrived: Now,
     /// When it should be done.
     pub due: Now,
+    /// Whether its objective was past before it came: its caller has been elsewhere.
+    pub is_overdue: bool,
     /// When its caller's time is up.
     pub give_up: Now,
     /// When it is refused if nothing of it has been placed by then.
@@ -144,6 +146,7 @@
             steps: steps.collect(),
             arrived: times.arrived,
             due: times.due,
+            is_overdue: times.is_overdue,
             give_up: times.give_up,
             place_by: times.place_by,
             is_tried: false,
@@ -152,6 +155,13 @@
         }
     }
 
+    fn turn(&self) -> Turn {
+        Turn {
+            is_overdue: self.is_overdue,
+            due: self.due,
+        }
+    }
+
     /// Whether all steps that a step waits for are done.
     pub fn is_ready(&self, step: usize) -> bool {
         let after = &self.steps[step].spec.after;
@@ -217,6 +227,8 @@
     /// See [`Batch`].
     pub due: Now,
     /// See [`Batch`].
+    pub is_overdue: bool,
+    /// See [`Batch`].
     pub give_up: Now,
     /// See [`Batch`].
     pub place_by: Now,
@@ -249,11 +261,19 @@
     Closed,
 }
 
+/// Place of a batch among those that wait. Those whose objective was past before they came go last:
+/// they can't be in time any more, and would make others late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Turn {
+    is_overdue: bool,
+    due: Now,
+}
+
 /// All batches of an entry.
 #[derive(Debug, Default)]
 pub struct BatchTable {
     batches: BTreeMap<BatchId, Batch>,
-    waiting: BTreeSet<(Now, BatchId)>,
+    waiting: BTreeSet<(Turn, BatchId)>,
     wakes: BTreeSet<(Now, BatchId)>,
     by_request: BTreeMap<RequestId, BatchId>,
     by_agent: BTreeMap<NodeName, BTreeSet<RunKey>>,
@@ -265,7 +285,7 @@
         if let Some(request) = batch.request {
             self.by_request.insert(request, id);
         }
-        self.waiting.insert((batch.due, id));
+        self.waiting.insert((batch.turn(), id));
         self.wakes.insert((batch.place_by, id));
         self.wakes.insert((batch.give_up, id));
         self.batches.insert(id, batch);
@@ -326,7 +346,7 @@
         if let Some(request) = batch.request {
             self.by_request.remove(&request);
         }
-        self.waiting.remove(&(batch.due, id));
+        self.waiting.remove(&(batch.turn(), id));
         self.wakes.remove(&(batch.place_by, id));
         self.wakes.remove(&(batch.give_up, id));
         for (key, agent) in batch.outs(id, false) {
@@ -353,13 +373,14 @@
         let Some(batch) = self.batches.get_mut(&id) else {
             return;
         };
-        self.waiting.remove(&(batch.due, id));
+        self.waiting.remove(&(batch.turn(), id));
         self.wakes.remove(&(batch.place_by, id));
         self.wakes.remove(&(batch.give_up, id));
         batch.request = Some(request);
         batch.state = BatchState::Open;
         batch.arrived = times.arrived;
         batch.due = times.due;
+        batch.is_overdue = times.is_overdue;
         batch.give_up = times.give_up;
         batch.place_by = times.place_by;
         self.by_request.insert(request, id);
@@ -374,13 +395,13 @@
             return;
         };
         if batch.has_waiting() {
-            self.waiting.insert((batch.due, id));
+            self.waiting.insert((batch.turn(), id));
         } else {
-            self.waiting.remove(&(batch.due, id));
+            self.waiting.remove(&(batch.turn(), id));
         }
     }
 
-    /// Batches with tasks that wait, the first due first.
+    /// Batches with tasks that wait, in the order in which they are placed.
     pub fn in_order(&self) -> impl Iterator<Item = BatchId> {
         self.waiting.iter().map(|(_, id)| *id)
     }
--- a/lib/src/entry_drain.rs
+++ b/lib/src/entry_drain.rs
@@ -3,24 +3,33 @@
 use std::time::Duration;
 
 use crate::ids::Now;
+use crate::timings::Timings;
 
 /// Times its estimated work that a batch may need at the most, as a stopping entry counts.
 const MARGIN: u32 = 2;
 /// Added to the above for placing and answering.
 const SLACK: Duration = Duration::from_millis(200);
-/// After the order to stop, all new requests are served for so long: the balancer asks every
-/// second and takes an entry out at the second miss.
-const SERVE_ON: Duration = Duration::from_millis(3_200);
-/// Latest end: before the last sixth of the 6 s that the platform allows.
-const LIMIT: Duration = Duration::from_millis(5_300);
 
 /// See the module.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EntryDrain {
     since: Option<Now>,
+    /// All new requests are served for so long.
+    serve_on: Duration,
+    /// Latest end.
+    limit: Duration,
 }
 
 impl EntryDrain {
+    /// A drain that has not begun.
+    pub fn new(timings: &Timings) -> Self {
+        Self {
+            since: None,
+            serve_on: timings.serve_on,
+            limit: timings.entry_stop,
+        }
+    }
+
     /// Begins; false if it had begun before.
     pub fn begin(&mut self, now: Now) -> bool {
         let is_first = self.since.is_none();
@@ -38,26 +47,26 @@
     pub fn would_be_outlasted(&self, now: Now, chain: Duration) -> bool {
         self.since.is_some_and(|since| {
             let needs = chain * MARGIN + SLACK;
-            now >= since + SERVE_ON && now + needs > since + LIMIT
+            now >= since + self.serve_on && now + needs > since + self.limit
         })
     }
 
     /// Whether the process is to end.
     pub fn is_over(&self, now: Now, holds_nothing: bool) -> bool {
         self.since.is_some_and(|since| {
-            let may_end = holds_nothing && now >= since + SERVE_ON;
-            may_end || now >= since + LIMIT
+            let may_end = holds_nothing && now >= since + self.serve_on;
+            may_end || now >= since + self.limit
         })
     }
 
     /// When to look again.
     pub fn next_wake(&self, now: Now) -> Option<Now> {
         let since = self.since?;
-        let serves_until = since + SERVE_ON;
+        let serves_until = since + self.serve_on;
         Some(if now < serves_until {
             serves_until
         } else {
-            since + LIMIT
+            since + self.limit
         })
     }
 }
--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -10,14 +10,8 @@
 use crate::resources::Resources;
 use crate::room_shares::{Demand, Room, RoomShares};
 use crate::run_message::AgentNews;
+use crate::timings::Timings;
 
-/// How often an agent shows a quiet link that it lives. A third of an entry's lease.
-pub const HEARTBEAT: Duration = Duration::from_millis(250);
-/// A link on which nothing has come for so long is closed and dialled again. Six heartbeats.
-const SILENT_LINK: Duration = Duration::from_millis(1_500);
-/// A closed link may be back within this; then the entry's runs are stopped. Well under the
-/// 1.3 s after which callers of a dead entry hand their batches in again elsewhere.
-const RECONNECT_GRACE: Duration = Duration::from_millis(250);
 /// How often an entry with waiting tasks is told of a changed load.
 const LOAD_TO_WAITING: Duration = Duration::from_millis(3);
 /// How often any other entry is told of a changed load, for each link that the agent has: three
@@ -49,14 +43,14 @@
 
 impl EntryLink {
     /// When a packet is due.
-    fn due_at(&self, load_every: Duration) -> Now {
+    fn due_at(&self, load_every: Duration, heartbeat: Duration) -> Now {
         if !self.news.is_empty() {
             return Now::ZERO;
         }
         match (self.told != self.share, self.waiting > 0) {
             (true, true) => self.sent + LOAD_TO_WAITING,
             (true, false) => self.sent + load_every,
-            (false, _) => self.sent + HEARTBEAT,
+            (false, _) => self.sent + heartbeat,
         }
     }
 }
@@ -75,14 +69,25 @@
 }
 
 /// See the module.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EntryLeases {
+    timings: Timings,
     links: BTreeMap<SessionId, EntryLink>,
     until: BTreeMap<Incarnation, Now>,
     shares: RoomShares,
 }
 
 impl EntryLeases {
+    /// An agent without any link.
+    pub fn new(timings: Timings) -> Self {
+        Self {
+            timings,
+            links: BTreeMap::new(),
+            until: BTreeMap::new(),
+            shares: RoomShares::default(),
+        }
+    }
+
     /// Notes a new link.
     pub fn opened(&mut self, now: Now, link: SessionId) {
         let fresh = EntryLink {
@@ -98,7 +103,7 @@
         let gone = self.links.remove(&link)?;
         self.shares.leave(link);
         if let Some(until) = gone.entry.and_then(|e| self.until.get_mut(&e)) {
-            *until = (*until).min(now + RECONNECT_GRACE);
+            *until = (*until).min(now + self.timings.reconnect_grace);
         }
         Some(gone)
     }
@@ -189,15 +194,16 @@
     }
 
     fn load_every(&self) -> Duration {
-        (LOAD_PER_LINK * self.links.len() as u32).min(HEARTBEAT)
+        (LOAD_PER_LINK * self.links.len() as u32).min(self.timings.heartbeat)
     }
 
     /// Links on which a packet is due, with what it is to say.
     pub fn take_due(&mut self, now: Now) -> Vec<DuePacket> {
         let mut due = Vec::new();
+        let heartbeat = self.timings.heartbeat;
         let load_every = self.load_every();
         for (id, link) in &mut self.links {
-            if link.due_at(load_every) > now {
+            if link.due_at(load_every, heartbeat) > now {
                 continue;
             }
             link.sent = now;
@@ -214,7 +220,8 @@
 
     /// Links that have been silent for too long.
     pub fn silent(&self, now: Now) -> Vec<SessionId> {
-        let silent = |link: &EntryLink| link.heard + SILENT_LINK <= now;
+        let silent_link = self.timings.silent_link;
+        let silent = |link: &EntryLink| link.heard + silent_link <= now;
         let links = self.links.iter();
         links
             .filter(|(_, link)| silent(link))
@@ -225,7 +232,15 @@
     /// When something is due next.
     pub fn next_wake(&self) -> Option<Now> {
         let load_every = self.load_every();
-        let due = |link: &EntryLink| link.due_at(load_every).min(link.heard + SILENT_LINK);
+        let Timings {
+            heartbeat,
+            silent_link,
+            ..
+        } = self.timings;
+        let due = |link: &EntryLink| {
+            link.due_at(load_every, heartbeat)
+                .min(link.heard + silent_link)
+        };
         let links = self.links.values().map(due);
         links.chain(self.shares.next_wake()).min()
     }
--- /dev/null
+++ b/lib/src/request_story.rs
@@ -0,0 +1,134 @@
+//! What became of one request, put together from the log lines of all processes.
+//!
+//! A request is named by the id that its caller gave it or by its batch's id. The lines of entries
+//! and agents carry both, so a search in two steps finds them all; the story ends with the cause in
+//! words.
+
+use std::collections::BTreeSet;
+
+/// A line and the process that wrote it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct StoryLine {
+    /// Seconds since 1970.
+    pub at: f64,
+    /// The process, as its log file is named.
+    pub process: String,
+    /// What it wrote after the time and level.
+    pub text: String,
+}
+
+/// See the module.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RequestStory {
+    /// The lines, in order of time.
+    pub lines: Vec<StoryLine>,
+    /// What became of the request, in words.
+    pub verdict: String,
+}
+
+/// The value of `key=value` in a line.
+fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
+    let words = text.split(' ');
+    let found = words.filter_map(|word| word.split_once('='));
+    found
+        .filter(|(name, _)| *name == key)
+        .map(|(_, value)| value)
+        .next()
+}
+
+fn number(text: &str, key: &str) -> u64 {
+    value(text, key)
+        .and_then(|v| v.parse().ok())
+        .unwrap_or_default()
+}
+
+fn is_answer(text: &str) -> bool {
+    text.starts_with("batch answered") || text.starts_with("batch refused")
+}
+
+/// Reads a line: `... t=SECONDS level=LEVEL TEXT`.
+fn read_line(process: &str, line: &str) -> Option<StoryLine> {
+    let (_, rest) = line.split_once("t=")?;
+    let (at, rest) = rest.split_once(' ')?;
+    let (_, text) = rest.split_once(' ')?;
+    Some(StoryLine {
+        at: at.parse().ok()?,
+        process: process.to_owned(),
+        text: text.to_owned(),
+    })
+}
+
+impl RequestStory {
+    /// Puts a story together. `logs` gives each process's name and its log.
+    pub fn of(id: &str, logs: &[(String, String)]) -> Self {
+        let mut ids = BTreeSet::from([id.to_owned()]);
+        for (_, log) in logs {
+            let named = log.lines().filter(|l| value(l, "request") == Some(id));
+            ids.extend(named.filter_map(|l| value(l, "job")).map(str::to_owned));
+        }
+        let mut lines = Vec::new();
+        for (process, log) in logs {
+            let about = log.lines().filter(|l| ids.iter().any(|id| l.contains(id)));
+            lines.extend(about.filter_map(|l| read_line(process, l)));
+        }
+        lines.sort_by(|a, b| a.at.total_cmp(&b.at));
+        let verdict = verdict(&lines);
+        Self { lines, verdict }
+    }
+}
+
+fn verdict(lines: &[StoryLine]) -> String {
+    let admitted = lines.iter().rev();
+    let admitted = admitted
+        .clone()
+        .find(|l| l.text.starts_with("batch admitted"));
+    let Some(answer) = lines.iter().rev().find(|l| is_answer(&l.text)) else {
+        return no_answer(admitted);
+    };
+    let is_open = admitted.is_some_and(|a| a.at > answer.at);
+    if is_open {
+        return no_answer(admitted);
+    }
+    let process = &answer.process;
+    let text = &answer.text;
+    if text.starts_with("batch refused") {
+        return format!("refused by {process} on arrival: nothing ran");
+    }
+    let (took, objective) = (number(text, "took_ms"), number(text, "objective_ms"));
+    match value(text, "answer") {
+        Some("Succeeded") if took <= objective => {
+            format!("served by {process} in {took} ms, objective {objective} ms")
+        }
+        Some("Succeeded") => late(lines, took, objective),
+        Some("Refused") => format!(
+            "refused by {process} after {took} ms: no target had room before its slack was spent; \
+             nothing ran"
+        ),
+        Some("GaveUp") => format!("given up by {process} after {took} ms, with tasks begun"),
+        Some(other) => format!("answered by {process} as {other} after {took} ms"),
+        None => format!("answered by {process}"),
+    }
+}
+
+fn no_answer(admitted: Option<&StoryLine>) -> String {
+    match admitted {
+        None => "no entry logged it: it never arrived, or its lines were dropped (event 1704)"
+            .to_owned(),
+        Some(line) => format!(
+            "taken in by {} and never answered there: its caller left, or that process ended",
+            line.process
+        ),
+    }
+}
+
+fn late(lines: &[StoryLine], took: u64, objective: u64) -> String {
+    let count = |start: &str| lines.iter().filter(|l| l.text.starts_with(start)).count();
+    let again = count("run over without success");
+    let slow = count("run is far slower");
+    let first_placed = lines.iter().find(|l| l.text.starts_with("tasks sent"));
+    let waited = first_placed.map_or(0, |l| number(&l.text, "age_ms"));
+    format!(
+        "late: {took} ms, objective {objective} ms; its first task waited {waited} ms, {again} runs \
+         ended without success, {slow} reports of slow runs"
+    )
+}
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -35,16 +35,6 @@
 const STOOD_STILL: Duration = Duration::from_millis(10);
 /// Time to read them, before a start counts as unanswered.
 const CATCH_UP: Duration = Duration::from_millis(4);
-/// How often a stop is sent again until the end is listed: twice the time a stop may take.
-const STOP_AGAIN: Duration = Duration::from_millis(100);
-/// A run of an entry whose lease ran out must be over by then, or the target's whole lease is let
-/// lapse. Bounds what entries take for proof.
-const STOP_BOUND: Duration = Duration::from_millis(500);
-/// How long an adopted run waits for an entry to claim it: the time of a few dials.
-const CLAIM_GRACE: Duration = Duration::from_millis(700);
-/// How long a stopping agent waits for what runs. The longest tasks take 3.6 s; the platform
-/// allows 6 s.
-const DRAIN_LIMIT: Duration = Duration::from_millis(5_000);
 
 /// State of an agent.
 pub struct RunAgent {
@@ -73,11 +63,11 @@
 impl RunAgent {
     /// A new life of an agent, at time `now` of its own clock.
     pub fn new(now: Now, options: AgentOptions) -> Self {
-        let lease = TargetLease::new(now, options.lease, options.token);
+        let lease = TargetLease::new(now, &options.timings, options.token);
         Self {
             now,
             out: Vec::new(),
-            entries: EntryLeases::default(),
+            entries: EntryLeases::new(options.timings),
             lives: TargetLives::default(),
             lease,
             book: RunBook::default(),
@@ -126,7 +116,10 @@
             times.push(Some(self.lease.lapses_at()));
             times.push(self.renewal_overdue().map(|(at, _)| at));
         }
-        times.push(self.draining_since.map(|since| since + DRAIN_LIMIT));
+        times.push(
+            self.draining_since
+                .map(|since| since + self.options.timings.agent_stop),
+        );
         let soonest = times.into_iter().flatten().min()?;
         Some(soonest.max(self.now + Duration::from_millis(1)))
     }
@@ -143,7 +136,7 @@
         let settled = match (&run.stopping, run.owner) {
             (Some(stopping), _) => stopping.resend_at,
             (None, Some(owner)) => self.entries.until(owner),
-            (None, None) => run.since + CLAIM_GRACE,
+            (None, None) => run.since + self.options.timings.claim_grace,
         };
         let answer_by = self.answer_by(run);
         answer_by.map_or(settled, |by| by.min(settled))
@@ -453,7 +446,7 @@
         for (key, run) in self.book.iter() {
             let is_held = match run.owner {
                 Some(owner) => self.entries.is_held(now, owner),
-                None => run.since + CLAIM_GRACE > now,
+                None => run.since + self.options.timings.claim_grace > now,
             };
             if !is_held && run.stopping.is_none_or(|s| !s.is_overdue_bound) {
                 orphans.push(key);
@@ -487,7 +480,7 @@
             if stopping.resend_at > now {
                 continue;
             }
-            stopping.resend_at = now + STOP_AGAIN;
+            stopping.resend_at = now + self.options.timings.stop_again;
             let life = life.clone();
             self.out.push(AgentAction::Stop { key, token, life });
         }
@@ -509,7 +502,7 @@
         let Some(since) = self.draining_since else {
             return;
         };
-        let is_over = self.now >= since + DRAIN_LIMIT;
+        let is_over = self.now >= since + self.options.timings.agent_stop;
         if !self.book.is_empty() && !is_over {
             return;
         }
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::{CATCH_UP, RunAgent, STOP_BOUND};
+use super::{CATCH_UP, RunAgent};
 use crate::events::EventCode;
 use crate::ids::Now;
 use crate::run::{RunEnd, RunKey};
@@ -57,12 +57,17 @@
         }
     }
 
-    /// Whether the lease may be renewed: not while an overdue stop has failed for too long.
+    /// Whether the lease may be renewed: not while an overdue stop has failed for too long, and not
+    /// while a run has no owner. Its entry may be counting the time since its last word to an
+    /// earlier life of this agent, and that proof ends with the lease that this life gave.
     pub(super) fn may_renew(&self) -> bool {
         let now = self.now;
+        let stop_bound = self.options.timings.stop_bound;
         self.book.iter().all(|(_, run)| {
-            run.stopping
-                .is_none_or(|s| !s.is_overdue_bound || s.since + STOP_BOUND > now)
+            let stop_may_succeed = run
+                .stopping
+                .is_none_or(|s| !s.is_overdue_bound || s.since + stop_bound > now);
+            run.owner.is_some() && stop_may_succeed
         })
     }
 
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -13,6 +13,7 @@
 use crate::run_book::FencingToken;
 use crate::run_message::{AgentPacket, EntryPacket, TargetInfo};
 use crate::target_lease::{EndNumber, ListedRun, Renewal, TargetMillis};
+use crate::timings::Timings;
 
 /// What an agent is told at start.
 #[derive(Debug, Clone)]
@@ -23,8 +24,8 @@
     pub life: Incarnation,
     /// Data hall.
     pub hall: HallName,
-    /// Longest lease that targets give.
-    pub lease: Duration,
+    /// The chain of times.
+    pub timings: Timings,
     /// First fencing token: the time of day in milliseconds, so that it rises with each life.
     pub token: FencingToken,
     /// Entries to dial at start.
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -10,6 +10,7 @@
 use crate::ids::Now;
 use crate::run::RunKey;
 use crate::run_book::FencingToken;
+use crate::timings::Timings;
 
 /// Number of an end in one life of a target.
 pub type EndNumber = u64;
@@ -19,9 +20,6 @@
 /// Added to a token that the target refuses as too low, in milliseconds of the time of day from
 /// which tokens are made: more than any clock is expected to have been ahead.
 const TOKEN_STEP: FencingToken = 10_000;
-/// Longest time that a renewal waits at the target for an end. A third of the shortest lease seen
-/// (1 s), so that one lost renewal can be made good before the lease runs out.
-const MOST_WAIT: Duration = Duration::from_millis(330);
 /// Shortest wait that is worth a call.
 const LEAST_WAIT: Duration = Duration::from_millis(20);
 /// How long an answer may take beyond the wait that was asked for, until its connection is given
@@ -42,8 +40,6 @@
 /// The target counts as silent only if it has not answered for so long: two calls that are given
 /// up.
 const SILENT_FOR: Duration = Duration::from_millis(240);
-/// Slack on a lease's end: targets' clocks may be 2% slow, and a stop takes its time.
-const LAPSE_SLACK: Duration = Duration::from_millis(120);
 
 /// A renewal to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -92,7 +88,12 @@
 /// See the module.
 #[derive(Debug)]
 pub struct TargetLease {
+    /// Lease that is asked for.
     length: Duration,
+    /// From a renewal until what it held must be over.
+    lapse: Duration,
+    /// Longest wait of a renewal for an end.
+    most_wait: Duration,
     token: FencingToken,
     clock: Option<(TargetMillis, Now)>,
     last_seen: EndNumber,
@@ -111,10 +112,12 @@
 }
 
 impl TargetLease {
-    /// A hold that has not been answered yet. `length` is the longest lease that targets give.
-    pub fn new(now: Now, length: Duration, token: FencingToken) -> Self {
+    /// A hold that has not been answered yet.
+    pub fn new(now: Now, timings: &Timings, token: FencingToken) -> Self {
         let mut lease = Self {
-            length,
+            length: timings.target_lease,
+            lapse: timings.lapse,
+            most_wait: timings.renewal_wait,
             token,
             clock: None,
             last_seen: 0,
@@ -173,8 +176,7 @@
     }
 
     fn note_renewed(&mut self, now: Now) {
-        let length = self.length + self.length / 50;
-        self.lapses_at = self.lapses_at.max(now + length + LAPSE_SLACK);
+        self.lapses_at = self.lapses_at.max(now + self.lapse);
     }
 
     /// When everything on the target has lapsed if no renewal is sent any more.
@@ -269,7 +271,7 @@
         } else if self.lossy_until > now {
             most_wait.clamp(LEAST_WAIT, LOSSY_WAIT)
         } else {
-            most_wait.clamp(LEAST_WAIT, MOST_WAIT)
+            most_wait.clamp(LEAST_WAIT, self.most_wait)
         };
         Some(self.send(now, renew, wait))
     }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -11,6 +11,7 @@
 use trestleknot_lib::ids::{Now, RequestId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
+use trestleknot_lib::timings::Timings;
 
 const HOST: &str = "host.example";
 
@@ -26,6 +27,7 @@
         address: "10.0.0.1:7720".parse().expect("an address"),
         seeds: Vec::new(),
         seed: 1,
+        timings: Timings::default(),
     })
 }
 
@@ -69,6 +71,7 @@
             unsupported: None,
         },
         patience: ms(2_000),
+        caller_request: "".into(),
     })
 }
 
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -15,6 +15,7 @@
     AgentNews, EntryPacket, Order, StartOrder, TargetInfo, Welcome,
 };
 use trestleknot_lib::target_lease::{ListedRun, Renewal};
+use trestleknot_lib::timings::Timings;
 
 const LINK: SessionId = 1;
 const SIZE: Resources = Resources {
@@ -76,17 +77,20 @@
     AgentEvent::LifeAnswered { number, answer }
 }
 
-/// An agent with a target whose lists it has read, and one entry.
-fn ready_agent() -> RunAgent {
-    let options = AgentOptions {
+fn options() -> AgentOptions {
+    AgentOptions {
         name: "agent".into(),
         life: 7,
         hall: "hall".into(),
-        lease: ms(1_000),
+        timings: Timings::default(),
         token: 100,
         seeds: Vec::new(),
-    };
-    let mut agent = RunAgent::new(Now::ZERO, options);
+    }
+}
+
+/// An agent with a target whose lists it has read, and one entry.
+fn ready_agent() -> RunAgent {
+    let mut agent = RunAgent::new(Now::ZERO, options());
     let actions = agent.handle(ms(1), report("life-1", false, 1));
     let (number, life) = questions(&actions)[0];
     assert_eq!(life, "life-1");
@@ -524,6 +528,80 @@
     assert_eq!(starts(&actions), 0, "{actions:?}");
 }
 
+/// The ends of the leases that the renewals ask for.
+fn leases(actions: &[AgentAction]) -> Vec<Option<u64>> {
+    let renewals = actions.iter().filter_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(renewal.until),
+        _ => None,
+    });
+    renewals.collect()
+}
+
+/// A new life of an agent whose target runs something of an earlier life's, read at 2 ms. Gives
+/// the actions with it.
+fn agent_with_adopted_run() -> (RunAgent, Vec<AgentAction>) {
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    let actions = agent.handle(ms(1), AgentEvent::Wake);
+    let number = renewals(&actions)[0];
+    let answer = running(&[key(0)]);
+    let actions = agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 1, "it is adopted");
+    (agent, actions)
+}
+
+fn running(keys: &[RunKey]) -> RenewalAnswer {
+    let listed = keys.iter().map(|key| ListedRun {
+        key: *key,
+        percent: 1,
+    });
+    RenewalAnswer::Lists {
+        clock: 1_000,
+        running: listed.collect(),
+        ended: Vec::new(),
+    }
+}
+
+#[test]
+fn test_handle_run_without_owner_is_not_renewed() {
+    let (mut agent, mut actions) = agent_with_adopted_run();
+    let mut stopped_at = None;
+    for step in 1..40 {
+        let now = ms(2 + 10 * step);
+        assert!(leases(&actions).iter().all(Option::is_none), "{actions:?}");
+        if actions
+            .iter()
+            .any(|a| matches!(a, AgentAction::Stop { .. }))
+        {
+            stopped_at.get_or_insert(now);
+        }
+        let mut next = agent.handle(now, AgentEvent::Wake);
+        for number in renewals(&actions) {
+            let answer = running(&[key(0)]);
+            next.extend(agent.handle(now, AgentEvent::RenewalAnswered { number, answer }));
+        }
+        actions = next;
+    }
+    let stopped_at = stopped_at.expect("nobody claims it, so it is stopped");
+    assert!(stopped_at < ms(300), "{stopped_at:?}");
+}
+
+#[test]
+fn test_handle_claimed_run_is_renewed() {
+    let (mut agent, actions) = agent_with_adopted_run();
+    let number = *renewals(&actions).last().expect("a look is on the way");
+    agent.handle(ms(10), AgentEvent::LinkUp(LINK));
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: vec![(key(0), SIZE)],
+    };
+    agent.handle(ms(11), packet(60_000, vec![Order::Welcome(welcome)]));
+    let answer = running(&[key(0)]);
+    let actions = agent.handle(ms(12), AgentEvent::RenewalAnswered { number, answer });
+    assert!(leases(&actions).iter().any(Option::is_some), "{actions:?}");
+}
+
 /// An agent on whose target a run of its entry goes, started at 12 ms.
 fn agent_with_run() -> RunAgent {
     let mut agent = ready_agent();
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -7,6 +7,7 @@
 use testutils::run_fleet::{AGENTS, ENTRIES, Node, RunFleet, Strike};
 use testutils::run_target::TargetTrouble;
 use trestleknot_lib::ids::Now;
+use trestleknot_lib::timings::PlatformBounds;
 
 const fn ms(millis: u64) -> Now {
     Duration::from_millis(millis)
@@ -210,6 +211,40 @@
     }
 }
 
+/// Bounds of platforms unlike the usual one: lease, stop, grace, callers' return, in milliseconds.
+const OTHER_BOUNDS: [(u64, u64, u64, u64); 4] = [
+    (400, 50, 6_000, 1_300),
+    (3_000, 50, 12_000, 1_300),
+    (1_000, 50, 3_000, 700),
+    (3_000, 120, 6_000, 5_000),
+];
+
+#[test]
+fn test_run_until_other_bounds_of_the_platform_keep_promises() {
+    for (index, (lease, stop, grace, back)) in OTHER_BOUNDS.into_iter().enumerate() {
+        let bounds = PlatformBounds {
+            longest_lease: ms(lease),
+            stop_time: ms(stop),
+            shutdown_grace: ms(grace),
+            caller_return: ms(back),
+        };
+        for seed in 0..40 {
+            let mut rng = ChaCha8Rng::seed_from_u64(1_000 * index as u64 + seed);
+            let count = rng.random_range(2..9);
+            let strikes: Vec<(Now, Strike)> = (0..count)
+                .map(|_| (ms(rng.random_range(600..7_000)), random_strike(&mut rng)))
+                .collect();
+            let mut fleet = RunFleet::with_bounds(seed, bounds);
+            fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+            for (at, strike) in &strikes {
+                fleet.strike(*at, *strike);
+            }
+            fleet.run_until(END + bounds.caller_return * 3);
+            assert_kept(&fleet, &format!("{bounds:?}, seed {seed}, {strikes:?}"));
+        }
+    }
+}
+
 #[test]
 fn test_run_until_leaving_target_gets_no_work() {
     let left = ms(2_000);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -25,16 +25,15 @@
 use trestleknot_lib::run_agent::RunAgent;
 use trestleknot_lib::run_event::{AgentAction, AgentEvent, AgentOptions, TargetReport};
 use trestleknot_lib::run_message::Packet;
+use trestleknot_lib::timings::{PlatformBounds, Timings};
 
-use crate::run_target::{LONGEST_LEASE, RunTarget, SERVICE, TargetTrouble};
+use crate::run_target::{RunTarget, SERVICE, TargetTrouble};
 use links::Links;
 
 /// Entries of the fleet.
 pub const ENTRIES: usize = 3;
 /// Agents and targets of the fleet.
 pub const AGENTS: usize = 4;
-/// How long after a broken connection a caller comes again.
-const COME_AGAIN: Duration = Duration::from_millis(1_300);
 /// How often targets report on themselves.
 const REPORT_EVERY: Duration = Duration::from_millis(1_500);
 /// What a target has: eight tasks of the usual size.
@@ -210,13 +209,19 @@
     by_request: BTreeMap<RequestId, BatchId>,
     next_request: RequestId,
     token_base: u64,
+    timings: Timings,
     /// Lines of the log, for a failed check.
     pub log: Vec<String>,
 }
 
 impl RunFleet {
-    /// A fleet that has just started.
+    /// A fleet that has just started, on a platform with the usual bounds.
     pub fn new(seed: u64) -> Self {
+        Self::with_bounds(seed, PlatformBounds::default())
+    }
+
+    /// A fleet that has just started, on a platform with these bounds.
+    pub fn with_bounds(seed: u64, bounds: PlatformBounds) -> Self {
         let mut fleet = Self {
             now: Now::ZERO,
             queue: BinaryHeap::new(),
@@ -230,12 +235,14 @@
             by_request: BTreeMap::new(),
             next_request: 1,
             token_base: 10_000_000,
+            timings: Timings::new(bounds).expect("bounds that the chain of times can hold"),
             log: Vec::new(),
         };
         for index in 0..AGENTS {
             // Half of the targets' clocks are 2% slow.
             let rate = if index % 2 == 0 { 1.0 } else { 0.98 };
-            let target = RunTarget::new(&format!("target-{index}"), CAPACITY, rate);
+            let target = RunTarget::new(&format!("target-{index}"), CAPACITY, rate)
+                .with_lease(bounds.longest_lease);
             fleet.targets.push(targets::Served::new(target));
             fleet.at(Duration::from_millis(20), Event::Report(index, true));
             fleet.start(Node::Agent(index));
@@ -397,6 +404,7 @@
                     address: Self::address(i),
                     seeds,
                     seed: life,
+                    timings: self.timings,
                 };
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntry::new(options));
@@ -411,7 +419,7 @@
                     name: format!("agent-{i}").into(),
                     life,
                     hall: "hall".into(),
-                    lease: LONGEST_LEASE,
+                    timings: self.timings,
                     token: self.token_base + self.now.as_millis() as u64,
                     seeds,
                 };
@@ -551,6 +559,7 @@
             path: format!("/q/{id:016x}"),
             spec,
             patience: Duration::from_millis(2_500),
+            caller_request: "".into(),
         };
         if self.frozen_until(Node::Entry(entry)) > self.now {
             // Its connection would wait in the process that stands still; the caller gives up.
@@ -574,7 +583,7 @@
         {
             caller.at = None;
             if comes_again {
-                self.after(COME_AGAIN, Event::Submit(id));
+                self.after(self.timings.caller_return, Event::Submit(id));
             }
         }
     }
@@ -598,7 +607,7 @@
                 self.after(seen, Event::Gone(entry, life, request));
             }
             if tries < 3 {
-                self.after(COME_AGAIN, Event::Submit(id));
+                self.after(self.timings.caller_return, Event::Submit(id));
             }
         }
     }
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -93,6 +93,7 @@
     capacity: Resources,
     /// The target's clock is this much faster than true time.
     clock_rate: f64,
+    longest_lease: Duration,
     token_seen: FencingToken,
     lease_until: TargetMillis,
     running: BTreeMap<RunKey, Running>,
@@ -115,6 +116,7 @@
             lives: 1,
             capacity,
             clock_rate,
+            longest_lease: LONGEST_LEASE,
             token_seen: 0,
             lease_until: 0,
             running: BTreeMap::new(),
@@ -128,6 +130,12 @@
         }
     }
 
+    /// The same with another bound on leases.
+    pub fn with_lease(mut self, longest: Duration) -> Self {
+        self.longest_lease = longest;
+        self
+    }
+
     /// Its present life.
     pub fn life(&self) -> Arc<str> {
         format!("{}-{}", self.name, self.lives).into()
@@ -285,7 +293,7 @@
     }
 
     fn hold(&mut self, now: Now, until: TargetMillis) {
-        let longest = self.clock(now) + LONGEST_LEASE.as_millis() as u64;
+        let longest = self.clock(now) + self.longest_lease.as_millis() as u64;
         self.lease_until = self.lease_until.max(until.min(longest));
     }
 
