entry: untried batches that can't be in time any more go last

Hypothesis: right after a start no target is there for 0.3 s; what waited meanwhile is late already, was placed first by its due time, and made what came after it late as well. Change: a batch of which nothing was placed while it could be in time goes behind the others.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -166,6 +166,7 @@
             due: arrived + if is_overdue { objective } else { left },
             is_overdue,
             give_up: arrived + patience,
+            in_time_until: arrived + slack,
             place_by: arrived + wait.min(patience),
         }
     }
@@ -307,6 +308,8 @@
                 self.close(id, CloseReason::Deadline);
             } else if batch.place_by <= self.now && !batch.is_tried {
                 self.close(id, CloseReason::Deadline);
+            } else if batch.in_time_until <= self.now && !batch.is_tried {
+                self.table.note_overdue(id);
             }
         }
     }
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -109,10 +109,13 @@
     pub arrived: Now,
     /// When it should be done.
     pub due: Now,
-    /// Whether its objective was past before it came: its caller has been elsewhere.
+    /// Whether it can't be in time: its caller has been elsewhere before, or no target was there
+    /// while it had time.
     pub is_overdue: bool,
     /// When its caller's time is up.
     pub give_up: Now,
+    /// When it can't be in time any more if nothing of it has been placed by then.
+    pub in_time_until: Now,
     /// When it is refused if nothing of it has been placed by then.
     pub place_by: Now,
     /// Whether any order to start was ever sent for it.
@@ -148,6 +151,7 @@
             due: times.due,
             is_overdue: times.is_overdue,
             give_up: times.give_up,
+            in_time_until: times.in_time_until,
             place_by: times.place_by,
             is_tried: false,
             out: 0,
@@ -231,6 +235,8 @@
     /// See [`Batch`].
     pub give_up: Now,
     /// See [`Batch`].
+    pub in_time_until: Now,
+    /// See [`Batch`].
     pub place_by: Now,
 }
 
@@ -286,6 +292,7 @@
             self.by_request.insert(request, id);
         }
         self.waiting.insert((batch.turn(), id));
+        self.wakes.insert((batch.in_time_until, id));
         self.wakes.insert((batch.place_by, id));
         self.wakes.insert((batch.give_up, id));
         self.batches.insert(id, batch);
@@ -347,6 +354,7 @@
             self.by_request.remove(&request);
         }
         self.waiting.remove(&(batch.turn(), id));
+        self.wakes.remove(&(batch.in_time_until, id));
         self.wakes.remove(&(batch.place_by, id));
         self.wakes.remove(&(batch.give_up, id));
         for (key, agent) in batch.outs(id, false) {
@@ -374,6 +382,7 @@
             return;
         };
         self.waiting.remove(&(batch.turn(), id));
+        self.wakes.remove(&(batch.in_time_until, id));
         self.wakes.remove(&(batch.place_by, id));
         self.wakes.remove(&(batch.give_up, id));
         batch.request = Some(request);
@@ -382,13 +391,26 @@
         batch.due = times.due;
         batch.is_overdue = times.is_overdue;
         batch.give_up = times.give_up;
+        batch.in_time_until = times.in_time_until;
         batch.place_by = times.place_by;
         self.by_request.insert(request, id);
+        self.wakes.insert((times.in_time_until, id));
         self.wakes.insert((times.place_by, id));
         self.wakes.insert((times.give_up, id));
         self.note_waiting(id);
     }
 
+    /// Puts a batch behind those that can still be in time.
+    pub fn note_overdue(&mut self, id: BatchId) {
+        let Some(batch) = self.batches.get_mut(&id) else {
+            return;
+        };
+        let before = batch.turn();
+        batch.is_overdue = true;
+        self.waiting.remove(&(before, id));
+        self.note_waiting(id);
+    }
+
     /// Keeps the list of waiting batches in step with one of them.
     pub fn note_waiting(&mut self, id: BatchId) {
         let Some(batch) = self.batches.get(&id) else {
