entry: in a queue that stands, batches wait for half of their slack

Hypothesis: in a standing queue each batch is placed at its last moment and late if its estimate was short; a short burst is served best with the whole slack. Change: once batches have waited for 0.3 s on end, new ones wait for half of their slack.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -25,6 +25,7 @@
 use crate::ids::{NodeName, Now, SessionId};
 use crate::run::{BatchId, RunKey};
 use crate::run_message::{AgentMillis, Order, Packet, PeerPacket, StartOrder};
+use crate::standing_queue::StandingQueue;
 use crate::target_board::TargetBoard;
 use crate::usual_patience::UsualPatience;
 
@@ -53,6 +54,7 @@
     drain: EntryDrain,
     early: EarlyBatches,
     usual_patience: UsualPatience,
+    standing: StandingQueue,
     exited: bool,
 }
 
@@ -73,6 +75,7 @@
             drain: EntryDrain::new(&options.timings),
             early: EarlyBatches::default(),
             usual_patience: UsualPatience::default(),
+            standing: StandingQueue::default(),
             exited: false,
             options,
         }
@@ -90,6 +93,7 @@
         self.dispatch_event(event);
         self.settle_early();
         self.place_waiting();
+        self.standing.note(self.now, self.table.has_waiting());
         self.check_drain();
         self.flush();
         std::mem::take(&mut self.out)
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -150,7 +150,7 @@
         let chain = spec.longest_chain();
         let objective = chain.mul_f64(queue.stretch) + queue.target_latency;
         let slack = objective.saturating_sub(chain.mul_f64(SLOWEST_SOUND));
-        let mut wait = slack;
+        let mut wait = self.standing.allowance(arrived, slack);
         if self.board.usable(self.now) == 0 {
             wait = wait.max(WAIT_FOR_TARGETS);
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -96,6 +96,7 @@
 pub mod run_time;
 pub mod settings;
 pub mod slot_book;
+pub mod standing_queue;
 pub mod status;
 pub mod target_board;
 pub mod target_lease;
