agent: it counts failures and pace of its target for all entries

Change: target_health (moved out of target_board) runs in the agent, which sees every run; each packet tells pace and share of failures. Probes of one outcast keep 150 ms apart over all entries.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -147,7 +147,10 @@
             EntryEvent::Config(table) => self.directory.offer_config(&table, "store"),
             EntryEvent::Entries(addresses) => self.learn_entries(addresses),
             EntryEvent::LinkUp(link, dialled) => self.link_up(link, dialled),
-            EntryEvent::LinkDown(link) => self.link_down(link),
+            EntryEvent::LinkDown(link) => {
+                self.link_down(link);
+                self.board.note_entries(self.directory.living_entries());
+            }
             EntryEvent::Packet(link, Packet::FromAgent(packet)) => self.agent_packet(link, packet),
             EntryEvent::Packet(link, Packet::BetweenEntries(packet)) => {
                 self.peer_packet(link, packet);
@@ -296,6 +299,7 @@
 
     fn peer_packet(&mut self, link: SessionId, packet: PeerPacket) {
         let effects = self.directory.packet(self.now, link, packet);
+        self.board.note_entries(self.directory.living_entries());
         self.tell_agents(effects.entries);
         self.needs_placing |= effects.may_place;
     }
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -4,15 +4,17 @@
 
 use super::{BatchEntry, Outbox};
 use crate::batch_event::EntryAction;
-use crate::batch_table::{BatchState, RunOver};
+use crate::batch_table::RunOver;
 use crate::events::EventCode;
+use crate::held_batch::BatchState;
 use crate::ids::{NodeName, SessionId};
 use crate::resources::Resources;
 use crate::run::{NotStarted, RunEnd, RunKey};
 use crate::run_message::{
     AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, Welcome,
 };
-use crate::target_board::{Need, Outcome, SlowRun, Verdict};
+use crate::target_board::{LoadWord, Need, Refused, Verdict};
+use crate::target_health::HealthWord;
 
 /// A slow run is moved if the move takes less than this share of what it still needs.
 const MOVE_GAIN: f64 = 0.7;
@@ -53,13 +55,14 @@
                 self.agent_joined(link, intro.clone(), packet.clock);
             }
         }
-        self.board.heard(
-            self.now,
-            link,
-            packet.clock,
-            packet.free,
-            packet.starts_seen,
-        );
+        let word = LoadWord {
+            clock: packet.clock,
+            free: packet.free,
+            starts_seen: packet.starts_seen,
+            health: packet.health,
+        };
+        let verdict = self.board.heard(self.now, link, word);
+        self.log_verdict(link, verdict, packet.health);
         self.needs_placing |= self.table.has_waiting();
         for news in packet.news {
             self.agent_news(link, news);
@@ -103,7 +106,13 @@
         );
         self.lost.remove(&intro.name);
         self.board.join(self.now, link, intro.name, intro.hall);
-        self.board.heard(self.now, link, clock, Resources::NONE, 0);
+        let word = LoadWord {
+            clock,
+            free: Resources::NONE,
+            starts_seen: 0,
+            health: HealthWord::default(),
+        };
+        self.board.heard(self.now, link, word);
         let welcome = Welcome {
             name: self.options.name.clone(),
             life: self.options.life,
@@ -152,21 +161,11 @@
     }
 
     pub(super) fn run_ended(&mut self, link: SessionId, key: RunKey, end: RunEnd, ran_ms: u32) {
-        let ran = Duration::from_millis(u64::from(ran_ms));
-        let estimate = self.estimate_of(key);
         let over = match end {
             RunEnd::Done => RunOver::Done,
             RunEnd::Failed => RunOver::Failed,
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Lost => RunOver::Again { superseded: false },
         };
-        match (end, estimate) {
-            (RunEnd::Done, Some(estimate)) if ran > Duration::ZERO => {
-                let pace = ran.as_secs_f64() / estimate.as_secs_f64();
-                self.learn(link, Outcome::Done(pace));
-            }
-            (RunEnd::Failed, _) => self.learn(link, Outcome::Failed),
-            _ => {}
-        }
         if over != RunOver::Done {
             let agent = self.board.get(link).map(|v| v.agent.clone());
             let agent = agent.as_deref().unwrap_or("-");
@@ -186,20 +185,17 @@
             format!("run={key} agent={agent} not_started={reason:?}"),
         );
         match reason {
-            NotStarted::Unhealthy | NotStarted::Unreachable => self.learn(link, Outcome::Unwell),
-            NotStarted::Doubtful => self.learn(link, Outcome::Doubtful),
+            NotStarted::Unhealthy | NotStarted::Unreachable => {
+                self.board.refused(self.now, link, Refused::Unwell);
+            }
+            NotStarted::Doubtful => self.board.refused(self.now, link, Refused::Doubtful),
             _ => {}
         }
         let superseded = reason == NotStarted::Superseded;
         self.run_over(key, RunOver::Again { superseded });
     }
 
-    pub(super) fn learn(&mut self, link: SessionId, outcome: Outcome) {
-        let verdict = self.board.learn(self.now, link, outcome);
-        self.log_verdict(link, verdict, &format!("{outcome:?}"));
-    }
-
-    pub(super) fn log_verdict(&mut self, link: SessionId, verdict: Verdict, cause: &str) {
+    pub(super) fn log_verdict(&mut self, link: SessionId, verdict: Verdict, health: HealthWord) {
         let code = match verdict {
             Verdict::Same => return,
             Verdict::SetAside => EventCode::TargetSetAside,
@@ -207,7 +203,7 @@
         };
         if let Some(view) = self.board.get(link) {
             let agent = view.agent.clone();
-            self.log(code, format!("agent={agent} last={cause}"));
+            self.log(code, format!("agent={agent} health={health:?}"));
         }
     }
 
@@ -219,11 +215,6 @@
         let ran = Duration::from_millis(u64::from(ran_ms));
         let percent = percent.clamp(1, 100);
         let whole = ran.mul_f64(100.0 / f64::from(percent));
-        let pace = whole.as_secs_f64() / estimate.as_secs_f64();
-        let batch = key.task.batch;
-        let slow = SlowRun { pace, percent };
-        let verdict = self.board.found_slow(self.now, link, batch, slow);
-        self.log_verdict(link, verdict, "slow");
         let rest = whole.saturating_sub(ran);
         let elsewhere = estimate + MOVE_COST;
         if elsewhere > rest.mul_f64(MOVE_GAIN) {
--- a/lib/src/batch_placing.rs
+++ b/lib/src/batch_placing.rs
@@ -8,7 +8,8 @@
 
 use rand_chacha::ChaCha8Rng;
 
-use crate::batch_table::{BatchTable, TaskState};
+use crate::batch_table::BatchTable;
+use crate::held_batch::TaskState;
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
 use crate::target_board::{Need, TargetBoard, TargetView};
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -65,6 +65,11 @@
         entries
     }
 
+    /// Number of entries that live, this one included.
+    pub fn living_entries(&self) -> usize {
+        self.peers.linked() + 1
+    }
+
     /// When something is due next.
     pub fn next_wake(&self) -> Option<Now> {
         self.peers.next_wake()
--- /dev/null
+++ b/lib/src/held_batch.rs
@@ -0,0 +1,246 @@
+//! One batch that an entry holds, with its steps and tasks.
+
+use std::sync::Arc;
+
+use crate::batch::{BatchSpec, StepSpec};
+use crate::ids::{NodeName, Now, RequestId};
+use crate::queue::Queue;
+use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
+
+/// Where a task is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TaskState {
+    /// It is to be placed.
+    Waiting,
+    /// An order to start it has been sent, and nothing proves that it is over.
+    Out {
+        /// Agent that has the order.
+        agent: NodeName,
+        /// When it was sent.
+        sent: Now,
+        /// Whether it is being stopped.
+        stopping: bool,
+    },
+    /// It has ended well.
+    Done,
+}
+
+/// A task.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Where it is.
+    pub state: TaskState,
+    /// Number of its present or next run.
+    pub run: RunNumber,
+    /// Runs that ended `failed`.
+    pub failures: u32,
+    /// Agent that served it badly last.
+    pub avoid: Option<NodeName>,
+}
+
+/// A step and its tasks.
+#[derive(Debug)]
+pub struct Step {
+    /// What was asked for.
+    pub spec: StepSpec,
+    /// Its tasks.
+    pub tasks: Vec<Task>,
+    /// Tasks that are not done.
+    pub left: u32,
+    /// Agent on whose target a task of the step was first found slow.
+    slow_at: Option<NodeName>,
+    /// Whether tasks of the step have been found slow at two agents.
+    is_estimate_wrong: bool,
+}
+
+impl Step {
+    /// Notes that a task of the step is slow at an agent; says whether tasks have been slow at two
+    /// agents by now. Then it is the estimate that is wrong, not the targets, and moving on would
+    /// go on for ever.
+    pub fn is_slow_everywhere(&mut self, agent: &NodeName) -> bool {
+        let first = self.slow_at.get_or_insert_with(|| agent.clone());
+        self.is_estimate_wrong |= *first != *agent;
+        self.is_estimate_wrong
+    }
+}
+
+/// Whether a batch is still wanted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BatchState {
+    /// It is.
+    Open,
+    /// It is not: what runs is being stopped, and the rest never starts.
+    Closing(CloseReason),
+}
+
+/// Why a batch is not wanted any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CloseReason {
+    /// Its caller has gone.
+    CallerGone,
+    /// Its caller's time is up.
+    Deadline,
+    /// It was cancelled.
+    Cancelled,
+    /// It was answered as failed.
+    Failed,
+    /// The entry stops.
+    Draining,
+}
+
+/// A batch.
+#[derive(Debug)]
+pub struct Batch {
+    /// Whom to answer; none once answered or gone.
+    pub request: Option<RequestId>,
+    /// Its queue, as configured when it came.
+    pub queue: Arc<Queue>,
+    /// What every task is given.
+    pub payload: Arc<str>,
+    /// Its steps.
+    pub steps: Vec<Step>,
+    /// When it came.
+    pub arrived: Now,
+    /// When it should be done.
+    pub due: Now,
+    /// Whether it can't be in time: its caller has been elsewhere before, or no target was there
+    /// while it had time.
+    pub is_overdue: bool,
+    /// When its caller's time is up.
+    pub give_up: Now,
+    /// When it can't be in time any more if nothing of it has been placed by then.
+    pub in_time_until: Now,
+    /// When it is refused if nothing of it has been placed by then.
+    pub place_by: Now,
+    /// Whether any order to start was ever sent for it.
+    pub is_tried: bool,
+    /// Tasks out.
+    pub out: u32,
+    /// Whether it is still wanted.
+    pub state: BatchState,
+}
+
+impl Batch {
+    /// A batch that has just come.
+    pub fn new(spec: &BatchSpec, queue: Arc<Queue>, request: RequestId, times: BatchTimes) -> Self {
+        let task = Task {
+            state: TaskState::Waiting,
+            run: 1,
+            failures: 0,
+            avoid: None,
+        };
+        let steps = spec.steps.iter().map(|spec| Step {
+            spec: spec.clone(),
+            tasks: vec![task.clone(); spec.count as usize],
+            left: spec.count,
+            slow_at: None,
+            is_estimate_wrong: false,
+        });
+        Self {
+            request: Some(request),
+            queue,
+            payload: spec.payload.clone(),
+            steps: steps.collect(),
+            arrived: times.arrived,
+            due: times.due,
+            is_overdue: times.is_overdue,
+            give_up: times.give_up,
+            in_time_until: times.in_time_until,
+            place_by: times.place_by,
+            is_tried: false,
+            out: 0,
+            state: BatchState::Open,
+        }
+    }
+
+    /// Its place among those that wait.
+    pub fn turn(&self) -> Turn {
+        Turn {
+            is_overdue: self.is_overdue,
+            due: self.due,
+        }
+    }
+
+    /// Whether all steps that a step waits for are done.
+    pub fn is_ready(&self, step: usize) -> bool {
+        let after = &self.steps[step].spec.after;
+        after.iter().all(|a| self.steps[usize::from(*a)].left == 0)
+    }
+
+    /// Whether every task is done.
+    pub fn is_done(&self) -> bool {
+        self.steps.iter().all(|s| s.left == 0)
+    }
+
+    /// Whether a task waits whose turn has come.
+    pub fn has_waiting(&self) -> bool {
+        self.state == BatchState::Open
+            && (0..self.steps.len()).any(|step| {
+                let waits = |t: &Task| t.state == TaskState::Waiting;
+                self.is_ready(step) && self.steps[step].tasks.iter().any(waits)
+            })
+    }
+
+    /// The task behind a key, if it is at that run.
+    pub fn task_mut(&mut self, key: RunKey) -> Option<&mut Task> {
+        let step = self.steps.get_mut(usize::from(key.task.step))?;
+        let task = step.tasks.get_mut(usize::from(key.task.index))?;
+        (task.run == key.run).then_some(task)
+    }
+
+    /// Runs that are out, with their agents; those that are not being stopped if `live_only`.
+    pub fn outs(&self, id: BatchId, live_only: bool) -> Vec<(RunKey, NodeName)> {
+        let mut outs = Vec::new();
+        for (step_index, step) in self.steps.iter().enumerate() {
+            for (index, task) in step.tasks.iter().enumerate() {
+                let TaskState::Out {
+                    agent, stopping, ..
+                } = &task.state
+                else {
+                    continue;
+                };
+                if *stopping && live_only {
+                    continue;
+                }
+                let key = RunKey {
+                    task: TaskKey {
+                        batch: id,
+                        time: 0,
+                        step: step_index as u16,
+                        index: index as u16,
+                    },
+                    run: task.run,
+                };
+                outs.push((key, agent.clone()));
+            }
+        }
+        outs
+    }
+}
+
+/// The times of a new batch.
+#[derive(Debug, Clone, Copy)]
+pub struct BatchTimes {
+    /// See [`Batch`].
+    pub arrived: Now,
+    /// See [`Batch`].
+    pub due: Now,
+    /// See [`Batch`].
+    pub is_overdue: bool,
+    /// See [`Batch`].
+    pub give_up: Now,
+    /// See [`Batch`].
+    pub in_time_until: Now,
+    /// See [`Batch`].
+    pub place_by: Now,
+}
+
+/// Place of a batch among those that wait. Those whose objective was past before they came go last:
+/// they can't be in time any more, and would make others late.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Turn {
+    /// See [`Batch`].
+    pub is_overdue: bool,
+    /// See [`Batch`].
+    pub due: Now,
+}
--- a/lib/src/peer_book.rs
+++ b/lib/src/peer_book.rs
@@ -69,6 +69,12 @@
         self.links.remove(&link)
     }
 
+    /// Number of entries that a link stands to.
+    pub fn linked(&self) -> usize {
+        let names: BTreeSet<&NodeName> = self.links.values().map(|p| &p.name).collect();
+        names.len()
+    }
+
     /// Notes that something was heard.
     pub fn heard(&mut self, now: Now, link: SessionId) {
         if let Some(peer) = self.links.get_mut(&link) {
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -6,10 +6,10 @@
 //! more. docs/design/platform.md works out the chain of times.
 
 mod lists;
+mod lives;
 mod starts;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::answer_time::AnswerTime;
@@ -20,14 +20,13 @@
 use crate::room_shares::Room;
 use crate::run::{RunEnd, RunKey};
 use crate::run_book::{Run, RunBook, Stopping};
-use crate::run_event::{
-    AgentAction, AgentEvent, AgentLevels, AgentOptions, LifeAnswer, TargetReport,
-};
+use crate::run_event::{AgentAction, AgentEvent, AgentLevels, AgentOptions};
 use crate::run_message::{
-    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, TargetInfo, Welcome,
+    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Welcome,
 };
+use crate::target_health::TargetHealth;
 use crate::target_lease::TargetLease;
-use crate::target_lives::{Reported, TargetLives};
+use crate::target_lives::TargetLives;
 use starts::{LEAST_START_LIMIT, START_LIMIT};
 
 /// A process that was not heard from for so long may have stood still, with answers unread in its
@@ -45,6 +44,7 @@
     lives: TargetLives,
     lease: TargetLease,
     book: RunBook,
+    health: TargetHealth,
     /// How long the target's answers to starts take.
     start_time: AnswerTime,
     /// When this process was last found to have stood still, or to have been idle.
@@ -71,6 +71,7 @@
             lives: TargetLives::default(),
             lease,
             book: RunBook::default(),
+            health: TargetHealth::default(),
             start_time: AnswerTime::new(LEAST_START_LIMIT, START_LIMIT),
             resumed: now,
             knows_lists: false,
@@ -314,102 +315,7 @@
         stopping.is_overdue_bound |= is_overdue_bound;
     }
 
-    // The target.
-
-    fn report(&mut self, report: TargetReport) {
-        let life = report.info.life.clone();
-        match self.lives.report(self.now, report) {
-            Reported::Known => {}
-            Reported::Changed => self.target_changed(),
-            Reported::ToBeAsked => {
-                self.log(
-                    EventCode::TargetLifeReported,
-                    format!("life={life} known={:?}", self.lives.current_life()),
-                );
-            }
-        }
-    }
-
-    /// Asks the lives that have reported and are not proven to live yet.
-    fn ask_lives(&mut self) {
-        while let Some(life) = self.lives.take_due(self.now, self.lease.next_number()) {
-            let look = self.lease.look();
-            self.out.push(AgentAction::AskLife { look, life });
-        }
-    }
-
-    fn life_answered(&mut self, number: u64, answer: LifeAnswer) {
-        let Some(life) = &self.lives.asked_by(number) else {
-            return;
-        };
-        match answer {
-            LifeAnswer::Silent => self.lives.unanswered(self.now, life),
-            LifeAnswer::OtherLife => {
-                self.lives.over(life);
-                self.log(
-                    EventCode::TargetLifeOver,
-                    format!("life={life} runs=0 why=\"another life answers\""),
-                );
-            }
-            LifeAnswer::Lives => {
-                self.end_life("a new life answers");
-                // What was read without a name may have been another life's.
-                self.lease.reset_life();
-                self.knows_lists = false;
-                self.lives.answered(self.now, life);
-                self.target_changed();
-            }
-        }
-    }
-
-    fn target_changed(&mut self) {
-        let Some(info) = self.lives.current() else {
-            return;
-        };
-        let TargetInfo {
-            life,
-            service,
-            leaving,
-            ..
-        } = info;
-        let detail = format!("life={life} service={service} leaving={leaving}");
-        let code = if *leaving {
-            EventCode::TargetLeaving
-        } else {
-            EventCode::TargetReported
-        };
-        self.log(code, detail);
-        self.tell_target();
-    }
-
-    fn tell_target(&mut self) {
-        let news = AgentNews::Target(self.lives.current().cloned());
-        self.entries.tell_all(&news);
-    }
-
-    fn target_left(&mut self, life: &Arc<str>) {
-        if self.lives.current_life().as_ref() == Some(life) {
-            self.end_life("it said goodbye");
-            self.tell_target();
-        }
-    }
-
-    /// The known life of the target is over, and everything that ran on it.
-    fn end_life(&mut self, why: &str) {
-        let Some(life) = self.lives.current_life() else {
-            return;
-        };
-        let runs = self.book.len();
-        self.log(
-            EventCode::TargetLifeOver,
-            format!("life={life} runs={runs} why=\"{why}\""),
-        );
-        self.lives.over(&life);
-        self.lease.reset_life();
-        // The next life's clock is learnt with its lists.
-        self.knows_lists = false;
-        self.end_all(RunEnd::Lost);
-    }
+    // Runs.
 
     fn end_all(&mut self, end: RunEnd) {
         for key in self.book.keys() {
@@ -425,6 +331,7 @@
         let ran = run
             .running_since
             .map(|since| self.now.saturating_sub(since));
+        self.learn_health(end, ran.unwrap_or_default(), run.estimate);
         let ran_ms = ran.unwrap_or_default().as_millis() as u32;
         let running = self.book.len();
         self.log(
@@ -437,6 +344,16 @@
         }
     }
 
+    fn learn_health(&mut self, end: RunEnd, ran: Duration, estimate: Duration) {
+        match end {
+            RunEnd::Done if !ran.is_zero() && !estimate.is_zero() => {
+                self.health.run_done(ran.div_duration_f64(estimate));
+            }
+            RunEnd::Failed => self.health.run_failed(),
+            RunEnd::Done | RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Lost => {}
+        }
+    }
+
     // Time.
 
     /// Stops what nobody answers for, and gives up what must have lapsed.
@@ -546,6 +463,7 @@
                 clock,
                 free: due.free,
                 starts_seen: due.starts_seen,
+                health: self.health.word(),
                 news: due.news,
             };
             self.out.push(AgentAction::Send(due.link, packet));
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -10,6 +10,7 @@
 use crate::run_book::{FencingToken, Phase, Run};
 use crate::run_event::{AgentAction, RenewalAnswer};
 use crate::run_message::AgentNews;
+use crate::target_health::SlowRun;
 use crate::target_lease::{EndNumber, ListedRun, Renewal, TargetMillis};
 
 /// A run is slow if its progress promises an end after this many times its estimate. Estimates
@@ -225,7 +226,11 @@
             return;
         }
         run.slow_report_at = now + SLOW_AGAIN;
-        let Some(owner) = run.owner else {
+        let pace = projected.div_duration_f64(run.estimate);
+        let owner = run.owner;
+        let slow = SlowRun { pace, percent };
+        self.health.run_slow(now, key.task.batch, slow);
+        let Some(owner) = owner else {
             return;
         };
         let ran_ms = ran.as_millis() as u32;
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -13,6 +13,7 @@
 use crate::queue::{ConfigVersion, QueueTable};
 use crate::resources::Resources;
 use crate::run::{BatchId, NotStarted, RunEnd, RunKey, RunNumber};
+use crate::target_health::HealthWord;
 
 /// Milliseconds on the clock of one agent's life, from its start.
 pub type AgentMillis = u64;
@@ -44,6 +45,9 @@
     /// Starts of this entry that `free` takes into account, counted on this link.
     #[serde(rename = "s")]
     pub starts_seen: u64,
+    /// How well the target serves.
+    #[serde(rename = "h", default)]
+    pub health: HealthWord,
     /// News, in order.
     #[serde(rename = "n", default, skip_serializing_if = "Vec::is_empty")]
     pub news: Vec<AgentNews>,
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -13,22 +13,17 @@
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::queue::Queue;
 use crate::resources::Resources;
-use crate::run::BatchId;
 use crate::run_message::{AgentMillis, TargetInfo};
+use crate::target_health::{HealthWord, TOO_SLOW};
 
 /// An agent that has not been heard for so long gets no work: two heartbeats and a half.
 const FRESH: Duration = Duration::from_millis(650);
-/// Weight of one run in the average of run time over estimate.
-const PACE_WEIGHT: f64 = 0.15;
-/// The same for a target that is far too slow: its few probes must bring it back within seconds.
-const PROBE_WEIGHT: f64 = 0.5;
-/// Share of failed runs, averaged, above which a target is set aside.
-const FAILING: f64 = 0.45;
-/// Weight of one run in the average share of failures: two failures in a row set a target aside.
-const FAILURE_WEIGHT: f64 = 0.3;
 /// An outcast, which fails what it starts or is far too slow, gets one task of each entry in this
 /// time. A time and not an answer paces probes: a probe may be stopped before it tells anything.
 const PROBE_EVERY: Duration = Duration::from_millis(600);
+/// Time between two probes of one outcast by any of the entries. All of them learn from each, and
+/// every probe may cost a batch its time.
+const PROBE_APART: Duration = Duration::from_millis(150);
 /// A target that refused a start as unwell or silent gets none for this long.
 const UNWELL_PAUSE: Duration = Duration::from_millis(250);
 /// A target in doubt gets none for this long: its agent asks it again at once, and has an answer
@@ -47,17 +42,6 @@
 const QUEUED_COST: f64 = 0.05;
 /// Cost of another data hall: a millisecond there and back, over the shortest usual task.
 const FAR_HALL_COST: f64 = 0.02;
-/// Slowest and fastest pace that is believed.
-const PACE_BOUNDS: (f64, f64) = (0.3, 30.0);
-/// Slowest pace that one run which ended is believed to show: its estimate may be far off.
-const SLOWEST_ENDED: f64 = 3.0;
-/// Slow runs of two batches within this show that the target is slow, not the estimates.
-const SUSPECT_FOR: Duration = Duration::from_secs(2);
-/// A run of which so little is done, in percent, stands still.
-const STANDS_STILL: u32 = 3;
-/// A target this much slower than the fastest gets only probes.
-const TOO_SLOW: f64 = 2.6;
-
 /// One target, as seen through its agent's link.
 #[derive(Debug)]
 pub struct TargetView {
@@ -77,13 +61,23 @@
     free: Resources,
     starts_sent: u64,
     unseen: VecDeque<Resources>,
-    pace: f64,
-    failures: f64,
+    health: HealthWord,
     closed_until: Now,
     /// When an outcast may get its next probe.
     probe_at: Now,
-    /// Batch of which a run was found slow here last, and when.
-    slow_batch: Option<(BatchId, Now)>,
+}
+
+/// What each packet of an agent says of its load.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadWord {
+    /// The agent's clock.
+    pub clock: AgentMillis,
+    /// Free resources that this entry may take.
+    pub free: Resources,
+    /// Starts of this entry that `free` takes into account.
+    pub starts_seen: u64,
+    /// How well the target serves.
+    pub health: HealthWord,
 }
 
 /// What a task needs of a target.
@@ -117,11 +111,9 @@
             free: Resources::NONE,
             starts_sent: 0,
             unseen: VecDeque::new(),
-            pace: 1.0,
-            failures: 0.0,
+            health: HealthWord::default(),
             closed_until: Now::ZERO,
             probe_at: Now::ZERO,
-            slow_batch: None,
         }
     }
 
@@ -136,10 +128,6 @@
         self.clock + now.saturating_sub(self.heard).as_millis() as AgentMillis
     }
 
-    fn is_set_aside(&self) -> bool {
-        self.failures > FAILING
-    }
-
     fn serves(&self, need: &Need<'_>) -> bool {
         let Some(info) = &self.info else {
             return false;
@@ -162,7 +150,8 @@
         };
         let used = info.capacity.minus(self.room()).plus(need.size);
         let used = used.share_of(info.capacity);
-        let mut cost = self.pace * (1.0 + CROWD_COST * used);
+        let pace = self.pace();
+        let mut cost = pace * (1.0 + CROWD_COST * used);
         if used > 1.0 - TIGHT_SHARE {
             cost += TIGHT_COST;
         }
@@ -174,39 +163,24 @@
             .preferred_rack
             .is_some_and(|rack| info.labels.iter().all(|have| have != rack));
         if is_far {
-            cost += FAR_RACK_COST * self.pace;
+            cost += FAR_RACK_COST * pace;
         }
         if need.avoid == Some(&*self.agent) {
-            cost += self.pace;
+            cost += pace;
         }
         cost
     }
 }
 
-/// What an outcome says of a target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Outcome {
-    /// A run ended well, in this share of its estimate.
-    Done(f64),
-    /// A run failed.
-    Failed,
-    /// A run is slow: it would take this share of its estimate.
-    Slow(f64),
-    /// A start was refused by a target that is unwell or silent.
+/// Why a target refused a start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refused {
+    /// It is unwell or silent.
     Unwell,
-    /// A start was refused, for the target has just left another call unanswered.
+    /// It has just left another call unanswered.
     Doubtful,
 }
 
-/// A run that is slow.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct SlowRun {
-    /// The share of its estimate that it would take.
-    pub pace: f64,
-    /// How much of it is done, in percent.
-    pub percent: u32,
-}
-
 /// What changed about a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
@@ -219,9 +193,20 @@
 }
 
 /// See the module.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetBoard {
     views: BTreeMap<SessionId, TargetView>,
+    /// How often this entry gives an outcast a task.
+    probe_every: Duration,
+}
+
+impl Default for TargetBoard {
+    fn default() -> Self {
+        Self {
+            views: BTreeMap::new(),
+            probe_every: PROBE_EVERY,
+        }
+    }
 }
 
 impl TargetBoard {
@@ -267,17 +252,16 @@
         silent.map(|(link, _)| *link).collect()
     }
 
-    /// Notes an agent's packet; says whether room may have grown.
-    pub fn heard(
-        &mut self,
-        now: Now,
-        link: SessionId,
-        clock: AgentMillis,
-        free: Resources,
-        starts_seen: u64,
-    ) {
+    /// Notes an agent's packet; says what changed about its target.
+    pub fn heard(&mut self, now: Now, link: SessionId, word: LoadWord) -> Verdict {
+        let LoadWord {
+            clock,
+            free,
+            starts_seen,
+            health,
+        } = word;
         let Some(view) = self.views.get_mut(&link) else {
-            return;
+            return Verdict::Same;
         };
         view.heard = now;
         view.clock = clock;
@@ -286,6 +270,16 @@
         while view.unseen.len() > still_unseen {
             view.unseen.pop_front();
         }
+        let was_aside = view.health.is_set_aside();
+        view.health = health;
+        match (was_aside, health.is_set_aside()) {
+            (false, true) => {
+                view.probe_at = now + self.probe_every;
+                Verdict::SetAside
+            }
+            (true, false) => Verdict::Returned,
+            _ => Verdict::Same,
+        }
     }
 
     /// Notes a start sent to a target.
@@ -295,11 +289,16 @@
             view.starts_sent += 1;
             view.unseen.push_back(size);
             if view.is_outcast(best_pace) {
-                view.probe_at = now + PROBE_EVERY;
+                view.probe_at = now + self.probe_every;
             }
         }
     }
 
+    /// Notes how many entries there are, this one included.
+    pub fn note_entries(&mut self, entries: usize) {
+        self.probe_every = PROBE_EVERY.max(PROBE_APART * entries as u32);
+    }
+
     /// The best target for a task, if any has room.
     pub fn choose(
         &self,
@@ -329,58 +328,19 @@
     }
 
     fn best_pace(&self) -> f64 {
-        let paces = self.views.values().map(|v| v.pace);
+        let paces = self.views.values().map(TargetView::pace);
         paces.fold(f64::MAX, f64::min)
     }
 
-    /// Learns from an outcome.
-    pub fn learn(&mut self, now: Now, link: SessionId, outcome: Outcome) -> Verdict {
-        let Some(view) = self.views.get_mut(&link) else {
-            return Verdict::Same;
-        };
-        let was_aside = view.is_set_aside();
-        match outcome {
-            Outcome::Done(pace) => {
-                view.failures *= 1.0 - FAILURE_WEIGHT;
-                view.learn_pace(pace.min(SLOWEST_ENDED));
-            }
-            Outcome::Failed => {
-                view.failures += FAILURE_WEIGHT * (1.0 - view.failures);
-            }
-            Outcome::Slow(pace) => view.learn_pace(pace.max(view.pace)),
-            Outcome::Unwell => view.close_for(now, UNWELL_PAUSE),
-            Outcome::Doubtful => view.close_for(now, DOUBT_PAUSE),
-        }
-        if view.is_set_aside() && !was_aside {
-            view.probe_at = now + PROBE_EVERY;
-        }
-        match (was_aside, view.is_set_aside()) {
-            (false, true) => Verdict::SetAside,
-            (true, false) => Verdict::Returned,
-            _ => Verdict::Same,
-        }
-    }
-
-    /// Takes in that a run of a batch is slow, with the pace that its progress promises. It counts
-    /// against the target if the run stands still or another batch's was slow there of late.
-    pub fn found_slow(
-        &mut self,
-        now: Now,
-        link: SessionId,
-        batch: BatchId,
-        run: SlowRun,
-    ) -> Verdict {
-        let Some(view) = self.views.get_mut(&link) else {
-            return Verdict::Same;
-        };
-        let is_suspect = view
-            .slow_batch
-            .is_some_and(|(before, at)| before != batch && at + SUSPECT_FOR > now);
-        view.slow_batch = Some((batch, now));
-        if is_suspect || run.percent < STANDS_STILL {
-            return self.learn(now, link, Outcome::Slow(run.pace));
+    /// Notes that a target refused a start: it gets none for a while.
+    pub fn refused(&mut self, now: Now, link: SessionId, why: Refused) {
+        if let Some(view) = self.views.get_mut(&link) {
+            let pause = match why {
+                Refused::Unwell => UNWELL_PAUSE,
+                Refused::Doubtful => DOUBT_PAUSE,
+            };
+            view.closed_until = view.closed_until.max(now + pause);
         }
-        Verdict::Same
     }
 
     /// Whether a target gets only probes.
@@ -393,27 +353,13 @@
 }
 
 impl TargetView {
-    fn close_for(&mut self, now: Now, pause: Duration) {
-        self.closed_until = self.closed_until.max(now + pause);
-    }
-
     /// Whether it gets only probes: it fails what it starts, or is far slower than the best.
     fn is_outcast(&self, best_pace: f64) -> bool {
-        self.is_set_aside() || self.pace > TOO_SLOW * best_pace
-    }
-
-    fn learn_pace(&mut self, pace: f64) {
-        let pace = pace.clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
-        let weight = if self.pace > TOO_SLOW {
-            PROBE_WEIGHT
-        } else {
-            PACE_WEIGHT
-        };
-        self.pace += weight * (pace - self.pace);
+        self.health.is_set_aside() || self.pace() > TOO_SLOW * best_pace
     }
 
     /// Run time over estimate, averaged.
     pub fn pace(&self) -> f64 {
-        self.pace
+        self.health.pace()
     }
 }
--- /dev/null
+++ b/lib/tests/test_target_health.rs
@@ -0,0 +1,58 @@
+//! What an agent makes of its target's runs.
+
+use std::time::Duration;
+
+use trestleknot_lib::ids::Now;
+use trestleknot_lib::target_health::{SlowRun, TargetHealth};
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn test_word_two_failures_set_aside_and_three_successes_bring_back() {
+    let mut health = TargetHealth::default();
+    health.run_failed();
+    assert!(
+        !health.word().is_set_aside(),
+        "one failure may be the task's"
+    );
+    health.run_failed();
+    assert!(health.word().is_set_aside());
+    for _ in 0..3 {
+        health.run_done(1.0);
+    }
+    assert!(!health.word().is_set_aside());
+}
+
+#[test]
+fn test_word_one_batch_with_a_wrong_estimate_says_nothing() {
+    let mut health = TargetHealth::default();
+    let slow = SlowRun {
+        pace: 12.0,
+        percent: 8,
+    };
+    for step in 0..10 {
+        health.run_slow(ms(10 * step), 1, slow);
+    }
+    assert_eq!(health.word().pace_percent, 100);
+    // Another batch's run is slow there as well.
+    health.run_slow(ms(200), 2, slow);
+    assert!(health.word().pace() > 2.0);
+}
+
+#[test]
+fn test_word_standing_run_counts_at_once() {
+    let mut health = TargetHealth::default();
+    let standing = SlowRun {
+        pace: 30.0,
+        percent: 1,
+    };
+    health.run_slow(ms(10), 1, standing);
+    assert!(health.word().pace() > 2.6);
+    // Two sound probes bring it back.
+    for _ in 0..3 {
+        health.run_done(1.0);
+    }
+    assert!(health.word().pace() < 2.6);
+}
