entry: a refusal while it drains says that another entry may be tried at once

It said 0.5 s like every other refusal, which the caller's header rounds to 1 s, though the balancer has entries that can serve it now: 1 s -> 0 s. test_handle_batch_that_outlasts_a_drain_... shows it.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -331,7 +331,9 @@
 fn refused(why: Refusal) -> Reply {
     let retry_after = match why {
         Refusal::Unsupported(_) => None,
-        Refusal::NoConfig | Refusal::Busy | Refusal::Draining => Some(RETRY_BUSY),
+        Refusal::NoConfig | Refusal::Busy => Some(RETRY_BUSY),
+        // The balancer has other entries, which may be tried at once.
+        Refusal::Draining => Some(Duration::ZERO),
     };
     Reply::Refused { why, retry_after }
 }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -110,6 +110,27 @@
     );
 }
 
+#[test]
+fn test_handle_batch_that_outlasts_a_drain_may_go_elsewhere_at_once() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    entry.handle(ms(2), EntryEvent::Drain);
+    // Until the balancer has let go, everything is served; near the end, what can't be finished
+    // is not begun.
+    let late = Timings::default().entry_stop - ms(100);
+    entry.handle(ms(3), submission(4));
+    let answered = replies(&entry.handle(late, submission(5)));
+    let (_, reply) = answered
+        .iter()
+        .find(|(r, _)| *r == 5)
+        .expect("it is refused");
+    let expected = Reply::Refused {
+        why: Refusal::Draining,
+        retry_after: Some(Duration::ZERO),
+    };
+    assert_eq!(*reply, expected);
+}
+
 #[test]
 fn test_handle_too_many_batches_without_configuration_are_refused_at_once() {
     let mut entry = entry();
