--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use trestleknot_lib::batch::{BatchSpec, StepSpec};
+use trestleknot_lib::batch::{BatchSpec, StepSpec, Unsupported};
 use trestleknot_lib::batch_entry::BatchEntry;
 use trestleknot_lib::batch_event::{
     EntryAction, EntryEvent, EntryOptions, Refusal, Reply, Submission,
@@ -32,6 +32,10 @@
 }
 
 fn config() -> EntryEvent {
+    config_of(false)
+}
+
+fn config_of(needs_advice: bool) -> EntryEvent {
     let queue = Queue {
         name: "queue".into(),
         host: HOST.into(),
@@ -41,7 +45,7 @@
         max_attempts: 3,
         stretch: 1.6,
         target_latency: ms(60),
-        needs_advice: false,
+        needs_advice,
     };
     EntryEvent::Config(Arc::new(QueueTable {
         version: 1,
@@ -110,6 +114,16 @@
     );
 }
 
+#[test]
+fn test_handle_batch_of_a_queue_with_advice_is_refused_as_not_run() {
+    let mut entry = entry();
+    entry.handle(ms(1), config_of(true));
+    let answered = replies(&entry.handle(ms(2), submission(5)));
+    let expected = Refusal::Unsupported(Unsupported::Advice);
+    assert!(is_refused(&answered[0].1, expected), "{answered:?}");
+    assert_eq!(entry.levels().batches, 0);
+}
+
 #[test]
 fn test_handle_batch_that_outlasts_a_drain_may_go_elsewhere_at_once() {
     let mut entry = entry();
