--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -3,7 +3,9 @@
 //! The real cores, driven by one queue of events: every run of a seed is the same. Strikes hit at
 //! given times; [`checks`] looks at what callers and targets saw.
 
+mod callers;
 pub mod checks;
+mod hits;
 mod links;
 mod targets;
 
@@ -15,9 +17,8 @@
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use trestleknot_lib::batch::{BatchSpec, StepSpec};
 use trestleknot_lib::batch_entry::BatchEntry;
-use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply, Submission};
+use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
@@ -513,190 +514,6 @@
             AgentAction::Exit => self.stop(Node::Agent(i), Duration::from_millis(200)),
         }
     }
-
-    // Callers.
-
-    fn submit(&mut self, id: BatchId) {
-        let Some(caller) = self.callers.get_mut(&id) else {
-            return;
-        };
-        let request = self.next_request;
-        self.next_request += 1;
-        caller.requests.push(request);
-        let alive: Vec<usize> = (0..ENTRIES)
-            .filter(|i| self.entries[*i].core.is_some())
-            .collect();
-        if alive.is_empty() {
-            return;
-        }
-        let entry = alive[self.rng.random_range(0..alive.len())];
-        caller.at = Some((entry, self.entries[entry].life, request));
-        // Callers' guesses are off by 40%, and now and then by far more.
-        let guess = if id.is_multiple_of(16) {
-            0.08
-        } else {
-            self.rng.random_range(0.6..1.4)
-        };
-        let estimate = guess * caller.work_ms as f64;
-        let spec = BatchSpec {
-            id,
-            payload: caller.work_ms.to_string().into(),
-            steps: vec![StepSpec {
-                count: caller.tasks,
-                size: TASK,
-                estimate: Duration::from_millis(estimate as u64),
-                after: Vec::new(),
-                required_label: None,
-                preferred_rack: None,
-                most_per_target: None,
-            }],
-            unsupported: None,
-        };
-        self.by_request.insert(request, id);
-        let submission = Submission {
-            request,
-            host: "host".to_owned(),
-            path: format!("/q/{id:016x}"),
-            spec,
-            patience: Duration::from_millis(2_500),
-            caller_request: "".into(),
-        };
-        if self.frozen_until(Node::Entry(entry)) > self.now {
-            // Its connection would wait in the process that stands still; the caller gives up.
-            return;
-        }
-        self.tell_entry(entry, EntryEvent::Submit(submission));
-    }
-
-    fn replied(&mut self, entry: usize, request: RequestId, reply: Reply) {
-        let Some(id) = self.by_request.get(&request).copied() else {
-            return;
-        };
-        let Some(caller) = self.callers.get_mut(&id) else {
-            return;
-        };
-        let comes_again = reply == Reply::GaveUp && caller.requests.len() < 3;
-        caller.replies.push((request, reply));
-        if caller
-            .at
-            .is_some_and(|(e, _, r)| e == entry && r == request)
-        {
-            caller.at = None;
-            if comes_again {
-                self.after(self.timings.caller_return, Event::Submit(id));
-            }
-        }
-    }
-
-    /// Callers at an entry lose their connections. The entry hears of it if it lives.
-    fn break_callers(&mut self, entry: usize, entry_hears: bool) {
-        let life = self.entries[entry].life;
-        let mut broken = Vec::new();
-        for (id, caller) in &mut self.callers {
-            if let Some((e, l, request)) = caller.at
-                && e == entry
-                && l == life
-            {
-                caller.at = None;
-                broken.push((*id, request, caller.requests.len()));
-            }
-        }
-        for (id, request, tries) in broken {
-            if entry_hears {
-                let seen = Duration::from_millis(2);
-                self.after(seen, Event::Gone(entry, life, request));
-            }
-            if tries < 3 {
-                self.after(self.timings.caller_return, Event::Submit(id));
-            }
-        }
-    }
-
-    // Strikes.
-
-    fn hit(&mut self, strike: Strike) {
-        self.log.push(format!("{:?} strike {strike:?}", self.now));
-        match strike {
-            Strike::Kill(node) => self.stop(node, Duration::from_millis(300)),
-            Strike::PowerOff(node) => self.power_off(node),
-            Strike::Freeze(Node::Entry(i), length) => {
-                self.entries[i].frozen_until = self.now + length;
-            }
-            Strike::Freeze(Node::Agent(i), length) => {
-                self.agents[i].frozen_until = self.now + length;
-            }
-            Strike::Cut(node, length) => self.cut(node, length),
-            Strike::Reset(node) => {
-                self.reset_links(node);
-                if let Node::Entry(i) = node {
-                    self.break_callers(i, true);
-                }
-            }
-            Strike::Drain(Node::Entry(i)) => self.tell_entry(i, EntryEvent::Drain),
-            Strike::Drain(Node::Agent(i)) => self.tell_agent(i, AgentEvent::Drain),
-            Strike::Crash(i) => self.crash(i),
-            Strike::Trouble(i, trouble, length) => {
-                self.targets[i].target.trouble = trouble;
-                self.after(length, Event::End(targets::Ending::Trouble(i)));
-            }
-            Strike::LateReports(i, length) => {
-                self.targets[i].delays_reports = true;
-                self.after(length, Event::End(targets::Ending::LateReports(i)));
-            }
-            Strike::LateOrders(i, length) => {
-                self.targets[i].loses_orders = true;
-                self.after(length, Event::End(targets::Ending::LateOrders(i)));
-            }
-            Strike::Leave(i) => self.targets[i].target.leave(),
-            Strike::ClockBack => self.token_base -= 3_600_000,
-        }
-    }
-
-    /// Ends a process; its connections are closed by its kernel, and it starts again.
-    fn stop(&mut self, node: Node, pause: Duration) {
-        if let Node::Entry(i) = node {
-            self.break_callers(i, false);
-        }
-        self.reset_links(node);
-        self.forget_process(node);
-        self.after(pause, Event::Start(node));
-    }
-
-    fn power_off(&mut self, node: Node) {
-        if let Node::Entry(i) = node {
-            // Its callers hear nothing until their own time is up.
-            let life = self.entries[i].life;
-            for caller in self.callers.values_mut() {
-                if caller.at.is_some_and(|(e, l, _)| e == i && l == life) {
-                    caller.at = None;
-                }
-            }
-        }
-        self.links.silence(node);
-        self.forget_process(node);
-        self.after(Duration::from_millis(900), Event::Start(node));
-    }
-
-    fn forget_process(&mut self, node: Node) {
-        match node {
-            Node::Entry(i) => {
-                self.entries[i].core = None;
-                self.entries[i].life = 0;
-            }
-            Node::Agent(i) => {
-                self.agents[i].core = None;
-                self.agents[i].life = 0;
-            }
-        }
-    }
-
-    fn cut(&mut self, node: Node, length: Duration) {
-        let until = self.now + length;
-        match node {
-            Node::Entry(i) => self.entries[i].cut_until = until,
-            Node::Agent(i) => self.agents[i].cut_until = until,
-        }
-    }
 }
 
 fn config() -> QueueTable {
--- /dev/null
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -0,0 +1,109 @@
+//! Callers of the virtual fleet: what they ask, what they hear, and when they come again.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use trestleknot_lib::batch::{BatchSpec, StepSpec};
+use trestleknot_lib::batch_event::{EntryEvent, Reply, Submission};
+use trestleknot_lib::ids::RequestId;
+use trestleknot_lib::run::BatchId;
+
+use super::{ENTRIES, Event, Node, RunFleet, TASK};
+
+impl RunFleet {
+    pub(super) fn submit(&mut self, id: BatchId) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let request = self.next_request;
+        self.next_request += 1;
+        caller.requests.push(request);
+        let alive: Vec<usize> = (0..ENTRIES)
+            .filter(|i| self.entries[*i].core.is_some())
+            .collect();
+        if alive.is_empty() {
+            return;
+        }
+        let entry = alive[self.rng.random_range(0..alive.len())];
+        caller.at = Some((entry, self.entries[entry].life, request));
+        // Callers' guesses are off by 40%, and now and then by far more.
+        let guess = if id.is_multiple_of(16) {
+            0.08
+        } else {
+            self.rng.random_range(0.6..1.4)
+        };
+        let estimate = guess * caller.work_ms as f64;
+        let spec = BatchSpec {
+            id,
+            payload: caller.work_ms.to_string().into(),
+            steps: vec![StepSpec {
+                count: caller.tasks,
+                size: TASK,
+                estimate: Duration::from_millis(estimate as u64),
+                after: Vec::new(),
+                required_label: None,
+                preferred_rack: None,
+                most_per_target: None,
+            }],
+            unsupported: None,
+        };
+        self.by_request.insert(request, id);
+        let submission = Submission {
+            request,
+            host: "host".to_owned(),
+            path: format!("/q/{id:016x}"),
+            spec,
+            patience: Duration::from_millis(2_500),
+            caller_request: "".into(),
+        };
+        if self.frozen_until(Node::Entry(entry)) > self.now {
+            // Its connection would wait in the process that stands still; the caller gives up.
+            return;
+        }
+        self.tell_entry(entry, EntryEvent::Submit(submission));
+    }
+
+    pub(super) fn replied(&mut self, entry: usize, request: RequestId, reply: Reply) {
+        let Some(id) = self.by_request.get(&request).copied() else {
+            return;
+        };
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let comes_again = reply == Reply::GaveUp && caller.requests.len() < 3;
+        caller.replies.push((request, reply));
+        if caller
+            .at
+            .is_some_and(|(e, _, r)| e == entry && r == request)
+        {
+            caller.at = None;
+            if comes_again {
+                self.after(self.timings.caller_return, Event::Submit(id));
+            }
+        }
+    }
+
+    /// Callers at an entry lose their connections. The entry hears of it if it lives.
+    pub(super) fn break_callers(&mut self, entry: usize, entry_hears: bool) {
+        let life = self.entries[entry].life;
+        let mut broken = Vec::new();
+        for (id, caller) in &mut self.callers {
+            if let Some((e, l, request)) = caller.at
+                && e == entry
+                && l == life
+            {
+                caller.at = None;
+                broken.push((*id, request, caller.requests.len()));
+            }
+        }
+        for (id, request, tries) in broken {
+            if entry_hears {
+                let seen = Duration::from_millis(2);
+                self.after(seen, Event::Gone(entry, life, request));
+            }
+            if tries < 3 {
+                self.after(self.timings.caller_return, Event::Submit(id));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/testutils/src/run_fleet/hits.rs
@@ -0,0 +1,94 @@
+//! What strikes do to the virtual fleet.
+
+use std::time::Duration;
+
+use trestleknot_lib::batch_event::EntryEvent;
+use trestleknot_lib::run_event::AgentEvent;
+
+use super::{Event, Node, RunFleet, Strike, targets};
+
+impl RunFleet {
+    pub(super) fn hit(&mut self, strike: Strike) {
+        self.log.push(format!("{:?} strike {strike:?}", self.now));
+        match strike {
+            Strike::Kill(node) => self.stop(node, Duration::from_millis(300)),
+            Strike::PowerOff(node) => self.power_off(node),
+            Strike::Freeze(Node::Entry(i), length) => {
+                self.entries[i].frozen_until = self.now + length;
+            }
+            Strike::Freeze(Node::Agent(i), length) => {
+                self.agents[i].frozen_until = self.now + length;
+            }
+            Strike::Cut(node, length) => self.cut(node, length),
+            Strike::Reset(node) => {
+                self.reset_links(node);
+                if let Node::Entry(i) = node {
+                    self.break_callers(i, true);
+                }
+            }
+            Strike::Drain(Node::Entry(i)) => self.tell_entry(i, EntryEvent::Drain),
+            Strike::Drain(Node::Agent(i)) => self.tell_agent(i, AgentEvent::Drain),
+            Strike::Crash(i) => self.crash(i),
+            Strike::Trouble(i, trouble, length) => {
+                self.targets[i].target.trouble = trouble;
+                self.after(length, Event::End(targets::Ending::Trouble(i)));
+            }
+            Strike::LateReports(i, length) => {
+                self.targets[i].delays_reports = true;
+                self.after(length, Event::End(targets::Ending::LateReports(i)));
+            }
+            Strike::LateOrders(i, length) => {
+                self.targets[i].loses_orders = true;
+                self.after(length, Event::End(targets::Ending::LateOrders(i)));
+            }
+            Strike::Leave(i) => self.targets[i].target.leave(),
+            Strike::ClockBack => self.token_base -= 3_600_000,
+        }
+    }
+
+    /// Ends a process; its connections are closed by its kernel, and it starts again.
+    pub(super) fn stop(&mut self, node: Node, pause: Duration) {
+        if let Node::Entry(i) = node {
+            self.break_callers(i, false);
+        }
+        self.reset_links(node);
+        self.forget_process(node);
+        self.after(pause, Event::Start(node));
+    }
+
+    pub(super) fn power_off(&mut self, node: Node) {
+        if let Node::Entry(i) = node {
+            // Its callers hear nothing until their own time is up.
+            let life = self.entries[i].life;
+            for caller in self.callers.values_mut() {
+                if caller.at.is_some_and(|(e, l, _)| e == i && l == life) {
+                    caller.at = None;
+                }
+            }
+        }
+        self.links.silence(node);
+        self.forget_process(node);
+        self.after(Duration::from_millis(900), Event::Start(node));
+    }
+
+    pub(super) fn forget_process(&mut self, node: Node) {
+        match node {
+            Node::Entry(i) => {
+                self.entries[i].core = None;
+                self.entries[i].life = 0;
+            }
+            Node::Agent(i) => {
+                self.agents[i].core = None;
+                self.agents[i].life = 0;
+            }
+        }
+    }
+
+    pub(super) fn cut(&mut self, node: Node, length: Duration) {
+        let until = self.now + length;
+        match node {
+            Node::Entry(i) => self.entries[i].cut_until = until,
+            Node::Agent(i) => self.agents[i].cut_until = until,
+        }
+    }
+}
