entry: nothing waits beyond the moment from which its caller could be answered

Hypothesis: a caller that comes back with 243 ms left was held for most of it and refused at its end. Change: a batch waits no longer than its caller's patience less its estimated work.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -159,6 +159,8 @@
         } else {
             Duration::ZERO
         };
+        // What starts later than this can't be answered before the caller leaves.
+        let last_start = patience.saturating_sub(chain);
         let left = objective.saturating_sub(age);
         let is_overdue = left.is_zero();
         BatchTimes {
@@ -167,7 +169,7 @@
             is_overdue,
             give_up: arrived + patience,
             in_time_until: arrived + slack,
-            place_by: arrived + wait.min(patience),
+            place_by: arrived + wait.min(last_start),
         }
     }
 
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -42,6 +42,7 @@
 const QUEUED_COST: f64 = 0.05;
 /// Cost of another data hall: a millisecond there and back, over the shortest usual task.
 const FAR_HALL_COST: f64 = 0.02;
+
 /// One target, as seen through its agent's link.
 #[derive(Debug)]
 pub struct TargetView {
--- /dev/null
+++ b/lib/tests/test_target_board.rs
@@ -0,0 +1,129 @@
+//! Which target gets a task, as far as its agent's word on its health decides.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use trestleknot_lib::ids::{HallName, Now};
+use trestleknot_lib::queue::Queue;
+use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run_message::TargetInfo;
+use trestleknot_lib::target_board::{LoadWord, Need, TargetBoard, Verdict};
+use trestleknot_lib::target_health::HealthWord;
+
+const BAD: u64 = 1;
+const SOUND: u64 = 2;
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+const ALL: Resources = Resources {
+    cpu_millis: 16_000,
+    memory_mib: 1_024,
+    accelerators: 0,
+};
+const TASK: Resources = Resources {
+    cpu_millis: 2_000,
+    memory_mib: 64,
+    accelerators: 0,
+};
+
+fn word(health: HealthWord) -> LoadWord {
+    LoadWord {
+        clock: 0,
+        free: ALL,
+        starts_seen: 1_000,
+        health,
+    }
+}
+
+fn failing() -> HealthWord {
+    HealthWord {
+        pace_percent: 100,
+        failed_percent: 60,
+    }
+}
+
+/// A board of a target that fails and one that is sound but full.
+fn board() -> TargetBoard {
+    let mut board = TargetBoard::default();
+    for link in [BAD, SOUND] {
+        board.join(ms(1), link, format!("agent-{link}").into(), "hall".into());
+        let view = board.get_mut(link).expect("it has joined");
+        view.info = Some(TargetInfo {
+            life: "life".into(),
+            service: "service".into(),
+            capacity: ALL,
+            labels: Vec::new(),
+            leaving: false,
+        });
+    }
+    let full = LoadWord {
+        free: Resources::NONE,
+        ..word(HealthWord::default())
+    };
+    board.heard(ms(1), SOUND, full);
+    board
+}
+
+fn queue() -> Queue {
+    Queue {
+        name: "queue".into(),
+        host: "host".into(),
+        path_prefix: "/".into(),
+        service: Arc::from("service"),
+        priority: 0,
+        max_attempts: 3,
+        stretch: 1.6,
+        target_latency: ms(60),
+        needs_advice: false,
+    }
+}
+
+/// Tasks that the failing target gets in 6 s, if it is tried every 10 ms.
+fn probes(board: &mut TargetBoard) -> u32 {
+    let queue = queue();
+    let hall: HallName = "hall".into();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut probes = 0;
+    for step in 0..600 {
+        let now = ms(10 + 10 * step);
+        board.heard(now, BAD, word(failing()));
+        let need = Need {
+            size: TASK,
+            queue: &queue,
+            required_label: None,
+            preferred_rack: None,
+            avoid: None,
+        };
+        if let Some(link) = board.choose(now, &need, &hall, |_| false, &mut rng) {
+            assert_eq!(link, BAD);
+            board.sent_start(now, link, TASK);
+            probes += 1;
+        }
+    }
+    probes
+}
+
+#[test]
+fn test_heard_verdict_by_health() {
+    let mut board = board();
+    assert_eq!(board.heard(ms(2), BAD, word(failing())), Verdict::SetAside);
+    assert_eq!(board.heard(ms(3), BAD, word(failing())), Verdict::Same);
+    let sound = word(HealthWord::default());
+    assert_eq!(board.heard(ms(4), BAD, sound), Verdict::Returned);
+}
+
+#[test]
+fn test_choose_outcast_gets_probes_only() {
+    assert_eq!(probes(&mut board()), 9);
+}
+
+#[test]
+fn test_choose_many_entries_share_the_probes() {
+    let mut board = board();
+    board.note_entries(12);
+    assert_eq!(probes(&mut board), 3);
+}
