--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -71,6 +71,7 @@
             AgentAction::Send(link, packet) => self.links.send(link, &Packet::FromAgent(packet)),
             AgentAction::Close(link) => self.links.close(link),
             AgentAction::Dial(address) => self.dial(address),
+            AgentAction::HangUp(address) => self.links.hang_up(address),
             AgentAction::Start(call) => self.start_run(call),
             AgentAction::Stop { key, token, life } => {
                 ntex::rt::spawn(self.target.stop(key, token, life));
@@ -156,7 +157,7 @@
             match registry.list().await {
                 Ok(addresses) => {
                     health.answered();
-                    addresses.into_iter().for_each(|a| self.dial(a));
+                    self.tell(AgentEvent::Entries(addresses));
                 }
                 Err(e) => health.failed(&e.to_string()).await,
             }
@@ -165,8 +166,12 @@
 }
 
 impl LinkSink for AgentNode {
-    fn link_up(&self, link: SessionId, _dialled: bool) {
-        self.tell(AgentEvent::LinkUp(link));
+    fn link_up(&self, link: SessionId, dialled: Option<SocketAddr>) {
+        match dialled {
+            Some(address) => self.tell(AgentEvent::LinkUp(link, address)),
+            // An agent accepts no links.
+            None => self.links.close(link),
+        }
     }
 
     fn packet(&self, link: SessionId, packet: Packet) {
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -19,7 +19,7 @@
 use crate::batch_placing::{Placed, Placing};
 use crate::batch_table::{BatchNews, BatchTable, RunOver};
 use crate::early_batches::EarlyBatches;
-use crate::entry_directory::EntryDirectory;
+use crate::entry_directory::{EntryDirectory, Source};
 use crate::entry_drain::EntryDrain;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{NodeName, Now, SessionId};
@@ -32,10 +32,14 @@
 /// Batches in a row that find no room before the rest is left for later.
 const MOST_MISSES: u32 = 6;
 
-/// Orders that wait to be sent to an agent.
+/// What waits to be sent to an agent.
 #[derive(Debug, Default)]
 struct Outbox {
+    /// Orders, sent at once.
     orders: Vec<Order>,
+    /// Entries learnt, sent with the next packet: a heartbeat carries them soon enough, and at a
+    /// start of 55 entries each agent would have 55 packets of every entry otherwise.
+    entries: Vec<SocketAddr>,
 }
 
 /// State of an entry.
@@ -144,7 +148,7 @@
             EntryEvent::CallerGone(request) => self.caller_gone(request),
             EntryEvent::Ask(question) => self.ask(&question),
             EntryEvent::Cancel(question) => self.cancel(&question),
-            EntryEvent::Config(table) => self.directory.offer_config(&table, "store"),
+            EntryEvent::Config(table) => self.directory.offer_config(self.now, &table, "store"),
             EntryEvent::Entries(addresses) => self.learn_entries(addresses),
             EntryEvent::LinkUp(link, dialled) => self.link_up(link, dialled),
             EntryEvent::LinkDown(link) => {
@@ -284,7 +288,7 @@
     // The end, and packets.
 
     fn learn_entries(&mut self, addresses: Vec<SocketAddr>) {
-        let fresh = self.directory.learn(None, addresses);
+        let fresh = self.directory.learn(self.now, Source::Platform, addresses);
         self.tell_agents(fresh);
     }
 
@@ -293,7 +297,7 @@
             return;
         }
         for outbox in self.outboxes.values_mut() {
-            outbox.orders.push(Order::Entries(entries.clone()));
+            outbox.entries.extend(&entries);
         }
     }
 
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -121,6 +121,7 @@
         };
         let mut outbox = Outbox {
             orders: vec![Order::Welcome(welcome)],
+            entries: Vec::new(),
         };
         // An order to stop may have been lost with the link before.
         if !stopping.is_empty() {
@@ -285,6 +286,10 @@
         };
         view.sent = now;
         let lease = self.options.timings.entry_lease.as_millis() as AgentMillis;
+        if !outbox.entries.is_empty() {
+            let entries = std::mem::take(&mut outbox.entries);
+            outbox.orders.push(Order::Entries(entries));
+        }
         let packet = EntryPacket {
             lease_until: view.agent_clock(now) + lease,
             waiting,
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -191,7 +191,7 @@
         );
         self.close(id, CloseReason::CallerGone);
         if self.table.get(id).is_some() {
-            self.directory.tell_closing(id);
+            self.directory.tell_closing(self.now, id);
         }
     }
 
@@ -250,7 +250,7 @@
             return;
         };
         if batch.state == BatchState::Closing(CloseReason::CallerGone) && batch.is_tried {
-            self.directory.tell_closed(id);
+            self.directory.tell_closed(self.now, id);
         }
         if let Some(request) = batch.request {
             let reply = if batch.is_tried {
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -23,6 +23,15 @@
     pub may_place: bool,
 }
 
+/// Where an entry's address was learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Source {
+    /// From the settings or the registry.
+    Platform,
+    /// From the entry behind a link.
+    Entry(SessionId),
+}
+
 /// See the module.
 #[derive(Debug)]
 pub struct EntryDirectory {
@@ -135,10 +144,12 @@
                 }
                 PeerNews::Config(table) => {
                     self.peers.holds(link, table.version);
-                    self.offer_config(&table, "entry");
+                    self.offer_config(now, &table, "entry");
                 }
                 PeerNews::Entries(addresses) => {
-                    effects.entries.extend(self.learn(Some(link), addresses));
+                    effects
+                        .entries
+                        .extend(self.learn(now, Source::Entry(link), addresses));
                 }
                 PeerNews::Closing(ids) => {
                     for id in ids {
@@ -167,23 +178,28 @@
         // Both sides say hello; an answer to an answer is not needed.
         if self.peers.join(now, link, intro) {
             let hello = PeerNews::Hello(self.intro());
-            self.peers.tell(link, hello);
+            self.peers.tell(now, link, hello);
         }
         if let Some(table) = self.config.table()
             && table.version > intro.config
         {
             self.peers.holds(link, table.version);
-            self.peers.tell(link, PeerNews::Config(table.clone()));
+            self.peers.tell(now, link, PeerNews::Config(table.clone()));
         }
         let mut addresses = intro.entries.clone();
         addresses.push(intro.address);
-        self.learn(Some(link), addresses)
+        self.learn(now, Source::Entry(link), addresses)
     }
 
     /// Learns addresses of entries, dials those that are new and passes them on; gives them.
+    ///
+    /// One link between two entries is enough: of two that hear of each other, the one with the
+    /// lower address dials. What the platform names is dialled in any case, for nobody else may know
+    /// of this entry yet.
     pub fn learn(
         &mut self,
-        from: Option<SessionId>,
+        now: Now,
+        source: Source,
         addresses: Vec<SocketAddr>,
     ) -> Vec<SocketAddr> {
         let own = self.options.address;
@@ -194,15 +210,21 @@
         }
         self.log(EventCode::EntriesLearnt, format!("addresses={fresh:?}"));
         for address in &fresh {
-            self.out.push(EntryAction::Dial(*address));
+            if source == Source::Platform || own < *address {
+                self.out.push(EntryAction::Dial(*address));
+            }
         }
+        let from = match source {
+            Source::Entry(link) => Some(link),
+            Source::Platform => None,
+        };
         let news = PeerNews::Entries(fresh.clone());
-        self.peers.tell_others(from, &news);
+        self.peers.tell_others(now, from, &news);
         fresh
     }
 
     /// Takes a configuration in force if it is newer, and passes it on.
-    pub fn offer_config(&mut self, table: &Arc<QueueTable>, from: &str) {
+    pub fn offer_config(&mut self, now: Now, table: &Arc<QueueTable>, from: &str) {
         if !self.config.offer(table) {
             return;
         }
@@ -213,16 +235,17 @@
             format!("version={version} queues={queues} from={from}"),
         );
         let news = PeerNews::Config(table.clone());
-        self.peers.tell_config(version, &news);
+        self.peers.tell_config(now, version, &news);
     }
 
     /// Tells the other entries that a batch is being closed here.
-    pub fn tell_closing(&mut self, id: BatchId) {
-        self.peers.tell_others(None, &PeerNews::Closing(vec![id]));
+    pub fn tell_closing(&mut self, now: Now, id: BatchId) {
+        let news = PeerNews::Closing(vec![id]);
+        self.peers.tell_others(now, None, &news);
     }
 
     /// Tells the other entries that nothing of a batch runs here any more.
-    pub fn tell_closed(&mut self, id: BatchId) {
-        self.peers.tell_others(None, &PeerNews::Closed(vec![id]));
+    pub fn tell_closed(&mut self, now: Now, id: BatchId) {
+        self.peers.tell_closed(now, id);
     }
 }
--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -137,6 +137,11 @@
         self.until.retain(|_, until| *until >= before);
     }
 
+    /// A link.
+    pub fn get(&self, link: SessionId) -> Option<&EntryLink> {
+        self.links.get(&link)
+    }
+
     /// A link.
     pub fn get_mut(&mut self, link: SessionId) -> Option<&mut EntryLink> {
         self.links.get_mut(&link)
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -202,8 +202,8 @@
 }
 
 impl LinkSink for EntryNode {
-    fn link_up(&self, link: SessionId, dialled: bool) {
-        self.tell(EntryEvent::LinkUp(link, dialled));
+    fn link_up(&self, link: SessionId, dialled: Option<SocketAddr>) {
+        self.tell(EntryEvent::LinkUp(link, dialled.is_some()));
     }
 
     fn packet(&self, link: SessionId, packet: Packet) {
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -88,6 +88,7 @@
     EntryJoined = 1601, Info, "entry session opened";
     EntryLost = 1602, Warn, "entry session lost";
     EntryForgotten = 1603, Warn, "entry gone for long, its dispatches forgotten";
+    EntryParted = 1604, Info, "link to an entry given up, for there are enough";
     MalformedFrame = 1701, Warn, "session closed for a malformed frame";
     StrangerRefused = 1702, Warn, "connection without the fleet secret refused";
     RingFull = 1703, Error, "ring between threads is full";
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
 //! - state: [`answer_time`], [`run_book`], [`target_lease`], [`room_shares`], [`entry_leases`],
-//!   [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
+//!   [`homes`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
 //!   [`entry_directory`], [`entry_drain`];
 //! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
 //!   [`batch_event`] and [`run_event`], and the choice of targets in [`batch_placing`];
@@ -60,6 +60,7 @@
 pub mod frame_order;
 pub mod health;
 pub mod held_batch;
+pub mod homes;
 pub mod http_answer;
 pub mod http_api;
 pub mod http_platform;
--- a/lib/src/node_links.rs
+++ b/lib/src/node_links.rs
@@ -4,7 +4,7 @@
 //! is written in as few writes as possible. A side that does not read is closed, not waited for.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -40,13 +40,16 @@
 const GONE_PAUSE: Duration = Duration::from_secs(3);
 /// See [`GONE_PAUSE`].
 const LONG_GONE: Duration = Duration::from_secs(10);
+/// Number of a task that keeps a connection.
+type DialNumber = u64;
+
 /// Path of the links.
 const PATH: &str = "/links";
 
 /// What links tell.
 pub trait LinkSink {
-    /// A link stands; whether this side dialled it.
-    fn link_up(&self, link: SessionId, dialled: bool);
+    /// A link stands; the address that was dialled, if this side did so.
+    fn link_up(&self, link: SessionId, dialled: Option<SocketAddr>);
     /// A packet has come.
     fn packet(&self, link: SessionId, packet: Packet);
     /// A link is gone.
@@ -56,7 +59,9 @@
 /// The links of one process.
 pub struct NodeLinks {
     writers: RefCell<BTreeMap<SessionId, mpsc::Sender<Vec<u8>>>>,
-    dialled: RefCell<BTreeSet<SocketAddr>>,
+    /// Addresses that a connection is kept to, each with the number of the task that does so.
+    dialled: RefCell<BTreeMap<SocketAddr, DialNumber>>,
+    next_dial: Cell<DialNumber>,
     next_link: Cell<SessionId>,
     bytes_sent: Cell<u64>,
     bytes_received: Cell<u64>,
@@ -68,6 +73,7 @@
         Rc::new(Self {
             writers: RefCell::default(),
             dialled: RefCell::default(),
+            next_dial: Cell::new(1),
             next_link: Cell::new(1),
             bytes_sent: Cell::new(0),
             bytes_received: Cell::new(0),
@@ -98,19 +104,38 @@
 
     /// Keeps a connection to an address from now on.
     pub fn dial(self: &Rc<Self>, address: SocketAddr, sink: Rc<dyn LinkSink>) {
-        if self.dialled.borrow_mut().insert(address) {
-            let links = self.clone();
-            ntex::rt::spawn(links.keep_dialled(address, sink));
+        if self.dialled.borrow().contains_key(&address) {
+            return;
         }
+        let number = self.next_dial.get();
+        self.next_dial.set(number + 1);
+        self.dialled.borrow_mut().insert(address, number);
+        let links = self.clone();
+        ntex::rt::spawn(links.keep_dialled(address, number, sink));
+    }
+
+    /// Keeps no connection to an address any more. A link that stands is closed by its number.
+    pub fn hang_up(&self, address: SocketAddr) {
+        self.dialled.borrow_mut().remove(&address);
     }
 
-    async fn keep_dialled(self: Rc<Self>, address: SocketAddr, sink: Rc<dyn LinkSink>) {
+    fn is_kept(&self, address: SocketAddr, number: DialNumber) -> bool {
+        self.dialled.borrow().get(&address) == Some(&number)
+    }
+
+    async fn keep_dialled(
+        self: Rc<Self>,
+        address: SocketAddr,
+        number: DialNumber,
+        sink: Rc<dyn LinkSink>,
+    ) {
         let mut pause = FIRST_PAUSE;
         let mut reached = Instant::now();
-        loop {
-            if let Some(socket) = dial_once(address).await {
+        while self.is_kept(address, number) {
+            let socket = dial_once(address).await;
+            if let Some(socket) = socket.filter(|_| self.is_kept(address, number)) {
                 pause = FIRST_PAUSE;
-                self.run(socket, true, &sink).await;
+                self.run(socket, Some(address), &sink).await;
                 reached = Instant::now();
             }
             let jittered = pause.mul_f64(rand::rng().random_range(0.7..1.3));
@@ -146,7 +171,7 @@
         let config = Some(socket_config());
         let accepted = tokio_tungstenite::accept_async_with_config(stream, config);
         if let Ok(Ok(socket)) = timeout(HANDSHAKE_LIMIT, accepted).await {
-            self.run(socket, false, &sink).await;
+            self.run(socket, None, &sink).await;
         }
     }
 
@@ -154,7 +179,7 @@
     async fn run(
         &self,
         socket: WebSocketStream<TcpStream>,
-        dialled: bool,
+        dialled: Option<SocketAddr>,
         sink: &Rc<dyn LinkSink>,
     ) {
         let link = self.next_link.get();
--- a/lib/src/peer_book.rs
+++ b/lib/src/peer_book.rs
@@ -6,10 +6,15 @@
 
 use crate::ids::{NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
+use crate::run::BatchId;
 use crate::run_message::{PeerIntro, PeerNews};
 
 /// How often a quiet link between entries shows life.
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
+/// News that can wait is gathered for so long. What one entry says to 54 others costs each of them
+/// a packet, and most batches that are closed are over within it, so that nothing need be said.
+/// Callers whose connection broke come again after 700 ms at the soonest.
+const GATHER: Duration = Duration::from_millis(60);
 /// A link between entries that is silent for so long is closed.
 const SILENT_LINK: Duration = Duration::from_millis(3_000);
 
@@ -26,6 +31,29 @@
     pub sent: Now,
     /// News to be sent.
     pub news: Vec<PeerNews>,
+    /// When the news are to be sent.
+    news_due: Now,
+}
+
+impl Peer {
+    fn due_at(&self) -> Now {
+        if self.news.is_empty() {
+            self.sent + HEARTBEAT
+        } else {
+            self.news_due
+        }
+    }
+
+    fn add(&mut self, now: Now, news: PeerNews, wait: Duration) {
+        let due = now + wait;
+        let is_first = self.news.is_empty();
+        self.news_due = if is_first {
+            due
+        } else {
+            self.news_due.min(due)
+        };
+        self.news.push(news);
+    }
 }
 
 /// See the module.
@@ -59,6 +87,7 @@
             heard: now,
             sent: now,
             news: Vec::new(),
+            news_due: Now::ZERO,
         };
         self.links.insert(link, peer);
         true
@@ -89,28 +118,43 @@
         }
     }
 
-    /// Adds news for one entry.
-    pub fn tell(&mut self, link: SessionId, news: PeerNews) {
+    /// Adds news for one entry, to be sent at once.
+    pub fn tell(&mut self, now: Now, link: SessionId, news: PeerNews) {
         if let Some(peer) = self.links.get_mut(&link) {
-            peer.news.push(news);
+            peer.add(now, news, Duration::ZERO);
         }
     }
 
-    /// Adds news for every entry but one.
-    pub fn tell_others(&mut self, except: Option<SessionId>, news: &PeerNews) {
+    /// Adds news for every entry but one, to be sent with others soon.
+    pub fn tell_others(&mut self, now: Now, except: Option<SessionId>, news: &PeerNews) {
         for (link, peer) in &mut self.links {
             if Some(*link) != except {
-                peer.news.push(news.clone());
+                peer.add(now, news.clone(), GATHER);
             }
         }
     }
 
-    /// Tells every entry that holds an older configuration.
-    pub fn tell_config(&mut self, version: ConfigVersion, news: &PeerNews) {
+    /// Tells every entry that holds an older configuration, at once.
+    pub fn tell_config(&mut self, now: Now, version: ConfigVersion, news: &PeerNews) {
         for peer in self.links.values_mut() {
             if peer.config < version {
                 peer.config = version;
-                peer.news.push(news.clone());
+                peer.add(now, news.clone(), Duration::ZERO);
+            }
+        }
+    }
+
+    /// Takes back that a batch is being closed from every entry that was not told yet, and tells
+    /// the others that it is.
+    pub fn tell_closed(&mut self, now: Now, id: BatchId) {
+        let is_unsent = |news: &PeerNews| matches!(news, PeerNews::Closing(ids) if *ids == [id]);
+        for peer in self.links.values_mut() {
+            let unsent = peer.news.iter().position(is_unsent);
+            match unsent {
+                Some(position) => {
+                    peer.news.remove(position);
+                }
+                None => peer.add(now, PeerNews::Closed(vec![id]), GATHER),
             }
         }
     }
@@ -119,13 +163,14 @@
     pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, Vec<PeerNews>)> {
         let mut due = Vec::new();
         for (link, peer) in &mut self.links {
-            if peer.news.is_empty() && peer.sent + HEARTBEAT <= now {
-                peer.news.push(PeerNews::Heartbeat);
+            if peer.due_at() > now {
+                continue;
             }
-            if !peer.news.is_empty() {
-                peer.sent = now;
-                due.push((*link, std::mem::take(&mut peer.news)));
+            if peer.news.is_empty() {
+                peer.news.push(PeerNews::Heartbeat);
             }
+            peer.sent = now;
+            due.push((*link, std::mem::take(&mut peer.news)));
         }
         due
     }
@@ -139,7 +184,7 @@
 
     /// When something is due next.
     pub fn next_wake(&self) -> Option<Now> {
-        let due = |p: &Peer| (p.sent + HEARTBEAT).min(p.heard + SILENT_LINK);
+        let due = |p: &Peer| p.due_at().min(p.heard + SILENT_LINK);
         self.links.values().map(due).min()
     }
 }
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -15,6 +15,7 @@
 use crate::answer_time::AnswerTime;
 use crate::entry_leases::EntryLeases;
 use crate::events::{EventCode, LogEvent};
+use crate::homes::{HomeStep, Homes};
 use crate::ids::{Incarnation, Now, SessionId};
 use crate::resources::Resources;
 use crate::room_shares::Room;
@@ -54,8 +55,7 @@
     knows_lists: bool,
     /// Claims that came before the lists were read.
     early_claims: Vec<(Incarnation, RunKey, Resources)>,
-    /// Addresses that are dialled.
-    dialled: Vec<SocketAddr>,
+    homes: Homes,
     draining_since: Option<Now>,
     exited: bool,
 }
@@ -76,7 +76,7 @@
             resumed: now,
             knows_lists: false,
             early_claims: Vec::new(),
-            dialled: Vec::new(),
+            homes: Homes::new(&options.name, options.timings.start_window),
             draining_since: None,
             exited: false,
             options,
@@ -93,6 +93,7 @@
             return Vec::new();
         }
         self.dispatch_event(event);
+        self.keep_homes();
         self.ask_lives();
         self.fence_overdue_starts();
         self.check_leases();
@@ -109,6 +110,7 @@
             self.entries.next_wake(),
             self.lease.retry_at(),
             self.lives.next_wake(),
+            self.homes.next_wake(),
         ];
         for (_, run) in self.book.iter() {
             times.push(Some(self.run_wake(run)));
@@ -150,11 +152,10 @@
                     self.out.push(AgentAction::Close(link));
                     self.link_down(link);
                 }
-                for seed in self.options.seeds.clone() {
-                    self.dial(seed);
-                }
+                let seeds = self.options.seeds.iter().copied();
+                self.homes.learn(self.now, seeds);
             }
-            AgentEvent::LinkUp(link) => self.link_up(link),
+            AgentEvent::LinkUp(link, address) => self.link_up(link, address),
             AgentEvent::LinkDown(link) => self.link_down(link),
             AgentEvent::Packet(link, packet) => self.packet(link, packet),
             AgentEvent::Report(report) => self.report(report),
@@ -164,7 +165,7 @@
             }
             AgentEvent::RenewalAnswered { number, answer } => self.renewal_answered(number, answer),
             AgentEvent::LifeAnswered { number, answer } => self.life_answered(number, answer),
-            AgentEvent::Entries(entries) => entries.into_iter().for_each(|e| self.dial(e)),
+            AgentEvent::Entries(entries) => self.homes.learn(self.now, entries),
             AgentEvent::Drain => self.drain(),
         }
     }
@@ -173,16 +174,10 @@
         self.out.push(AgentAction::Log(LogEvent::new(code, detail)));
     }
 
-    fn dial(&mut self, address: SocketAddr) {
-        if !self.dialled.contains(&address) {
-            self.dialled.push(address);
-            self.out.push(AgentAction::Dial(address));
-        }
-    }
-
     // Entries.
 
-    fn link_up(&mut self, link: SessionId) {
+    fn link_up(&mut self, link: SessionId, address: SocketAddr) {
+        self.homes.link_up(self.now, address, link);
         self.entries.opened(self.now, link);
         let intro = AgentIntro {
             name: self.options.name.clone(),
@@ -200,6 +195,7 @@
     }
 
     fn link_down(&mut self, link: SessionId) {
+        self.homes.link_down(self.now, link);
         let Some(gone) = self.entries.closed(self.now, link) else {
             return;
         };
@@ -212,6 +208,47 @@
         }
     }
 
+    /// Dials, parts and hangs up as the choice of entries wants it. A process that stops changes
+    /// nothing any more.
+    fn keep_homes(&mut self) {
+        if self.draining_since.is_some() {
+            return;
+        }
+        let (entries, book) = (&self.entries, &self.book);
+        let is_needed = |link| {
+            let entry = entries.get(link).and_then(|l| l.entry);
+            entry.is_some() && book.iter().any(|(_, run)| run.owner == entry)
+        };
+        for step in self.homes.steps(self.now, is_needed) {
+            match step {
+                HomeStep::Dial(address) => self.out.push(AgentAction::Dial(address)),
+                HomeStep::Part(link) => self.part(link),
+                HomeStep::HangUp(address, link) => self.hang_up(address, link),
+            }
+        }
+    }
+
+    fn part(&mut self, link: SessionId) {
+        if let Some(found) = self.entries.get_mut(link) {
+            found.news.push(AgentNews::Leaving);
+        }
+    }
+
+    fn hang_up(&mut self, address: SocketAddr, link: Option<SessionId>) {
+        self.out.push(AgentAction::HangUp(address));
+        let Some(link) = link else {
+            return;
+        };
+        self.out.push(AgentAction::Close(link));
+        let gone = self.entries.closed(self.now, link);
+        let name = gone.and_then(|l| l.name);
+        let left = self.entries.len();
+        self.log(
+            EventCode::EntryParted,
+            format!("entry={} links_left={left}", name.as_deref().unwrap_or("-")),
+        );
+    }
+
     fn packet(&mut self, link: SessionId, packet: EntryPacket) {
         let welcome = packet.orders.iter().find_map(|o| match o {
             Order::Welcome(welcome) => Some((welcome.life, welcome.name.clone())),
@@ -229,7 +266,7 @@
                 Order::Welcome(welcome) => self.welcomed(welcome),
                 Order::Start(order) => self.start_ordered(link, order),
                 Order::Stop(keys) => self.stop_ordered(link, keys),
-                Order::Entries(entries) => entries.into_iter().for_each(|e| self.dial(e)),
+                Order::Entries(entries) => self.homes.learn(self.now, entries),
             }
         }
     }
@@ -246,7 +283,7 @@
             EventCode::EntryJoined,
             format!("entry={name} life={life:x} claims={count}"),
         );
-        entries.into_iter().for_each(|e| self.dial(e));
+        self.homes.learn(self.now, entries);
         self.stop_unclaimed(life, &claims);
         for (key, size) in claims {
             if self.knows_lists {
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -113,8 +113,8 @@
 pub enum AgentEvent {
     /// A time that was asked for has come.
     Wake,
-    /// A link to an entry stands.
-    LinkUp(SessionId),
+    /// A link to the entry at this address stands.
+    LinkUp(SessionId, SocketAddr),
     /// A link is gone.
     LinkDown(SessionId),
     /// A packet of an entry.
@@ -146,7 +146,7 @@
         /// The answer.
         answer: LifeAnswer,
     },
-    /// Entries to dial, from the settings.
+    /// More entries, from the settings or the registry.
     Entries(Vec<SocketAddr>),
     /// Stop in an orderly way.
     Drain,
@@ -178,6 +178,8 @@
     Close(SessionId),
     /// Keep a connection to the entry at this address.
     Dial(SocketAddr),
+    /// Keep no connection to the entry at this address any more.
+    HangUp(SocketAddr),
     /// Start a run.
     Start(StartCall),
     /// Stop a run. No answer is expected: the end will be listed.
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -98,7 +98,8 @@
         #[serde(rename = "p")]
         percent: u32,
     },
-    /// The agent stops: no new work. Its next life adopts what still runs.
+    /// No new work on this link. Either the agent stops, and its next life adopts what still runs;
+    /// or it has links enough and will close this one once nothing of the entry runs there.
     #[serde(rename = "L")]
     Leaving,
 }
--- /dev/null
+++ b/lib/tests/test_homes.rs
@@ -0,0 +1,204 @@
+//! Which entries an agent links to, over any membership.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use trestleknot_lib::homes::{HOMES, HomeStep, Homes};
+use trestleknot_lib::ids::{Now, SessionId};
+
+const PART_FOR: Duration = Duration::from_millis(500);
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+fn address(entry: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, entry as u8 + 1], 7300))
+}
+
+/// An agent's choice among entries that live or not, on a clock of its own.
+struct Play {
+    now: Now,
+    homes: Homes,
+    dialled: Vec<SocketAddr>,
+    links: BTreeMap<SocketAddr, SessionId>,
+    parted: Vec<SessionId>,
+    needed: Vec<SessionId>,
+    next_link: SessionId,
+    dials: usize,
+    alive: Vec<bool>,
+}
+
+impl Play {
+    fn new(agent: &str, entries: usize) -> Self {
+        let mut homes = Homes::new(agent, PART_FOR);
+        homes.learn(Now::ZERO, (0..entries).map(address));
+        Self {
+            now: Now::ZERO,
+            homes,
+            dialled: Vec::new(),
+            links: BTreeMap::new(),
+            parted: Vec::new(),
+            needed: Vec::new(),
+            next_link: 1,
+            dials: 0,
+            alive: vec![true; entries],
+        }
+    }
+
+    /// Lets time pass in steps, in each of which dials reach the entries that live.
+    fn run(&mut self, length: Duration) {
+        let until = self.now + length;
+        while self.now < until {
+            self.now += ms(20);
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        let needed = self.needed.clone();
+        for step in self.homes.steps(self.now, |link| needed.contains(&link)) {
+            match step {
+                HomeStep::Dial(a) => {
+                    self.dials += 1;
+                    self.dialled.push(a);
+                }
+                HomeStep::HangUp(a, link) => {
+                    self.dialled.retain(|d| *d != a);
+                    if let Some(link) = link {
+                        assert!(!self.needed.contains(&link), "runs depended on {link}");
+                        self.links.retain(|_, l| *l != link);
+                    }
+                }
+                HomeStep::Part(link) => self.parted.push(link),
+            }
+        }
+        for entry in 0..self.alive.len() {
+            let a = address(entry);
+            let is_up = self.alive[entry] && self.dialled.contains(&a);
+            match (is_up, self.links.get(&a).copied()) {
+                (true, None) => {
+                    self.homes.link_up(self.now, a, self.next_link);
+                    self.links.insert(a, self.next_link);
+                    self.next_link += 1;
+                }
+                (false, Some(link)) if !self.alive[entry] => {
+                    self.links.remove(&a);
+                    self.homes.link_down(self.now, link);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn test_steps_small_fleet_links_to_all_and_hangs_up_on_none() {
+    let mut play = Play::new("agent", HOMES);
+    play.alive[3] = false;
+    play.run(ms(20_000));
+    assert_eq!(play.dialled.len(), HOMES);
+    assert_eq!(play.links.len(), HOMES - 1);
+}
+
+#[test]
+fn test_steps_large_fleet_shares_targets_evenly() {
+    let mut links_of = [0; 55];
+    for agent in 0..240 {
+        let mut play = Play::new(&format!("agent-{agent}"), 55);
+        play.run(ms(1_000));
+        assert_eq!(play.links.len(), HOMES);
+        assert_eq!(play.dials, HOMES);
+        for (entry, links) in links_of.iter_mut().enumerate() {
+            *links += usize::from(play.links.contains_key(&address(entry)));
+        }
+    }
+    // 240 x 12 / 55 = 52 on average; four standard deviations are 26.
+    let (least, most) = (links_of.iter().min(), links_of.iter().max());
+    assert!(least >= Some(&30) && most <= Some(&80), "{links_of:?}");
+}
+
+#[test]
+fn test_steps_lost_home_is_replaced_and_comes_back() {
+    let mut play = Play::new("agent", 55);
+    play.run(ms(1_000));
+    let before: Vec<SocketAddr> = play.links.keys().copied().collect();
+    let lost = (0..55).find(|e| before.contains(&address(*e))).unwrap_or(0);
+    play.alive[lost] = false;
+    play.run(ms(900));
+    assert_eq!(play.links.len(), HOMES - 1, "it may be back at once");
+    play.run(ms(600));
+    assert_eq!(play.links.len(), HOMES, "another takes its place");
+    play.alive[lost] = true;
+    play.run(ms(1_500));
+    assert!(
+        play.links.contains_key(&address(lost)),
+        "found within 1.5 s"
+    );
+    play.run(ms(4_000));
+    let after: Vec<SocketAddr> = play.links.keys().copied().collect();
+    assert_eq!(after, before, "no other link has moved");
+}
+
+#[test]
+fn test_steps_new_entry_is_linked_by_its_share_at_once() {
+    let mut found = 0;
+    for agent in 0..240 {
+        let mut play = Play::new(&format!("agent-{agent}"), 56);
+        let newcomer = address(55);
+        play.homes = Homes::new(&format!("agent-{agent}"), PART_FOR);
+        play.homes.learn(Now::ZERO, (0..55).map(address));
+        play.run(ms(1_000));
+        play.homes.learn(play.now, [newcomer]);
+        play.run(ms(100));
+        found += usize::from(play.links.contains_key(&newcomer));
+    }
+    assert!((30..=80).contains(&found), "{found} of 240 agents");
+}
+
+#[test]
+fn test_steps_link_with_runs_is_kept_until_they_are_over() {
+    let mut play = Play::new("agent", 55);
+    play.run(ms(1_000));
+    let lost = (0..55).find(|e| play.links.contains_key(&address(*e)));
+    let lost = lost.unwrap_or(0);
+    play.alive[lost] = false;
+    play.run(ms(2_000));
+    play.needed = play.links.values().copied().collect();
+    play.alive[lost] = true;
+    play.run(ms(8_000));
+    assert_eq!(play.links.len(), HOMES + 1);
+    assert_eq!(play.parted.len(), 1, "it was told once");
+    play.needed.clear();
+    play.run(ms(500));
+    assert_eq!(play.links.len(), HOMES);
+}
+
+proptest! {
+    /// Whatever lived and died before: once that ends, an agent has as many links as there are
+    /// living entries for, and never dials more than a few addresses at a time.
+    #[test]
+    fn test_steps_any_membership_ends_in_full_links(
+        entries in 1_usize..70,
+        changes in prop::collection::vec((0_usize..70, any::<bool>(), 0_u64..3_000), 0..40),
+        survivors in prop::collection::vec(any::<bool>(), 70),
+    ) {
+        let mut play = Play::new("agent", entries);
+        for (entry, lives, pause) in changes {
+            let entry = entry % entries;
+            play.alive[entry] = lives;
+            play.run(ms(pause));
+            prop_assert!(play.dialled.len() <= 3 * HOMES);
+        }
+        play.alive.copy_from_slice(&survivors[..entries]);
+        let living = play.alive.iter().filter(|a| **a).count();
+        // Every address that is long gone is tried every 3 s.
+        play.run(ms(8_000));
+        let linked = play.links.len();
+        prop_assert!(linked >= living.min(HOMES), "{linked} links, {living} entries live");
+        let most = if entries <= HOMES { entries } else { HOMES };
+        prop_assert!(linked <= most, "{linked} links");
+    }
+}
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -1,5 +1,6 @@
 //! Single decisions of the platform's agent, event by event.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -24,6 +25,11 @@
     accelerators: 0,
 };
 
+/// Address of an entry.
+fn address(entry: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, entry], 7300))
+}
+
 const fn ms(millis: u64) -> Now {
     Duration::from_millis(millis)
 }
@@ -98,7 +104,7 @@
     let number = renewals(&actions)[0];
     let answer = lists();
     agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
-    agent.handle(ms(3), AgentEvent::LinkUp(LINK));
+    agent.handle(ms(3), AgentEvent::LinkUp(LINK, address(1)));
     let welcome = Welcome {
         name: "entry".into(),
         life: 9,
@@ -476,7 +482,7 @@
     let mut agent = ready_agent();
     // A second entry, which will answer for its runs throughout.
     let second: SessionId = 2;
-    agent.handle(ms(5), AgentEvent::LinkUp(second));
+    agent.handle(ms(5), AgentEvent::LinkUp(second, address(2)));
     let welcome = Welcome {
         name: "second".into(),
         life: 10,
@@ -589,7 +595,7 @@
 fn test_handle_claimed_run_is_renewed() {
     let (mut agent, actions) = agent_with_adopted_run();
     let number = *renewals(&actions).last().expect("a look is on the way");
-    agent.handle(ms(10), AgentEvent::LinkUp(LINK));
+    agent.handle(ms(10), AgentEvent::LinkUp(LINK, address(1)));
     let welcome = Welcome {
         name: "entry".into(),
         life: 9,
--- /dev/null
+++ b/lib/testutils/src/bin/replay.rs
@@ -0,0 +1,87 @@
+//! Plays load patterns on the virtual clock and prints what became of the batches.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Arg, ArgAction, Command, value_parser};
+use testutils::load_replay::{Figures, LoadPattern};
+
+fn command() -> Command {
+    Command::new("replay")
+        .about("Plays load patterns on the virtual clock")
+        .arg(
+            Arg::new("patterns")
+                .required(true)
+                .action(ArgAction::Append)
+                .help("Files of load patterns"),
+        )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .default_value("1")
+                .value_parser(value_parser!(u64))
+                .help("Number of seeds, from 1"),
+        )
+        .arg(
+            Arg::new("from-ms")
+                .long("from-ms")
+                .default_value("0")
+                .value_parser(value_parser!(u64))
+                .help("Count batches from this time of the load on"),
+        )
+        .arg(
+            Arg::new("until-ms")
+                .long("until-ms")
+                .value_parser(value_parser!(u64))
+                .help("Count batches up to this time of the load"),
+        )
+}
+
+fn print(name: &str, seed: u64, figures: &Figures) {
+    println!(
+        "{name} seed {seed}: goodput {:.3} full {:.3} of {} orders, {} packets",
+        figures.goodput,
+        figures.share_full(),
+        figures.orders,
+        figures.packets
+    );
+    for (kind, k) in &figures.kinds {
+        println!(
+            "  {kind:12} asked {:5} in time {:.3} late {:4} refused {:4} failed {:4}",
+            k.asked,
+            k.share_in_time(),
+            k.late,
+            k.refused,
+            k.failed
+        );
+    }
+}
+
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let seeds: u64 = *matches.get_one("seeds").expect("it has a default");
+    let from: u64 = *matches.get_one("from-ms").expect("it has a default");
+    for name in matches.get_many::<String>("patterns").unwrap_or_default() {
+        let text = match std::fs::read_to_string(name) {
+            Ok(text) => text,
+            Err(e) => {
+                eprintln!("{name}: {e}");
+                return ExitCode::FAILURE;
+            }
+        };
+        let pattern = match LoadPattern::parse(name, &text) {
+            Ok(pattern) => pattern,
+            Err(e) => {
+                eprintln!("{e}");
+                return ExitCode::FAILURE;
+            }
+        };
+        let until = matches.get_one("until-ms").copied();
+        let until: u64 = until.unwrap_or(pattern.load_ms);
+        let span = Duration::from_millis(from)..Duration::from_millis(until);
+        for seed in 1..=seeds {
+            print(name, seed, &pattern.figures(seed, span.clone()));
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fault_proxy;
 pub mod faults;
 pub mod load;
+pub mod load_replay;
 pub mod matrix;
 pub mod platform_stand_ins;
 pub mod process_fleet;
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -10,7 +10,7 @@
 mod targets;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,7 @@
 use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch_entry::BatchEntry;
 use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
+use trestleknot_lib::events::LogEvent;
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
@@ -59,6 +60,33 @@
     Agent(usize),
 }
 
+/// How large a fleet is, and what it runs on.
+#[derive(Debug, Clone, Copy)]
+pub struct FleetShape {
+    /// Number of entries.
+    pub entries: usize,
+    /// Number of agents, each with a target.
+    pub agents: usize,
+    /// The platform's bounds.
+    pub bounds: PlatformBounds,
+    /// What each target has.
+    pub capacity: Resources,
+    /// One way between two processes, their own work included.
+    pub one_way: Duration,
+}
+
+impl Default for FleetShape {
+    fn default() -> Self {
+        Self {
+            entries: ENTRIES,
+            agents: AGENTS,
+            bounds: PlatformBounds::default(),
+            capacity: CAPACITY,
+            one_way: links::DELAY,
+        }
+    }
+}
+
 /// Something that goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Strike {
@@ -185,16 +213,45 @@
     pub tasks: u32,
     /// Work of each task in milliseconds.
     pub work_ms: u64,
+    /// What each task takes.
+    pub size: Resources,
+    /// The caller's guess of the work over the work; drawn when it is sent if there is none.
+    pub guess: Option<f64>,
+    /// The queue that it goes to.
+    pub queue: usize,
+    /// The entry that it goes to if that lives; any by chance if there is none.
+    pub entry: Option<usize>,
     /// Replies, one for each request that got one.
     pub replies: Vec<(RequestId, Reply)>,
     /// Requests sent.
     pub requests: Vec<RequestId>,
     /// When the first was sent.
     pub sent: Now,
+    /// When it heard that all was done.
+    pub succeeded: Option<Now>,
     /// Where the present request is: entry, its life, and the request.
     at: Option<(usize, u64, RequestId)>,
 }
 
+impl Caller {
+    /// A caller that has not sent anything yet; it goes to any entry.
+    pub fn new(sent: Now, tasks: u32, work_ms: u64, size: Resources) -> Self {
+        Self {
+            tasks,
+            work_ms,
+            size,
+            guess: None,
+            queue: 0,
+            entry: None,
+            replies: Vec::new(),
+            requests: Vec::new(),
+            sent,
+            succeeded: None,
+            at: None,
+        }
+    }
+}
+
 /// See the module.
 pub struct RunFleet {
     now: Now,
@@ -211,8 +268,20 @@
     next_request: RequestId,
     token_base: u64,
     timings: Timings,
+    shape: FleetShape,
+    config: Arc<QueueTable>,
+    /// Addresses that each agent keeps a connection to.
+    dialled: Vec<BTreeSet<SocketAddr>>,
     /// Lines of the log, for a failed check.
     pub log: Vec<String>,
+    /// Whether the log is kept.
+    pub keeps_log: bool,
+    /// Starts that entries ordered.
+    pub orders: u64,
+    /// Of these, starts that found no room.
+    pub full: u64,
+    /// Packets sent between entries and agents.
+    pub packets: u64,
 }
 
 impl RunFleet {
@@ -223,13 +292,23 @@
 
     /// A fleet that has just started, on a platform with these bounds.
     pub fn with_bounds(seed: u64, bounds: PlatformBounds) -> Self {
+        let shape = FleetShape {
+            bounds,
+            ..FleetShape::default()
+        };
+        Self::with_shape(seed, shape, config())
+    }
+
+    /// A fleet of this shape that has just started, with this configuration.
+    pub fn with_shape(seed: u64, shape: FleetShape, config: QueueTable) -> Self {
+        let bounds = shape.bounds;
         let mut fleet = Self {
             now: Now::ZERO,
             queue: BinaryHeap::new(),
             next_number: 0,
             rng: ChaCha8Rng::seed_from_u64(seed),
-            entries: (0..ENTRIES).map(|_| Process::new()).collect(),
-            agents: (0..AGENTS).map(|_| Process::new()).collect(),
+            entries: (0..shape.entries).map(|_| Process::new()).collect(),
+            agents: (0..shape.agents).map(|_| Process::new()).collect(),
             links: Links::default(),
             targets: Vec::new(),
             callers: BTreeMap::new(),
@@ -237,18 +316,25 @@
             next_request: 1,
             token_base: 10_000_000,
             timings: Timings::new(bounds).expect("bounds that the chain of times can hold"),
+            shape,
+            config: Arc::new(config),
+            dialled: vec![BTreeSet::new(); shape.agents],
             log: Vec::new(),
+            keeps_log: true,
+            orders: 0,
+            full: 0,
+            packets: 0,
         };
-        for index in 0..AGENTS {
+        for index in 0..shape.agents {
             // Half of the targets' clocks are 2% slow.
             let rate = if index % 2 == 0 { 1.0 } else { 0.98 };
-            let target = RunTarget::new(&format!("target-{index}"), CAPACITY, rate)
+            let target = RunTarget::new(&format!("target-{index}"), shape.capacity, rate)
                 .with_lease(bounds.longest_lease);
             fleet.targets.push(targets::Served::new(target));
             fleet.at(Duration::from_millis(20), Event::Report(index, true));
             fleet.start(Node::Agent(index));
         }
-        for index in 0..ENTRIES {
+        for index in 0..shape.entries {
             fleet.start(Node::Entry(index));
         }
         fleet
@@ -259,23 +345,29 @@
         let mut at = from;
         while at < until {
             let id = self.rng.random();
-            let caller = Caller {
-                tasks: self.rng.random_range(1..=6),
-                work_ms: *[40, 120, 500]
-                    .get(self.rng.random_range(0..3))
-                    .unwrap_or(&40),
-                replies: Vec::new(),
-                requests: Vec::new(),
-                sent: at,
-                at: None,
-            };
-            self.callers.insert(id, caller);
-            self.at(at, Event::Submit(id));
+            let tasks = self.rng.random_range(1..=6);
+            let choice = self.rng.random_range(0..3);
+            let work_ms = [40, 120, 500].get(choice).copied().unwrap_or(40);
+            let caller = Caller::new(at, tasks, work_ms, TASK);
+            self.add_caller(id, caller);
             let jitter = self.rng.random_range(0.5..1.5);
             at += Duration::from_secs_f64(jitter / f64::from(per_second));
         }
     }
 
+    /// Plans a batch.
+    pub fn add_caller(&mut self, id: BatchId, caller: Caller) {
+        self.at(caller.sent, Event::Submit(id));
+        self.callers.insert(id, caller);
+    }
+
+    /// Lets a process, which has just started, start at a later time instead.
+    pub fn start_later(&mut self, node: Node, at: Now) {
+        self.reset_links(node);
+        self.forget_process(node);
+        self.at(at, Event::Start(node));
+    }
+
     /// Plans a strike.
     pub fn strike(&mut self, at: Now, strike: Strike) {
         self.at(at, Event::Strike(strike));
@@ -362,7 +454,7 @@
             Event::Up(Node::Entry(i), link, dialled) => {
                 self.tell_entry(i, EntryEvent::LinkUp(link, dialled));
             }
-            Event::Up(Node::Agent(i), link, _) => self.tell_agent(i, AgentEvent::LinkUp(link)),
+            Event::Up(Node::Agent(i), link, _) => self.agent_linked(i, link),
             Event::Down(node, link) => self.side_down(node, link),
             Event::Dial(agent, address) => self.dial(agent, address),
             Event::Agent(i, life, event) => {
@@ -387,7 +479,7 @@
     }
 
     fn address(entry: usize) -> SocketAddr {
-        SocketAddr::from(([10, 0, 0, entry as u8 + 1], 7300))
+        SocketAddr::from(([10, 0, (entry / 200) as u8, (entry % 200) as u8 + 1], 7300))
     }
 
     fn start(&mut self, node: Node) {
@@ -395,7 +487,7 @@
             return;
         }
         let life = self.rng.random();
-        let seeds: Vec<SocketAddr> = (0..ENTRIES).map(Self::address).collect();
+        let seeds: Vec<SocketAddr> = (0..self.shape.entries).map(Self::address).collect();
         match node {
             Node::Entry(i) => {
                 let options = EntryOptions {
@@ -413,7 +505,7 @@
                 process.born = self.now;
                 process.wake = None;
                 self.tell_entry(i, EntryEvent::Wake);
-                self.tell_entry(i, EntryEvent::Config(Arc::new(config())));
+                self.tell_entry(i, EntryEvent::Config(self.config.clone()));
             }
             Node::Agent(i) => {
                 let options = AgentOptions {
@@ -470,16 +562,20 @@
             EntryAction::Reply(request, reply) => self.replied(i, request, reply),
             EntryAction::Send(link, packet) => self.send(Node::Entry(i), link, packet),
             EntryAction::Close(link) => self.close(Node::Entry(i), link),
-            EntryAction::Log(event) => {
-                let line = format!("{:?} entry-{i} {:?} {}", self.now, event.code, event.detail);
-                self.log.push(line);
-            }
+            EntryAction::Log(event) => self.note_log(Node::Entry(i), &event),
             EntryAction::Exit => self.stop(Node::Entry(i), Duration::from_millis(300)),
             // Entries find each other by dialling in the daemons; here every agent knows all.
             EntryAction::Dial(_) | EntryAction::Measured(..) => {}
         }
     }
 
+    fn note_log(&mut self, node: Node, event: &LogEvent) {
+        if self.keeps_log {
+            let line = format!("{:?} {node:?} {:?} {}", self.now, event.code, event.detail);
+            self.log.push(line);
+        }
+    }
+
     fn tell_agent(&mut self, i: usize, event: AgentEvent) {
         let process = &mut self.agents[i];
         let Some(core) = &mut process.core else {
@@ -502,15 +598,13 @@
                 self.send(Node::Agent(i), link, Packet::FromAgent(packet));
             }
             AgentAction::Close(link) => self.close(Node::Agent(i), link),
-            AgentAction::Dial(address) => self.after(Duration::ZERO, Event::Dial(i, address)),
+            AgentAction::Dial(address) => self.keep_dialled(i, address),
+            AgentAction::HangUp(address) => self.hang_up(i, address),
             AgentAction::Start(call) => self.order_start(i, call),
             AgentAction::Stop { key, token, life } => self.order_stop(i, key, token, life),
             AgentAction::Renew { renewal, life } => self.order_renewal(i, renewal, life),
             AgentAction::AskLife { look, life } => self.ask_life(i, look, &life),
-            AgentAction::Log(event) => {
-                let line = format!("{:?} agent-{i} {:?} {}", self.now, event.code, event.detail);
-                self.log.push(line);
-            }
+            AgentAction::Log(event) => self.note_log(Node::Agent(i), &event),
             AgentAction::Exit => self.stop(Node::Agent(i), Duration::from_millis(200)),
         }
     }
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -8,7 +8,7 @@
 use trestleknot_lib::ids::RequestId;
 use trestleknot_lib::run::BatchId;
 
-use super::{ENTRIES, Event, Node, RunFleet, TASK};
+use super::{Event, Node, RunFleet};
 
 impl RunFleet {
     pub(super) fn submit(&mut self, id: BatchId) {
@@ -18,19 +18,20 @@
         let request = self.next_request;
         self.next_request += 1;
         caller.requests.push(request);
-        let alive: Vec<usize> = (0..ENTRIES)
+        let alive: Vec<usize> = (0..self.shape.entries)
             .filter(|i| self.entries[*i].core.is_some())
             .collect();
         if alive.is_empty() {
             return;
         }
-        let entry = alive[self.rng.random_range(0..alive.len())];
+        let wanted = caller.entry.filter(|entry| alive.contains(entry));
+        let entry = wanted.unwrap_or_else(|| alive[self.rng.random_range(0..alive.len())]);
         caller.at = Some((entry, self.entries[entry].life, request));
         // Callers' guesses are off by 40%, and now and then by far more.
-        let guess = if id.is_multiple_of(16) {
-            0.08
-        } else {
-            self.rng.random_range(0.6..1.4)
+        let guess = match caller.guess {
+            Some(guess) => guess,
+            None if id.is_multiple_of(16) => 0.08,
+            None => self.rng.random_range(0.6..1.4),
         };
         let estimate = guess * caller.work_ms as f64;
         let spec = BatchSpec {
@@ -38,7 +39,7 @@
             payload: caller.work_ms.to_string().into(),
             steps: vec![StepSpec {
                 count: caller.tasks,
-                size: TASK,
+                size: caller.size,
                 estimate: Duration::from_millis(estimate as u64),
                 after: Vec::new(),
                 required_label: None,
@@ -48,10 +49,11 @@
             unsupported: None,
         };
         self.by_request.insert(request, id);
+        let queue = &self.config.queues[caller.queue];
         let submission = Submission {
             request,
-            host: "host".to_owned(),
-            path: format!("/q/{id:016x}"),
+            host: queue.host.clone(),
+            path: format!("{}{id:016x}", queue.path_prefix),
             spec,
             patience: Duration::from_millis(2_500),
             caller_request: "".into(),
@@ -71,6 +73,9 @@
             return;
         };
         let comes_again = reply == Reply::GaveUp && caller.requests.len() < 3;
+        if reply == Reply::Succeeded {
+            caller.succeeded = Some(self.now);
+        }
         caller.replies.push((request, reply));
         if caller
             .at
--- a/lib/testutils/src/run_fleet/checks.rs
+++ b/lib/testutils/src/run_fleet/checks.rs
@@ -7,7 +7,7 @@
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::{BatchId, RunEnd, RunKey, TaskKey};
 
-use super::{CAPACITY, Caller, RunFleet, TASK};
+use super::{Caller, RunFleet};
 use crate::run_target::RunRecord;
 
 /// How long after a target said that it leaves work may still begin there.
@@ -19,8 +19,14 @@
         let mut broken = Vec::new();
         self.check_overlaps(&mut broken);
         self.check_room(&mut broken);
+        let mut by_batch: BTreeMap<BatchId, Vec<&RunRecord>> = BTreeMap::new();
+        for record in self.records() {
+            let runs = by_batch.entry(record.key.task.batch).or_default();
+            runs.push(record);
+        }
         for (id, caller) in &self.callers {
-            self.check_caller(*id, caller, &mut broken);
+            let runs = by_batch.remove(id).unwrap_or_default();
+            check_caller(*id, caller, &runs, &mut broken);
         }
         broken
     }
@@ -48,53 +54,33 @@
 
     /// No target over its capacity.
     fn check_room(&self, broken: &mut Vec<String>) {
-        let most = (CAPACITY.cpu_millis / TASK.cpu_millis) as i64;
+        let cpu = |key: &RunKey| {
+            let caller = self.callers.get(&key.task.batch);
+            caller.map_or(0, |c| c.size.cpu_millis as i64)
+        };
+        let most = self.shape.capacity.cpu_millis as i64;
         for target in self.targets() {
             let mut changes: Vec<(Now, i64)> = Vec::new();
             for record in &target.records {
-                changes.push((record.from, 1));
-                changes.push((record.to.unwrap_or(Now::MAX), -1));
+                let cpu = cpu(&record.key);
+                changes.push((record.from, cpu));
+                changes.push((record.to.unwrap_or(Now::MAX), -cpu));
             }
             changes.sort();
-            let mut running = 0;
+            let mut taken = 0;
             for (at, change) in changes {
-                running += change;
-                if running > most {
-                    broken.push(format!("{} holds {running} at {at:?}", target.life()));
+                taken += change;
+                if taken > most {
+                    broken.push(format!(
+                        "{} holds {taken} of {most} at {at:?}",
+                        target.life()
+                    ));
                     break;
                 }
             }
         }
     }
 
-    fn check_caller(&self, id: BatchId, caller: &Caller, broken: &mut Vec<String>) {
-        for request in &caller.requests {
-            let replies = caller.replies.iter().filter(|(r, _)| r == request);
-            if replies.count() > 1 {
-                broken.push(format!("{id:016x}: two replies to one request"));
-            }
-        }
-        let runs: Vec<&RunRecord> = self.records().filter(|r| r.key.task.batch == id).collect();
-        let succeeded = caller.replies.iter().any(|(_, r)| *r == Reply::Succeeded);
-        if succeeded {
-            let done = |index: u32| {
-                let is_done = |r: &&&RunRecord| {
-                    u32::from(r.key.task.index) == index && r.end == Some(RunEnd::Done)
-                };
-                runs.iter().find(is_done).is_some()
-            };
-            if !(0..caller.tasks).all(done) {
-                broken.push(format!("{id:016x}: succeeded with a task not done"));
-            }
-        }
-        let is_refused = |r: &Reply| matches!(r, Reply::Refused { .. });
-        let all_refused = caller.replies.len() == caller.requests.len()
-            && caller.replies.iter().all(|(_, r)| is_refused(r));
-        if all_refused && !runs.is_empty() {
-            broken.push(format!("{id:016x}: refused, yet it ran"));
-        }
-    }
-
     /// Work that began on a leaving target after the limit.
     pub fn starts_after_leaving(&self, target: usize, left_at: Now) -> usize {
         let records = &self.targets[target].target.records;
@@ -122,3 +108,30 @@
         open.map(|r| r.key).collect()
     }
 }
+
+fn check_caller(id: BatchId, caller: &Caller, runs: &[&RunRecord], broken: &mut Vec<String>) {
+    for request in &caller.requests {
+        let replies = caller.replies.iter().filter(|(r, _)| r == request);
+        if replies.count() > 1 {
+            broken.push(format!("{id:016x}: two replies to one request"));
+        }
+    }
+    let succeeded = caller.replies.iter().any(|(_, r)| *r == Reply::Succeeded);
+    if succeeded {
+        let done = |index: u32| {
+            let is_done = |r: &&&RunRecord| {
+                u32::from(r.key.task.index) == index && r.end == Some(RunEnd::Done)
+            };
+            runs.iter().find(is_done).is_some()
+        };
+        if !(0..caller.tasks).all(done) {
+            broken.push(format!("{id:016x}: succeeded with a task not done"));
+        }
+    }
+    let is_refused = |r: &Reply| matches!(r, Reply::Refused { .. });
+    let all_refused = caller.replies.len() == caller.requests.len()
+        && caller.replies.iter().all(|(_, r)| is_refused(r));
+    if all_refused && !runs.is_empty() {
+        broken.push(format!("{id:016x}: refused, yet it ran"));
+    }
+}
--- a/lib/testutils/src/run_fleet/hits.rs
+++ b/lib/testutils/src/run_fleet/hits.rs
@@ -80,6 +80,7 @@
             Node::Agent(i) => {
                 self.agents[i].core = None;
                 self.agents[i].life = 0;
+                self.dialled[i].clear();
             }
         }
     }
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -6,13 +6,14 @@
 
 use trestleknot_lib::batch_event::EntryEvent;
 use trestleknot_lib::ids::SessionId;
+use trestleknot_lib::run::NotStarted;
 use trestleknot_lib::run_event::AgentEvent;
-use trestleknot_lib::run_message::Packet;
+use trestleknot_lib::run_message::{AgentNews, Order, Packet};
 
-use super::{ENTRIES, Event, Node, RunFleet};
+use super::{Event, Node, RunFleet};
 
 /// One way between two processes.
-const DELAY: Duration = Duration::from_micros(500);
+pub(super) const DELAY: Duration = Duration::from_micros(500);
 /// Pause between dials.
 const DIAL_EVERY: Duration = Duration::from_millis(60);
 
@@ -48,6 +49,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     links: BTreeMap<SessionId, Link>,
+    /// The newest link of an agent to an entry.
+    newest: BTreeMap<(usize, usize), SessionId>,
     next: SessionId,
 }
 
@@ -61,18 +64,38 @@
 }
 
 impl RunFleet {
+    /// Keeps a connection of an agent to an address.
+    pub(super) fn keep_dialled(&mut self, agent: usize, address: SocketAddr) {
+        if self.dialled[agent].insert(address) {
+            self.after(Duration::ZERO, Event::Dial(agent, address));
+        }
+    }
+
+    /// Keeps it no more.
+    pub(super) fn hang_up(&mut self, agent: usize, address: SocketAddr) {
+        self.dialled[agent].remove(&address);
+    }
+
+    pub(super) fn agent_linked(&mut self, agent: usize, id: SessionId) {
+        let link = self.links.links.get(&id);
+        if let Some(address) = link.map(|l| Self::address(l.entry)) {
+            self.tell_agent(agent, AgentEvent::LinkUp(id, address));
+        }
+    }
+
     pub(super) fn dial(&mut self, agent: usize, address: SocketAddr) {
         // A dial belongs to a process; a new life dials anew, so copies end here.
-        if self.agents[agent].core.is_none() {
+        if self.agents[agent].core.is_none() || !self.dialled[agent].contains(&address) {
             return;
         }
-        let entry = (0..ENTRIES).find(|i| Self::address(*i) == address);
+        let entry = (0..self.shape.entries).find(|i| Self::address(*i) == address);
         let Some(entry) = entry else {
             return;
         };
         self.after(DIAL_EVERY, Event::Dial(agent, address));
-        let ours = |l: &super::links::Link| l.agent == agent && l.entry == entry;
-        let is_linked = self.links.links.values().any(|l| ours(l) && l.agent_open);
+        let newest = self.links.newest.get(&(agent, entry));
+        let newest = newest.and_then(|id| self.links.links.get(id));
+        let is_linked = newest.is_some_and(|l| l.agent_open);
         let can_reach = self.entries[entry].core.is_some()
             && !self.is_cut(Node::Entry(entry))
             && !self.is_cut(Node::Agent(agent));
@@ -88,8 +111,9 @@
             entry_open: true,
         };
         self.links.links.insert(id, link);
-        self.after(DELAY, Event::Up(Node::Entry(entry), id, false));
-        self.after(DELAY, Event::Up(Node::Agent(agent), id, true));
+        self.links.newest.insert((agent, entry), id);
+        self.after(self.shape.one_way, Event::Up(Node::Entry(entry), id, false));
+        self.after(self.shape.one_way, Event::Up(Node::Agent(agent), id, true));
     }
 
     pub(super) fn send(&mut self, from: Node, id: SessionId, packet: Packet) {
@@ -100,6 +124,8 @@
             return;
         }
         let to = link.other(from);
+        self.packets += 1;
+        count_orders(&packet, &mut self.orders, &mut self.full);
         // TCP holds back what a cut delays and delivers it in order.
         let healed = match (from, to) {
             (Node::Agent(a), Node::Entry(e)) | (Node::Entry(e), Node::Agent(a)) => {
@@ -107,7 +133,7 @@
             }
             _ => self.now,
         };
-        let at = healed.max(self.now) + DELAY;
+        let at = healed.max(self.now) + self.shape.one_way;
         self.at(at, Event::Deliver(to, id, packet));
     }
 
@@ -137,7 +163,7 @@
         *link.side(by) = false;
         let other = link.other(by);
         if !self.is_cut(by) && !self.is_cut(other) {
-            self.after(DELAY, Event::Down(other, id));
+            self.after(self.shape.one_way, Event::Down(other, id));
         }
     }
 
@@ -161,8 +187,26 @@
         let links = self.links.links.iter().filter(|(_, l)| l.has(node));
         let ids: Vec<(SessionId, Node)> = links.map(|(id, l)| (*id, l.other(node))).collect();
         for (id, other) in ids {
-            self.after(DELAY, Event::Down(other, id));
-            self.after(DELAY, Event::Down(node, id));
+            self.after(self.shape.one_way, Event::Down(other, id));
+            self.after(self.shape.one_way, Event::Down(node, id));
+        }
+    }
+}
+
+/// Counts starts ordered, and those that found no room.
+fn count_orders(packet: &Packet, orders: &mut u64, full: &mut u64) {
+    match packet {
+        Packet::FromEntry(packet) => {
+            for order in &packet.orders {
+                if let Order::Start(start) = order {
+                    *orders += start.runs.len() as u64;
+                }
+            }
+        }
+        Packet::FromAgent(packet) => {
+            let is_full = |news: &&AgentNews| matches!(news, AgentNews::NotStarted { reason, .. } if *reason == NotStarted::Full);
+            *full += packet.news.iter().filter(is_full).count() as u64;
         }
+        Packet::BetweenEntries(_) => {}
     }
 }
