--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -4,8 +4,9 @@
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use testutils::run_fleet::{AGENTS, ENTRIES, Node, RunFleet, Strike};
+use testutils::run_fleet::{AGENTS, ENTRIES, FleetShape, Node, RunFleet, Strike};
 use testutils::run_target::TargetTrouble;
+use trestleknot_lib::homes::HOMES;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::timings::PlatformBounds;
 
@@ -248,6 +249,46 @@
     }
 }
 
+#[test]
+fn test_run_until_more_entries_than_homes_keep_promises() {
+    // Agents choose among the entries, move links as these come and go, and give surplus links up.
+    let entries = 2 * HOMES;
+    let mut served = Vec::new();
+    for seed in 0..40 {
+        let mut rng = ChaCha8Rng::seed_from_u64(5_000 + seed);
+        let shape = FleetShape {
+            entries,
+            // With fewer, some entry of twice the homes has no target at all.
+            agents: 12,
+            ..FleetShape::default()
+        };
+        let mut fleet = RunFleet::with_shape(seed, shape, testutils::run_fleet::config());
+        fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+        let mut strikes = Vec::new();
+        for _ in 0..rng.random_range(2..9) {
+            strikes.push((ms(rng.random_range(600..7_000)), random_strike(&mut rng)));
+        }
+        // Some entries are killed or lose power besides, so that links move while work runs.
+        for _ in 0..rng.random_range(4..20) {
+            let node = Node::Entry(rng.random_range(0..entries));
+            let strike = match rng.random_bool(0.5) {
+                true => Strike::Kill(node),
+                false => Strike::PowerOff(node),
+            };
+            strikes.push((ms(rng.random_range(600..7_000)), strike));
+        }
+        for (at, strike) in &strikes {
+            fleet.strike(*at, *strike);
+        }
+        fleet.run_until(END);
+        assert_kept(&fleet, &format!("seed {seed}, {strikes:?}"));
+        served.push(fleet.served(ms(8_000), LOAD_TO));
+    }
+    // Some strikes last beyond the eighth second, and a seed has 18 batches after it.
+    let mean = served.iter().sum::<f64>() / served.len() as f64;
+    assert!(mean > 0.95, "only {mean} served after it: {served:?}");
+}
+
 #[test]
 fn test_run_until_leaving_target_gets_no_work() {
     let left = ms(2_000);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -610,7 +610,8 @@
     }
 }
 
-fn config() -> QueueTable {
+/// A configuration of one queue.
+pub fn config() -> QueueTable {
     QueueTable {
         version: 1,
         queues: vec![Arc::new(Queue {
