--- a/cli/src/args.rs
+++ b/cli/src/args.rs
@@ -89,7 +89,7 @@
     ]
 }
 
-fn operator_commands() -> [Command; 6] {
+fn operator_commands() -> [Command; 7] {
     [
         Command::new("check")
             .about("Check a configuration or settings file without applying or starting anything")
@@ -139,25 +139,30 @@
                     .required(true)
                     .help("Job id, as in its answer; with --logs a batch's or a request's id"),
             )
-            .arg(
-                Arg::new("logs")
-                    .long("logs")
-                    .value_name("DIR")
-                    .value_parser(value_parser!(PathBuf))
-                    .help("Read the log files of this folder, one a process, and ask nobody"),
-            )
+            .arg(logs_arg())
             .arg(
                 operators_arg()
                     .required(false)
                     .required_unless_present("logs"),
             )
             .arg(json_arg()),
+        Command::new("account")
+            .about("Add up from log files where batches, orders and time went")
+            .arg(logs_arg().required(true)),
         Command::new("hash-key")
             .about("Print the hash of a team's key, for the configuration")
             .arg(Arg::new("key").required(true).help("The key")),
     ]
 }
 
+fn logs_arg() -> Arg {
+    Arg::new("logs")
+        .long("logs")
+        .value_name("DIR")
+        .value_parser(value_parser!(PathBuf))
+        .help("Read the log files of this folder, one a process, and ask nobody")
+}
+
 fn caller_commands() -> [Command; 3] {
     [
         Command::new("submit")
--- a/cli/src/fleet_status.rs
+++ b/cli/src/fleet_status.rs
@@ -1,19 +1,18 @@
 //! `status` and `explain`.
 
-use std::fs;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::ArgMatches;
 use comfy_table::Table;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
-use snafu::ResultExt as _;
 use trestleknot_lib::journal::{Step, StepKind, Story};
 use trestleknot_lib::request_story::RequestStory;
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
 
 use crate::client::{block_on, get_json, new_client, no_answer};
-use crate::error::{CliResult, ReadFileSnafu};
+use crate::error::CliResult;
+use crate::log_files::read_logs;
 
 fn addresses(args: &ArgMatches) -> Vec<String> {
     let entries = args.get_many::<String>("entry");
@@ -236,20 +235,3 @@
     anstream::println!("{id}: {}", story.verdict);
     Ok(ExitCode::SUCCESS)
 }
-
-/// The logs of a folder, each with the name of its process.
-fn read_logs(folder: &Path) -> CliResult<Vec<(String, String)>> {
-    let mut logs = Vec::new();
-    let files = fs::read_dir(folder).context(ReadFileSnafu { path: folder })?;
-    for file in files {
-        let path = file.context(ReadFileSnafu { path: folder })?.path();
-        if !path.is_file() {
-            continue;
-        }
-        let log = fs::read(&path).context(ReadFileSnafu { path: &path })?;
-        let process = path.file_stem().unwrap_or_default().to_string_lossy();
-        let text = String::from_utf8_lossy(&log);
-        logs.push((process.into_owned(), text.into_owned()));
-    }
-    Ok(logs)
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -73,6 +73,8 @@
 pub mod line_log;
 pub mod link_auth;
 pub mod links;
+pub mod log_account;
+pub mod log_line;
 pub mod memory_platform;
 pub mod memory_target;
 pub mod message;
--- a/lib/src/request_story.rs
+++ b/lib/src/request_story.rs
@@ -6,58 +6,21 @@
 
 use std::collections::BTreeSet;
 
-/// A line and the process that wrote it.
-#[derive(Debug, Clone, PartialEq)]
-pub struct StoryLine {
-    /// Seconds since 1970.
-    pub at: f64,
-    /// The process, as its log file is named.
-    pub process: String,
-    /// What it wrote after the time and level.
-    pub text: String,
-}
+use crate::log_line::{LogLine, number, read_line, value};
 
 /// See the module.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RequestStory {
     /// The lines, in order of time.
-    pub lines: Vec<StoryLine>,
+    pub lines: Vec<LogLine>,
     /// What became of the request, in words.
     pub verdict: String,
 }
 
-/// The value of `key=value` in a line.
-fn value<'a>(text: &'a str, key: &str) -> Option<&'a str> {
-    let words = text.split(' ');
-    let found = words.filter_map(|word| word.split_once('='));
-    found
-        .filter(|(name, _)| *name == key)
-        .map(|(_, value)| value)
-        .next()
-}
-
-fn number(text: &str, key: &str) -> u64 {
-    value(text, key)
-        .and_then(|v| v.parse().ok())
-        .unwrap_or_default()
-}
-
 fn is_answer(text: &str) -> bool {
     text.starts_with("batch answered") || text.starts_with("batch refused")
 }
 
-/// Reads a line: `... t=SECONDS level=LEVEL TEXT`.
-fn read_line(process: &str, line: &str) -> Option<StoryLine> {
-    let (_, rest) = line.split_once("t=")?;
-    let (at, rest) = rest.split_once(' ')?;
-    let (_, text) = rest.split_once(' ')?;
-    Some(StoryLine {
-        at: at.parse().ok()?,
-        process: process.to_owned(),
-        text: text.to_owned(),
-    })
-}
-
 impl RequestStory {
     /// Puts a story together. `logs` gives each process's name and its log.
     pub fn of(id: &str, logs: &[(String, String)]) -> Self {
@@ -77,7 +40,7 @@
     }
 }
 
-fn verdict(lines: &[StoryLine]) -> String {
+fn verdict(lines: &[LogLine]) -> String {
     let admitted = lines.iter().rev();
     let admitted = admitted
         .clone()
@@ -110,7 +73,7 @@
     }
 }
 
-fn no_answer(admitted: Option<&StoryLine>) -> String {
+fn no_answer(admitted: Option<&LogLine>) -> String {
     match admitted {
         None => "no entry logged it: it never arrived, or its lines were dropped (event 1704)"
             .to_owned(),
@@ -121,7 +84,7 @@
     }
 }
 
-fn late(lines: &[StoryLine], took: u64, objective: u64) -> String {
+fn late(lines: &[LogLine], took: u64, objective: u64) -> String {
     let count = |start: &str| lines.iter().filter(|l| l.text.starts_with(start)).count();
     let again = count("run over without success");
     let slow = count("run is far slower");
