--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -7,8 +7,11 @@
 pub mod checks;
 mod hits;
 mod links;
+mod process;
 mod targets;
 
+pub use callers::Caller;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 use std::net::SocketAddr;
@@ -18,7 +21,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch_entry::BatchEntry;
-use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
+use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions};
 use trestleknot_lib::events::LogEvent;
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
@@ -31,6 +34,7 @@
 
 use crate::run_target::{RunTarget, SERVICE, TargetTrouble};
 use links::Links;
+use process::Process;
 
 /// Entries of the fleet.
 pub const ENTRIES: usize = 3;
@@ -157,104 +161,6 @@
     }
 }
 
-/// A process and its life.
-struct Process<C> {
-    core: Option<C>,
-    life: u64,
-    born: Now,
-    wake: Option<Now>,
-    frozen_until: Now,
-    cut_until: Now,
-}
-
-impl<C> Process<C> {
-    fn new() -> Self {
-        Self {
-            core: None,
-            life: 0,
-            born: Now::ZERO,
-            wake: None,
-            frozen_until: Now::ZERO,
-            cut_until: Now::ZERO,
-        }
-    }
-}
-
-/// A core that names the time of its next wake.
-trait Wakes {
-    fn next_wake(&self) -> Option<Now>;
-}
-
-impl Wakes for BatchEntry {
-    fn next_wake(&self) -> Option<Now> {
-        BatchEntry::next_wake(self)
-    }
-}
-
-impl Wakes for RunAgent {
-    fn next_wake(&self) -> Option<Now> {
-        RunAgent::next_wake(self)
-    }
-}
-
-impl<C: Wakes> Process<C> {
-    /// The time of the core's next wake, noted, if it is sooner than the one planned.
-    fn sooner_wake(&mut self) -> Option<Now> {
-        let at = self.core.as_ref()?.next_wake()? + self.born;
-        let is_sooner = self.wake.is_none_or(|planned| at < planned);
-        is_sooner.then(|| *self.wake.insert(at))
-    }
-}
-
-/// A batch and what its caller saw.
-#[derive(Debug, Clone)]
-pub struct Caller {
-    /// Tasks of the batch.
-    pub tasks: u32,
-    /// Work of each task in milliseconds.
-    pub work_ms: u64,
-    /// What each task takes.
-    pub size: Resources,
-    /// The caller's guess of the work over the work; drawn when it is sent if there is none.
-    pub guess: Option<f64>,
-    /// The queue that it goes to.
-    pub queue: usize,
-    /// The entry that it goes to if that lives; any by chance if there is none.
-    pub entry: Option<usize>,
-    /// Replies, one for each request that got one.
-    pub replies: Vec<(RequestId, Reply)>,
-    /// Requests sent.
-    pub requests: Vec<RequestId>,
-    /// When the first was sent.
-    pub sent: Now,
-    /// When it heard that all was done.
-    pub succeeded: Option<Now>,
-    /// When it was refused last.
-    pub refused: Option<Now>,
-    /// Where the present request is: entry, its life, and the request.
-    at: Option<(usize, u64, RequestId)>,
-}
-
-impl Caller {
-    /// A caller that has not sent anything yet; it goes to any entry.
-    pub fn new(sent: Now, tasks: u32, work_ms: u64, size: Resources) -> Self {
-        Self {
-            tasks,
-            work_ms,
-            size,
-            guess: None,
-            queue: 0,
-            entry: None,
-            replies: Vec::new(),
-            requests: Vec::new(),
-            sent,
-            succeeded: None,
-            refused: None,
-            at: None,
-        }
-    }
-}
-
 /// See the module.
 pub struct RunFleet {
     now: Now,
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -5,11 +5,61 @@
 use rand::Rng as _;
 use trestleknot_lib::batch::{BatchSpec, StepSpec};
 use trestleknot_lib::batch_event::{EntryEvent, Reply, Submission};
-use trestleknot_lib::ids::RequestId;
+use trestleknot_lib::ids::{Now, RequestId};
+use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::BatchId;
 
 use super::{Event, Node, RunFleet};
 
+/// A batch and what its caller saw.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    /// Tasks of the batch.
+    pub tasks: u32,
+    /// Work of each task in milliseconds.
+    pub work_ms: u64,
+    /// What each task takes.
+    pub size: Resources,
+    /// The caller's guess of the work over the work; drawn when it is sent if there is none.
+    pub guess: Option<f64>,
+    /// The queue that it goes to.
+    pub queue: usize,
+    /// The entry that it goes to if that lives; any by chance if there is none.
+    pub entry: Option<usize>,
+    /// Replies, one for each request that got one.
+    pub replies: Vec<(RequestId, Reply)>,
+    /// Requests sent.
+    pub requests: Vec<RequestId>,
+    /// When the first was sent.
+    pub sent: Now,
+    /// When it heard that all was done.
+    pub succeeded: Option<Now>,
+    /// When it was refused last.
+    pub refused: Option<Now>,
+    /// Where the present request is: entry, its life, and the request.
+    pub(super) at: Option<(usize, u64, RequestId)>,
+}
+
+impl Caller {
+    /// A caller that has not sent anything yet; it goes to any entry.
+    pub fn new(sent: Now, tasks: u32, work_ms: u64, size: Resources) -> Self {
+        Self {
+            tasks,
+            work_ms,
+            size,
+            guess: None,
+            queue: 0,
+            entry: None,
+            replies: Vec::new(),
+            requests: Vec::new(),
+            sent,
+            succeeded: None,
+            refused: None,
+            at: None,
+        }
+    }
+}
+
 impl RunFleet {
     pub(super) fn submit(&mut self, id: BatchId) {
         let Some(caller) = self.callers.get_mut(&id) else {
