--- a/lib/src/homes.rs
+++ b/lib/src/homes.rs
@@ -19,8 +19,9 @@
 
 /// Links that an agent keeps. In fleets up to this size everybody links to everybody. Twelve
 /// independent draws leave a target without a living home in one of 4,000 cases when half of the
-/// entries are gone, and give each of 55 entries some 52 of 240 targets, twenty times as many
-/// places as its widest usual batch.
+/// entries are gone, and give each of 55 entries some 52 of 240 targets. A usual second of that
+/// fleet takes 208,000 packets in place of 872,000 with links to all, and 20% of the orders find no
+/// room in place of 46%, for news of room is younger (replay usual_large, one second, seed 1).
 pub const HOMES: usize = 12;
 /// A home that was linked is waited for this long before another entry takes its place: a process
 /// that is started again is back within it.
@@ -35,7 +36,6 @@
 const LONG_GONE: Duration = Duration::from_secs(10);
 /// Links beyond [`HOMES`] are kept for so long, for a home that has just come back may go again.
 const KEEP_SURPLUS: Duration = Duration::from_millis(2_000);
-
 /// A parting link on which runs still depend is looked at again after this.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
