agent: a stop that comes before the target's lists are read proves no end

Cause: an entry that moves a slow run, or closes a batch, orders its stop. If the agent is killed just then, its next life is told of the run and of the stop with the welcome, before it has read what the target runs; it did not know the run and answered that it had ended. The run went on for 0.14 s while the task was started elsewhere: twice at once.

Change: such stops wait until the lists are read, or until all must have lapsed, as claims do.

--- a/lib/src/peer_book.rs
+++ b/lib/src/peer_book.rs
@@ -13,7 +13,9 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_000);
 /// News that can wait is gathered for so long. What one entry says to 54 others costs each of them
 /// a packet, and most batches that are closed are over within it, so that nothing need be said.
-/// Callers whose connection broke come again after 700 ms at the soonest.
+/// Callers whose connection broke come again after 500 ms at the soonest, the least that the
+/// settings may say; an entry that heard of it later than that has stood still for longer than its
+/// leases last, and its runs are stopped.
 const GATHER: Duration = Duration::from_millis(60);
 /// A link between entries that is silent for so long is closed.
 const SILENT_LINK: Duration = Duration::from_millis(3_000);
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -55,6 +55,8 @@
     knows_lists: bool,
     /// Claims that came before the lists were read.
     early_claims: Vec<(Incarnation, RunKey, Resources)>,
+    /// Stops that came before the lists were read, each with its entry's life.
+    early_stops: Vec<(Incarnation, RunKey)>,
     homes: Homes,
     draining_since: Option<Now>,
     exited: bool,
@@ -76,6 +78,7 @@
             resumed: now,
             knows_lists: false,
             early_claims: Vec::new(),
+            early_stops: Vec::new(),
             homes: Homes::new(&options.name, options.timings.start_window),
             draining_since: None,
             exited: false,
@@ -324,21 +327,32 @@
     }
 
     fn stop_ordered(&mut self, link: SessionId, keys: Vec<RunKey>) {
-        let entry = self.entries.get_mut(link).and_then(|l| l.entry);
+        let Some(entry) = self.entries.get(link).and_then(|l| l.entry) else {
+            return;
+        };
         for key in keys {
-            if self.book.get(key).is_some() {
-                self.ask_stop(key, false);
-                continue;
-            }
-            let end = self.book.end_of(key).unwrap_or(RunEnd::Lost);
-            if let Some(entry) = entry {
-                let ran_ms = 0;
-                self.entries
-                    .tell(entry, AgentNews::Ended { key, end, ran_ms });
+            if self.knows_lists || self.book.get(key).is_some() {
+                self.stop_or_tell(entry, key);
+            } else {
+                // A run of an earlier life of this agent may go on: that it is not known here is no
+                // proof of its end, and its task would run twice.
+                self.early_stops.push((entry, key));
             }
         }
     }
 
+    /// Stops a run, or tells its entry that it is over.
+    fn stop_or_tell(&mut self, entry: Incarnation, key: RunKey) {
+        if self.book.get(key).is_some() {
+            self.ask_stop(key, false);
+            return;
+        }
+        let end = self.book.end_of(key).unwrap_or(RunEnd::Lost);
+        let ran_ms = 0;
+        let news = AgentNews::Ended { key, end, ran_ms };
+        self.entries.tell(entry, news);
+    }
+
     fn ask_stop(&mut self, key: RunKey, is_overdue_bound: bool) {
         let now = self.now;
         let Some(run) = self.book.get_mut(key) else {
@@ -418,9 +432,7 @@
         if !self.book.is_empty() {
             self.end_all(RunEnd::Lost);
         }
-        if !self.early_claims.is_empty() {
-            self.answer_early_claims();
-        }
+        self.answer_early_orders();
     }
 
     fn send_due_stops(&mut self) {
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -137,14 +137,18 @@
             self.knows_lists = true;
             let adopted = self.book.len();
             self.log(EventCode::TargetListsRead, format!("adopted={adopted}"));
-            self.answer_early_claims();
+            self.answer_early_orders();
         }
     }
 
-    pub(super) fn answer_early_claims(&mut self) {
+    /// Answers what entries claimed or wanted stopped before it was known what runs.
+    pub(super) fn answer_early_orders(&mut self) {
         for (life, key, size) in std::mem::take(&mut self.early_claims) {
             self.claim(life, key, size);
         }
+        for (entry, key) in std::mem::take(&mut self.early_stops) {
+            self.stop_or_tell(entry, key);
+        }
     }
 
     pub(super) fn listed_running(&mut self, listed: &ListedRun) {
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -731,3 +731,50 @@
     agent.handle(ms(30), AgentEvent::RenewalAnswered { number, answer });
     assert_eq!(agent.levels().runs, 0, "its own end is news");
 }
+
+/// Ends that entries are told.
+fn ends(actions: &[AgentAction]) -> Vec<(RunKey, RunEnd)> {
+    let mut ends = Vec::new();
+    for action in actions {
+        let AgentAction::Send(_, packet) = action else {
+            continue;
+        };
+        for news in &packet.news {
+            if let AgentNews::Ended { key, end, .. } = news {
+                ends.push((*key, *end));
+            }
+        }
+    }
+    ends
+}
+
+#[test]
+fn test_handle_stop_before_the_lists_are_read_proves_nothing() {
+    // A new life of the agent, beside a target that still runs what an earlier life started.
+    let key = key(0);
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    agent.handle(ms(1), AgentEvent::LinkUp(LINK, address(1)));
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: vec![(key, SIZE)],
+    };
+    let orders = vec![Order::Welcome(welcome), Order::Stop(vec![key])];
+    let actions = agent.handle(ms(2), packet(60_000, orders));
+    assert_eq!(ends(&actions), [], "it may still run");
+    let actions = agent.handle(ms(3), report("life-1", false, 1));
+    let (number, _) = questions(&actions)[0];
+    let actions = agent.handle(ms(4), life_answered(number, LifeAnswer::Lives));
+    let number = renewals(&actions)[0];
+    let running = vec![ListedRun { key, percent: 10 }];
+    let answer = RenewalAnswer::Lists {
+        clock: 1_000,
+        running,
+        ended: Vec::new(),
+    };
+    let actions = agent.handle(ms(5), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(ends(&actions), [], "it runs");
+    let is_stop = |a: &AgentAction| matches!(a, AgentAction::Stop { key: k, .. } if *k == key);
+    assert!(actions.iter().any(is_stop), "it is stopped: {actions:?}");
+}
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -21,6 +21,9 @@
 const LOAD_FROM: Now = ms(500);
 const LOAD_TO: Now = ms(9_000);
 const END: Now = ms(16_000);
+/// Work may go on for so long after its cancelling where every second order is lost: the chain of
+/// times, 2.6 s.
+const CANCELLED_BOUND: Duration = ms(2_600);
 
 fn mute() -> TargetTrouble {
     TargetTrouble {
@@ -289,6 +292,41 @@
     assert!(mean > 0.95, "only {mean} served after it: {served:?}");
 }
 
+#[test]
+fn test_run_until_cancelled_work_does_not_go_on() {
+    // Orders are carried out late, agents are killed and entries die while batches are cancelled.
+    let mut cancelled = 0;
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(9_000 + seed);
+        let mut fleet = RunFleet::new(seed);
+        fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+        let sent: Vec<_> = fleet.callers.iter().map(|(id, c)| (*id, c.sent)).collect();
+        for (id, at) in sent {
+            if rng.random_bool(0.5) {
+                fleet.add_cancel(at + ms(rng.random_range(1..400)), id);
+            }
+        }
+        for target in 0..AGENTS {
+            let from = rng.random_range(600..3_000);
+            fleet.strike(ms(from), Strike::LateOrders(target, ms(4_000)));
+            let kill = Strike::Kill(Node::Agent(target));
+            fleet.strike(ms(from + rng.random_range(0..4_000)), kill);
+        }
+        let entry = Node::Entry(rng.random_range(0..ENTRIES));
+        fleet.strike(ms(rng.random_range(1_000..7_000)), Strike::PowerOff(entry));
+        fleet.run_until(END);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        let unasked = fleet.unasked(CANCELLED_BOUND);
+        assert!(unasked.is_empty(), "seed {seed}: {unasked:#?}");
+        cancelled += fleet
+            .callers
+            .values()
+            .filter(|c| c.cancelled.is_some())
+            .count();
+    }
+    assert!(cancelled > 1_000, "only {cancelled} batches were cancelled");
+}
+
 #[test]
 fn test_run_until_leaving_target_gets_no_work() {
     let left = ms(2_000);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -132,6 +132,7 @@
     Report(usize, bool),
     LateReport(usize, TargetReport),
     Submit(BatchId),
+    Cancel(BatchId),
     Gone(usize, u64, RequestId),
     Start(Node),
     Strike(Strike),
@@ -270,6 +271,11 @@
         self.callers.insert(id, caller);
     }
 
+    /// Plans that a batch is cancelled where its caller waits.
+    pub fn add_cancel(&mut self, at: Now, id: BatchId) {
+        self.at(at, Event::Cancel(id));
+    }
+
     /// Lets a process, which has just started, start at a later time instead.
     pub fn start_later(&mut self, node: Node, at: Now) {
         self.reset_links(node);
@@ -376,6 +382,7 @@
             Event::Report(i, again) => self.report(i, again),
             Event::LateReport(i, report) => self.tell_agent(i, AgentEvent::Report(report)),
             Event::Submit(id) => self.submit(id),
+            Event::Cancel(id) => self.cancel(id),
             Event::Gone(i, life, request) => {
                 if self.entries[i].life == life {
                     self.tell_entry(i, EntryEvent::CallerGone(request));
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng as _;
 use trestleknot_lib::batch::{BatchSpec, StepSpec};
-use trestleknot_lib::batch_event::{EntryEvent, Reply, Submission};
+use trestleknot_lib::batch_event::{EntryEvent, Question, Reply, Submission};
 use trestleknot_lib::ids::{Now, RequestId};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::BatchId;
@@ -36,6 +36,8 @@
     pub succeeded: Option<Now>,
     /// When it was refused last.
     pub refused: Option<Now>,
+    /// When it was cancelled.
+    pub cancelled: Option<Now>,
     /// Where the present request is: entry, its life, and the request.
     pub(super) at: Option<(usize, u64, RequestId)>,
 }
@@ -55,6 +57,7 @@
             sent,
             succeeded: None,
             refused: None,
+            cancelled: None,
             at: None,
         }
     }
@@ -115,6 +118,30 @@
         self.tell_entry(entry, EntryEvent::Submit(submission));
     }
 
+    /// Cancels a batch at the entry where its caller waits; one that has its answer stays as it is.
+    pub(super) fn cancel(&mut self, id: BatchId) {
+        let at = self.callers.get(&id).and_then(|caller| caller.at);
+        let Some((entry, life, _)) = at else {
+            return;
+        };
+        if self.entries[entry].life != life || self.frozen_until(Node::Entry(entry)) > self.now {
+            return;
+        }
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        caller.cancelled = Some(self.now);
+        let queue = &self.config.queues[caller.queue];
+        let question = Question {
+            request: self.next_request,
+            host: queue.host.clone(),
+            path: format!("{}{id:016x}", queue.path_prefix),
+            batch: Some(id),
+        };
+        self.next_request += 1;
+        self.tell_entry(entry, EntryEvent::Cancel(question));
+    }
+
     pub(super) fn replied(&mut self, entry: usize, request: RequestId, reply: Reply) {
         let Some(id) = self.by_request.get(&request).copied() else {
             return;
--- a/lib/testutils/src/run_fleet/checks.rs
+++ b/lib/testutils/src/run_fleet/checks.rs
@@ -81,6 +81,23 @@
         }
     }
 
+    /// Runs of cancelled batches that went on for longer than `bound` after they were cancelled, or
+    /// after they began if that was later.
+    pub fn unasked(&self, bound: Duration) -> Vec<String> {
+        let mut unasked = Vec::new();
+        for record in self.records() {
+            let caller = self.callers.get(&record.key.task.batch);
+            let Some(cancelled) = caller.and_then(|c| c.cancelled) else {
+                continue;
+            };
+            let to = record.to.unwrap_or(Now::MAX);
+            if to > cancelled.max(record.from) + bound {
+                unasked.push(format!("cancelled at {cancelled:?}: {record:?}"));
+            }
+        }
+        unasked
+    }
+
     /// Work that began on a leaving target after the limit.
     pub fn starts_after_leaving(&self, target: usize, left_at: Now) -> usize {
         let records = &self.targets[target].target.records;
