agent: one that stops does not wake for links that it will not change

Its choice of entries had something due and was not asked any more, so that it woke every millisecond until its last run ended: next wake 1 ms after 400 ms in the test, which failed before; now that of its runs.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -113,7 +113,10 @@
             self.entries.next_wake(),
             self.lease.retry_at(),
             self.lives.next_wake(),
-            self.homes.next_wake(),
+            // A process that stops changes no links any more.
+            self.homes
+                .next_wake()
+                .filter(|_| self.draining_since.is_none()),
         ];
         for (_, run) in self.book.iter() {
             times.push(Some(self.run_wake(run)));
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -778,3 +778,18 @@
     let is_stop = |a: &AgentAction| matches!(a, AgentAction::Stop { key: k, .. } if *k == key);
     assert!(actions.iter().any(is_stop), "it is stopped: {actions:?}");
 }
+
+#[test]
+fn test_next_wake_draining_agent_does_not_wait_for_homes() {
+    // More entries than homes are known, none answers, and the agent stops while a run goes on.
+    let mut agent = ready_agent();
+    let entries = (10..40).map(address).collect();
+    agent.handle(ms(5), AgentEvent::Entries(entries));
+    agent.handle(ms(6), packet(60_000, vec![start(0, 500)]));
+    agent.handle(ms(7), AgentEvent::Drain);
+    // The dials count as missing at 305 ms, and nothing is done about it any more.
+    let later = ms(400);
+    agent.handle(later, AgentEvent::Wake);
+    let wake = agent.next_wake().expect("a run goes on");
+    assert!(wake > later + ms(1), "{wake:?}");
+}
