testutils: a run of a batch that nobody sent is a broken promise

The check of room counts cores by batch since fleets have sizes, and a run of an unknown batch counted 0 there, where it had counted one place before. Such a run now breaks the play by itself: stricter than both.

--- a/lib/testutils/src/run_fleet/checks.rs
+++ b/lib/testutils/src/run_fleet/checks.rs
@@ -28,6 +28,10 @@
             let runs = by_batch.remove(id).unwrap_or_default();
             check_caller(*id, caller, &runs, &mut broken);
         }
+        // What is left belongs to no caller, and would take no room in the check of it.
+        for (id, runs) in by_batch {
+            broken.push(format!("{id:016x}: ran, though nobody sent it: {runs:?}"));
+        }
         broken
     }
 
