--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -174,7 +174,7 @@
     };
     let node = EntryNode::start(options, listener);
     let feed = Rc::new(Store::new(common.store).await);
-    ntex::rt::spawn(node.clone().follow_config(feed.clone()));
+    ntex::rt::spawn(node.clone().follow_operators(feed.clone()));
     let (name, address) = (common.name.clone(), common.link_address);
     ntex::rt::spawn(node.clone().register(feed, name, address));
     let drained = node.clone();
@@ -233,11 +233,12 @@
         timings: common.timings,
         token: time_of_day_ms(),
         seeds: common.seeds.clone(),
+        evacuation_bound: common.evacuation_bound,
     };
     let target = Rc::new(TargetClient::new(settings.target).await);
-    let node = AgentNode::start(options, target);
-    let registry = Rc::new(Store::new(common.store).await);
-    ntex::rt::spawn(node.clone().look_for_entries(registry));
+    let store = Rc::new(Store::new(common.store).await);
+    let node = AgentNode::start(options, target, store.clone());
+    ntex::rt::spawn(node.clone().look_for_entries(store));
     let drained = node.clone();
     let drain = move || drained.tell(AgentEvent::Drain);
     ntex::rt::spawn(obey_signals(drain));
--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -132,6 +132,28 @@
     });
 }
 
+#[test]
+fn test_serve_evacuated_hall_is_refused_until_given_back() {
+    with_fleet("evacuated", 72, 2, 2, async |fleet| {
+        let client = client(fleet, 0).await;
+        assert_eq!(submit(&client, 3, 2, 50).await, succeeded());
+        fleet.store.evacuate(process_fleet::HALL);
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        let before = std::time::Instant::now();
+        let (status, _) = submit(&client, 4, 2, 50).await.expect("an answer");
+        assert_eq!(status, 503);
+        assert!(before.elapsed() < PATIENCE / 4, "refused at once");
+        assert!(process_fleet::is_ready(fleet.entry_address(0)).await);
+        for process in 0..4 {
+            let log = fleet.log(process);
+            assert!(log.contains("evacuated data halls changed"), "{log}");
+        }
+        fleet.store.give_back(process_fleet::HALL);
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(submit(&client, 5, 2, 50).await, succeeded());
+    });
+}
+
 #[test]
 fn test_serve_caller_gone_its_runs_are_stopped() {
     with_fleet("gone", 65, 1, 1, async |fleet| {
--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -9,10 +9,12 @@
 use tokio::sync::Notify;
 
 use crate::entry_node::StoreHealth;
+use crate::evacuations::EvacuationReader;
+use crate::events::{EventCode, LogEvent};
 use crate::figures::Figures;
 use crate::ids::SessionId;
 use crate::node_links::{LinkSink, NodeLinks};
-use crate::platform_ports::{EntryRegistry, TargetPort};
+use crate::platform_ports::{EntryRegistry, OperatorFeed, TargetPort};
 use crate::run_agent::RunAgent;
 use crate::run_event::{AgentAction, AgentEvent, AgentOptions, StartCall};
 use crate::run_message::Packet;
@@ -29,13 +31,18 @@
     timer: Rc<WakeTimer>,
     links: Rc<NodeLinks>,
     target: Rc<dyn TargetPort>,
+    operators: Rc<dyn OperatorFeed>,
     figures: Figures,
     ended: Notify,
 }
 
 impl AgentNode {
     /// An agent beside a target. Must be called on the thread that is to run it.
-    pub fn start(options: AgentOptions, target: Rc<dyn TargetPort>) -> Rc<Self> {
+    pub fn start(
+        options: AgentOptions,
+        target: Rc<dyn TargetPort>,
+        operators: Rc<dyn OperatorFeed>,
+    ) -> Rc<Self> {
         let timer = WakeTimer::new(Instant::now());
         let core = RunAgent::new(timer.now(), options);
         let node = Rc::new_cyclic(|me: &Weak<Self>| Self {
@@ -44,6 +51,7 @@
             timer: timer.clone(),
             links: NodeLinks::new(),
             target,
+            operators,
             figures: Figures::new(),
             ended: Notify::new(),
         });
@@ -78,6 +86,7 @@
             }
             AgentAction::Renew { renewal, life } => self.renew(renewal, life),
             AgentAction::AskLife { look, life } => self.ask_life(look, life),
+            AgentAction::AskEvacuations => self.ask_evacuations(),
             AgentAction::Log(event) => {
                 self.figures.event(event.code);
                 event.emit();
@@ -130,6 +139,23 @@
         });
     }
 
+    fn ask_evacuations(&self) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        ntex::rt::spawn(async move {
+            let answer = me.operators.newest().await;
+            let state = match answer {
+                Ok(news) => Some(Arc::new(EvacuationReader::default().read(news.evacuations))),
+                Err(e) => {
+                    LogEvent::new(EventCode::StoreDown, format!("cause=\"{e}\"")).emit();
+                    None
+                }
+            };
+            me.tell(AgentEvent::Evacuations(state));
+        });
+    }
+
     /// The metrics page.
     pub fn metrics(&self) -> String {
         let levels = self.core.borrow().levels();
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -124,7 +124,8 @@
     /// Whether the balancer should send new connections.
     pub fn is_ready(&self) -> bool {
         let has_config = self.directory.config().table().is_some();
-        has_config && !self.drain.has_begun() && self.board.usable(self.now) > 0
+        // Without a target for evacuations alone, callers are best told so at once.
+        has_config && !self.drain.has_begun() && self.board.reachable(self.now) > 0
     }
 
     /// Whether connections should be given up after their next answer.
@@ -138,6 +139,7 @@
             batches: self.table.len() as u64,
             targets: self.board.usable(self.now) as u64,
             config_version: self.directory.config().version(),
+            evacuated_halls: self.directory.evacuations().halls.len() as u64,
         }
     }
 
@@ -154,6 +156,11 @@
             EntryEvent::Ask(question) => self.ask(&question),
             EntryEvent::Cancel(question) => self.cancel(&question),
             EntryEvent::Config(table) => self.directory.offer_config(self.now, &table, "store"),
+            EntryEvent::Evacuations(state) => {
+                if self.directory.store_answered(self.now, &state) {
+                    self.evacuations_changed();
+                }
+            }
             EntryEvent::Entries(addresses) => self.learn_entries(addresses),
             EntryEvent::LinkUp(link, dialled) => self.link_up(link, dialled),
             EntryEvent::LinkDown(link) => {
@@ -313,6 +320,20 @@
         self.board.note_entries(self.directory.living_entries());
         self.tell_agents(effects.entries);
         self.needs_placing |= effects.may_place;
+        if effects.evacuations_changed {
+            self.evacuations_changed();
+        }
+    }
+
+    /// Obeys other evacuations from now on, and has the agents obey them.
+    fn evacuations_changed(&mut self) {
+        let state = self.directory.evacuations().clone();
+        self.board.note_evacuations(&state);
+        for outbox in self.outboxes.values_mut() {
+            outbox.orders.push(Order::Evacuations(state.clone()));
+        }
+        self.refuse_evacuated();
+        self.needs_placing = true;
     }
 
     fn begin_drain(&mut self) {
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -118,6 +118,7 @@
             life: self.options.life,
             entries: self.directory.entries(),
             claims,
+            evacuations: self.directory.evacuations().clone(),
         };
         let mut outbox = Outbox {
             orders: vec![Order::Welcome(welcome)],
@@ -233,7 +234,7 @@
         }
         let step = &mut batch.steps[usize::from(key.task.step)];
         let is_estimate_wrong = step.is_slow_everywhere(&agent);
-        if is_estimate_wrong && !self.board.is_outcast(link) {
+        if is_estimate_wrong && !self.board.is_outcast(self.now, link) {
             return;
         }
         if !self.has_room_elsewhere(key, &agent) {
@@ -287,12 +288,18 @@
         };
         view.sent = now;
         let lease = self.options.timings.entry_lease.as_millis() as AgentMillis;
+        let agent_clock = view.agent_clock(now);
+        let store_age = self.directory.store_age(now);
+        let store_heard = store_age.map_or(0, |age| {
+            agent_clock.saturating_sub(age.as_millis() as AgentMillis)
+        });
         if !outbox.entries.is_empty() {
             let entries = std::mem::take(&mut outbox.entries);
             outbox.orders.push(Order::Entries(entries));
         }
         let packet = EntryPacket {
-            lease_until: view.agent_clock(now) + lease,
+            lease_until: agent_clock + lease,
+            store_heard,
             waiting,
             orders: std::mem::take(&mut outbox.orders),
         };
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -22,6 +22,9 @@
 const WAIT_FOR_TARGETS: Duration = Duration::from_millis(500);
 /// When to come back if nothing better is known: a configuration or a target is found by then.
 const RETRY_USUAL: Duration = Duration::from_millis(500);
+/// When to come back if every target is evacuated: operators take a hall back after several seconds
+/// at the soonest, and all entries know of it within a few hundred milliseconds.
+const RETRY_EVACUATED: Duration = Duration::from_secs(2);
 
 impl BatchEntry {
     pub(super) fn queue_of(&self, host: &str, path: &str) -> Result<Arc<Queue>, Reply> {
@@ -88,6 +91,9 @@
         if queue.needs_advice {
             return Err(refused(Refusal::Unsupported(Unsupported::Advice)));
         }
+        if self.board.is_evacuated(self.now, &queue.service) {
+            return Err(refused(Refusal::Evacuated));
+        }
         let chain = spec.longest_chain();
         if self.drain.would_be_outlasted(self.now, chain) {
             return Err(refused(Refusal::Draining));
@@ -181,6 +187,19 @@
         }
     }
 
+    /// Refuses batches of which nothing has begun and whose targets are all evacuated.
+    pub(super) fn refuse_evacuated(&mut self) {
+        let waiting: Vec<BatchId> = self.table.in_order().collect();
+        for id in waiting {
+            let Some(batch) = self.table.get(id).filter(|b| !b.is_tried) else {
+                continue;
+            };
+            if self.board.is_evacuated(self.now, &batch.queue.service) {
+                self.close(id, CloseReason::Evacuated);
+            }
+        }
+    }
+
     /// The same batch again: the caller's connection broke, and what ran of it may not be over
     /// yet. Its tasks go on from where they are.
     pub(super) fn admit_again(
@@ -316,6 +335,8 @@
         if let Some(request) = batch.request {
             let reply = if batch.is_tried {
                 Reply::GaveUp
+            } else if batch.state == BatchState::Closing(CloseReason::Evacuated) {
+                refused(Refusal::Evacuated)
             } else {
                 self.busy()
             };
@@ -398,6 +419,7 @@
     let retry_after = match why {
         Refusal::Unsupported(_) => None,
         Refusal::NoConfig | Refusal::Busy => Some(RETRY_USUAL),
+        Refusal::Evacuated => Some(RETRY_EVACUATED),
         // The balancer has other entries, which may be tried at once.
         Refusal::Draining => Some(Duration::ZERO),
     };
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::batch::{BatchSpec, Unsupported};
+use crate::evacuations::EvacuatedHalls;
 use crate::events::LogEvent;
 use crate::ids::{HallName, Incarnation, NodeName, RequestId, SessionId};
 use crate::queue::QueueTable;
@@ -79,6 +80,8 @@
     Cancel(Question),
     /// The platform's store shows a configuration.
     Config(Arc<QueueTable>),
+    /// The platform's store has answered: these halls are evacuated.
+    Evacuations(Arc<EvacuatedHalls>),
     /// More entries, from the platform's store.
     Entries(Vec<SocketAddr>),
     /// A link stands; whether this side dialled it.
@@ -102,6 +105,8 @@
     Busy,
     /// The entry stops.
     Draining,
+    /// Every target that could serve it is in an evacuated data hall.
+    Evacuated,
 }
 
 /// What is said to a caller.
@@ -179,4 +184,6 @@
     pub targets: u64,
     /// Version of the configuration in force.
     pub config_version: u64,
+    /// Data halls that are evacuated.
+    pub evacuated_halls: u64,
 }
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -1,5 +1,5 @@
-//! What an entry shares with the other entries: the configuration in force, the entries' addresses
-//! and the batches that are being closed.
+//! What an entry shares with the other entries: the configuration in force, the evacuated halls, the
+//! entries' addresses and the batches that are being closed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -7,6 +7,7 @@
 
 use crate::batch_event::{EntryAction, EntryOptions};
 use crate::closing_elsewhere::ClosingElsewhere;
+use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, Offered};
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Now, SessionId};
 use crate::peer_book::PeerBook;
@@ -21,6 +22,8 @@
     pub entries: Vec<SocketAddr>,
     /// Whether a batch that was held may be placed now.
     pub may_place: bool,
+    /// Whether other halls are evacuated than before.
+    pub evacuations_changed: bool,
 }
 
 /// Where an entry's address was learnt.
@@ -39,6 +42,9 @@
     /// How long another entry may take to close a batch.
     closing_bound: Duration,
     config: ConfigInForce,
+    evacuations: EvacuationsInForce,
+    /// When the store answered last.
+    store_heard: Option<Now>,
     peers: PeerBook,
     elsewhere: ClosingElsewhere,
     out: Vec<EntryAction>,
@@ -51,6 +57,8 @@
             options,
             closing_bound,
             config: ConfigInForce::default(),
+            evacuations: EvacuationsInForce::default(),
+            store_heard: None,
             peers: PeerBook::default(),
             elsewhere: ClosingElsewhere::default(),
             out: Vec::new(),
@@ -62,6 +70,17 @@
         &self.config
     }
 
+    /// The evacuated halls.
+    pub fn evacuations(&self) -> &Arc<EvacuatedHalls> {
+        self.evacuations.state()
+    }
+
+    /// How long ago the store answered; none if it never has.
+    pub fn store_age(&self, now: Now) -> Option<Duration> {
+        let heard = self.store_heard?;
+        Some(now.saturating_sub(heard))
+    }
+
     /// Whether a batch must wait until another entry has closed it.
     pub fn is_closing_elsewhere(&self, now: Now, id: BatchId) -> bool {
         self.elsewhere.held_until(now, id).is_some()
@@ -108,6 +127,7 @@
             life: self.options.life,
             address: self.options.address,
             config: self.config.version(),
+            evacuations: self.evacuations.state().place,
             entries: self.peers.known(),
         }
     }
@@ -146,6 +166,10 @@
                     self.peers.holds(link, table.version);
                     self.offer_config(now, &table, "entry");
                 }
+                PeerNews::Evacuations(state) => {
+                    self.peers.knows_evacuations(link, state.place);
+                    effects.evacuations_changed |= self.offer_evacuations(now, &state, "entry");
+                }
                 PeerNews::Entries(addresses) => {
                     effects
                         .entries
@@ -186,6 +210,12 @@
             self.peers.holds(link, table.version);
             self.peers.tell(now, link, PeerNews::Config(table.clone()));
         }
+        let state = self.evacuations.state();
+        if state.place > intro.evacuations {
+            let news = PeerNews::Evacuations(state.clone());
+            self.peers.knows_evacuations(link, state.place);
+            self.peers.tell(now, link, news);
+        }
         let mut addresses = intro.entries.clone();
         addresses.push(intro.address);
         self.learn(now, Source::Entry(link), addresses)
@@ -238,6 +268,27 @@
         self.peers.tell_config(now, version, &news);
     }
 
+    /// The store has answered: these halls are evacuated. Says whether others were before.
+    pub fn store_answered(&mut self, now: Now, state: &Arc<EvacuatedHalls>) -> bool {
+        self.store_heard = Some(now);
+        self.offer_evacuations(now, state, "store")
+    }
+
+    /// Takes evacuations in force if they are newer, and passes them on if they are others; says
+    /// whether they are.
+    fn offer_evacuations(&mut self, now: Now, state: &Arc<EvacuatedHalls>, from: &str) -> bool {
+        if self.evacuations.offer(state) != Offered::Changed {
+            return false;
+        }
+        let (halls, place) = (state.names(), state.place);
+        self.log(
+            EventCode::EvacuationsChanged,
+            format!("halls=[{halls}] place={place} from={from}"),
+        );
+        self.peers.tell_evacuations(now, state);
+        true
+    }
+
     /// Tells the other entries that a batch is being closed here.
     pub fn tell_closing(&mut self, now: Now, id: BatchId) {
         let news = PeerNews::Closing(vec![id]);
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -15,11 +15,12 @@
 
 use crate::batch_entry::BatchEntry;
 use crate::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
+use crate::evacuations::EvacuationReader;
 use crate::events::{EventCode, LogEvent};
 use crate::figures::Figures;
 use crate::ids::{RequestId, SessionId};
 use crate::node_links::{LinkSink, NodeLinks};
-use crate::platform_ports::{ConfigFeed, EntryRegistry, PortResult};
+use crate::platform_ports::{EntryRegistry, OperatorFeed, PortResult};
 use crate::run_message::Packet;
 use crate::wake_timer::WakeTimer;
 
@@ -146,6 +147,8 @@
         self.figures.level("batches", levels.batches);
         self.figures.level("targets", levels.targets);
         self.figures.level("config_version", levels.config_version);
+        self.figures
+            .level("evacuated_halls", levels.evacuated_halls);
         self.figures.level("link_bytes_sent", sent);
         self.figures.level("link_bytes_received", received);
         self.figures.render()
@@ -156,14 +159,20 @@
         self.ended.notified().await;
     }
 
-    /// Feeds the core with configurations. Never returns.
-    pub async fn follow_config(self: Rc<Self>, feed: Rc<dyn ConfigFeed>) {
+    /// Feeds the core with what operators want. Never returns.
+    pub async fn follow_operators(self: Rc<Self>, feed: Rc<dyn OperatorFeed>) {
         let mut health = StoreHealth::default();
+        let mut evacuations = EvacuationReader::default();
         loop {
             match feed.next().await {
-                Ok(table) => {
+                Ok(news) => {
                     health.answered();
-                    if let Some(table) = table {
+                    for e in news.unreadable {
+                        LogEvent::new(EventCode::RecordUnreadable, e.to_string()).emit();
+                    }
+                    let evacuated = evacuations.read(news.evacuations);
+                    self.tell(EntryEvent::Evacuations(Arc::new(evacuated)));
+                    if let Some(table) = news.config {
                         self.tell(EntryEvent::Config(Arc::new(table)));
                     }
                 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -68,6 +68,8 @@
     ConfigBehind = 1103, Warn, "a newer configuration is known than held";
     ConfigGap = 1104, Warn, "log records expired unread";
     SnapshotSent = 1105, Info, "configuration head written to the log again";
+    EvacuationsChanged = 1106, Info, "evacuated data halls changed";
+    RecordUnreadable = 1107, Error, "operators' record can't be read, passed over";
     LogDown = 1201, Warn, "log service does not answer";
     LogUp = 1202, Info, "log service answers again";
     ListDown = 1203, Warn, "VM list does not answer";
--- a/lib/src/held_batch.rs
+++ b/lib/src/held_batch.rs
@@ -86,6 +86,8 @@
     Failed,
     /// The entry stops.
     Draining,
+    /// Every target that could serve it is in an evacuated data hall.
+    Evacuated,
 }
 
 /// A batch.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,7 +14,7 @@
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
 //! - state: [`answer_time`], [`run_book`], [`target_lease`], [`room_shares`], [`room_forecast`], [`entry_leases`],
-//!   [`homes`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
+//!   [`homes`], [`evacuations`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
 //!   [`entry_directory`], [`entry_drain`];
 //! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
 //!   [`batch_event`] and [`run_event`], and the choice of targets in [`batch_placing`];
@@ -55,6 +55,7 @@
 pub mod entry_platform;
 mod entry_router;
 pub mod entry_targets;
+pub mod evacuations;
 pub mod events;
 pub mod figures;
 pub mod frame_order;
--- a/lib/src/peer_book.rs
+++ b/lib/src/peer_book.rs
@@ -2,8 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
+use crate::evacuations::{EvacuatedHalls, LogPlace};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
 use crate::run::BatchId;
@@ -27,6 +29,8 @@
     pub name: NodeName,
     /// Version that it is known to hold.
     pub config: ConfigVersion,
+    /// Place in the log up to which it is known to know the evacuations.
+    pub evacuations: LogPlace,
     /// When it was last heard.
     pub heard: Now,
     /// When something was last sent.
@@ -81,11 +85,13 @@
     pub fn join(&mut self, now: Now, link: SessionId, intro: &PeerIntro) -> bool {
         if let Some(peer) = self.links.get_mut(&link) {
             peer.config = peer.config.max(intro.config);
+            peer.evacuations = peer.evacuations.max(intro.evacuations);
             return false;
         }
         let peer = Peer {
             name: intro.name.clone(),
             config: intro.config,
+            evacuations: intro.evacuations,
             heard: now,
             sent: now,
             news: Vec::new(),
@@ -120,6 +126,13 @@
         }
     }
 
+    /// Notes the place up to which an entry knows the evacuations.
+    pub fn knows_evacuations(&mut self, link: SessionId, place: LogPlace) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.evacuations = peer.evacuations.max(place);
+        }
+    }
+
     /// Adds news for one entry, to be sent at once.
     pub fn tell(&mut self, now: Now, link: SessionId, news: PeerNews) {
         if let Some(peer) = self.links.get_mut(&link) {
@@ -146,6 +159,17 @@
         }
     }
 
+    /// Tells every entry that knows of older evacuations, at once.
+    pub fn tell_evacuations(&mut self, now: Now, state: &Arc<EvacuatedHalls>) {
+        for peer in self.links.values_mut() {
+            if peer.evacuations < state.place {
+                peer.evacuations = state.place;
+                let news = PeerNews::Evacuations(state.clone());
+                peer.add(now, news, Duration::ZERO);
+            }
+        }
+    }
+
     /// Takes back that a batch is being closed from every entry that was not told yet, and tells
     /// the others that it is.
     pub fn tell_closed(&mut self, now: Now, id: BatchId) {
--- a/lib/src/platform_ports.rs
+++ b/lib/src/platform_ports.rs
@@ -7,6 +7,7 @@
 use futures_util::future::LocalBoxFuture;
 use snafu::Snafu;
 
+use crate::evacuations::EvacuationRecords;
 use crate::queue::QueueTable;
 use crate::run::RunKey;
 use crate::run_book::FencingToken;
@@ -59,11 +60,25 @@
     ) -> LocalBoxFuture<'static, RenewalAnswer>;
 }
 
-/// The operators' configuration, as the platform's store holds it.
-pub trait ConfigFeed {
-    /// Waits for the next configuration; the first call gives the one in force. An `Ok(None)`
-    /// says that there was nothing new for a while.
-    fn next(&self) -> LocalBoxFuture<'_, PortResult<Option<QueueTable>>>;
+/// What a read of the operators' records shows.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OperatorNews {
+    /// The newest configuration among what was read.
+    pub config: Option<QueueTable>,
+    /// What it says of evacuations.
+    pub evacuations: EvacuationRecords,
+    /// Records that can't be read. They are passed over: one of them must not hide the others.
+    pub unreadable: Vec<PortError>,
+}
+
+/// The operators' records, as the platform's store holds them.
+pub trait OperatorFeed {
+    /// Waits for the next records; the first call gives what is in force. Without any for a while
+    /// the answer says just up to which place nothing is new.
+    fn next(&self) -> LocalBoxFuture<'_, PortResult<OperatorNews>>;
+
+    /// What is in force now. Does not change what [`Self::next`] gives.
+    fn newest(&self) -> LocalBoxFuture<'_, PortResult<OperatorNews>>;
 }
 
 /// Where entries leave their addresses for those whose seeds are all stale.
--- a/lib/src/request_story.rs
+++ b/lib/src/request_story.rs
@@ -54,6 +54,11 @@
     }
     let process = &answer.process;
     let text = &answer.text;
+    if text.contains("why: Evacuated") {
+        return format!(
+            "refused by {process}: every target for it is in an evacuated data hall; nothing ran"
+        );
+    }
     if text.starts_with("batch refused") {
         return format!("refused by {process} on arrival: nothing ran");
     }
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -138,6 +138,8 @@
     Full,
     /// The target or its agent is leaving.
     Leaving,
+    /// The target's data hall is evacuated.
+    Evacuated,
     /// The order came too late to be obeyed.
     Late,
     /// The target has seen a higher number for this task.
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -5,6 +5,7 @@
 //! the target guards nothing, and stops what belongs to an entry that does not answer for it any
 //! more. docs/design/platform.md works out the chain of times.
 
+mod evacuation;
 mod lists;
 mod lives;
 mod starts;
@@ -14,6 +15,7 @@
 
 use crate::answer_time::AnswerTime;
 use crate::entry_leases::EntryLeases;
+use crate::evacuations::{EvacuationWatch, EvacuationsInForce};
 use crate::events::{EventCode, LogEvent};
 use crate::homes::{HomeStep, Homes};
 use crate::ids::{Incarnation, Now, SessionId};
@@ -58,6 +60,10 @@
     /// Stops that came before the lists were read, each with its entry's life.
     early_stops: Vec<(Incarnation, RunKey)>,
     homes: Homes,
+    evacuations: EvacuationsInForce,
+    evacuation_watch: EvacuationWatch,
+    /// When the store was asked for evacuations that it has not answered yet.
+    evacuations_asked: Option<Now>,
     draining_since: Option<Now>,
     exited: bool,
 }
@@ -80,6 +86,9 @@
             early_claims: Vec::new(),
             early_stops: Vec::new(),
             homes: Homes::new(&options.name, options.timings.start_window),
+            evacuations: EvacuationsInForce::default(),
+            evacuation_watch: EvacuationWatch::new(now, options.evacuation_bound),
+            evacuations_asked: None,
             draining_since: None,
             exited: false,
             options,
@@ -97,6 +106,7 @@
         }
         self.dispatch_event(event);
         self.keep_homes();
+        self.ask_evacuations();
         self.ask_lives();
         self.fence_overdue_starts();
         self.check_leases();
@@ -113,6 +123,7 @@
             self.entries.next_wake(),
             self.lease.retry_at(),
             self.lives.next_wake(),
+            self.ask_evacuations_at(),
             // A process that stops changes no links any more.
             self.homes
                 .next_wake()
@@ -172,6 +183,7 @@
             AgentEvent::RenewalAnswered { number, answer } => self.renewal_answered(number, answer),
             AgentEvent::LifeAnswered { number, answer } => self.life_answered(number, answer),
             AgentEvent::Entries(entries) => self.homes.learn(self.now, entries),
+            AgentEvent::Evacuations(answer) => self.evacuations_answered(answer),
             AgentEvent::Drain => self.drain(),
         }
     }
@@ -267,14 +279,17 @@
         let lease_until = Duration::from_millis(packet.lease_until);
         self.entries
             .heard(self.now, link, lease_until, packet.waiting);
+        let store_heard = Duration::from_millis(packet.store_heard);
         for order in packet.orders {
             match order {
                 Order::Welcome(welcome) => self.welcomed(welcome),
                 Order::Start(order) => self.start_ordered(link, order),
                 Order::Stop(keys) => self.stop_ordered(link, keys),
                 Order::Entries(entries) => self.homes.learn(self.now, entries),
+                Order::Evacuations(state) => self.offer_evacuations(&state, "entry"),
             }
         }
+        self.evacuation_watch.known(store_heard);
     }
 
     fn welcomed(&mut self, welcome: Welcome) {
@@ -283,6 +298,7 @@
             life,
             entries,
             claims,
+            evacuations,
         } = welcome;
         let count = claims.len();
         self.log(
@@ -290,6 +306,7 @@
             format!("entry={name} life={life:x} claims={count}"),
         );
         self.homes.learn(self.now, entries);
+        self.offer_evacuations(&evacuations, "entry");
         self.stop_unclaimed(life, &claims);
         for (key, size) in claims {
             if self.knows_lists {
@@ -495,6 +512,7 @@
         };
         let is_closed = self.draining_since.is_some()
             || target.leaving
+            || self.is_evacuated()
             || !self.knows_lists
             || self.lease.is_silent();
         if is_closed {
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -76,6 +76,9 @@
         if target.leaving {
             return Err(NotStarted::Leaving);
         }
+        if self.is_evacuated() {
+            return Err(NotStarted::Evacuated);
+        }
         if target.service != order.service {
             return Err(NotStarted::WrongService);
         }
@@ -114,6 +117,10 @@
     }
 
     pub(super) fn send_start(&mut self, key: RunKey, life: Arc<str>) -> Result<(), NotStarted> {
+        // A start that was lost may be sent again after the hall was evacuated.
+        if self.is_evacuated() {
+            return Err(NotStarted::Evacuated);
+        }
         // A start extends the lease of all runs; one that must lapse would go on.
         if !self.may_renew() {
             return Err(NotStarted::Doubtful);
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -1,12 +1,13 @@
 //! What the agent's core on the platform is told and what it wants done.
 //!
-//! [`AgentAction::Start`], [`AgentAction::Renew`] and [`AgentAction::AskLife`] are each answered by
-//! one event, within the limit that they name. Actions are carried out in order; each may fail.
+//! [`AgentAction::Start`], [`AgentAction::Renew`], [`AgentAction::AskLife`] and
+//! [`AgentAction::AskEvacuations`] are each answered by one event, within the limit that they name. Actions are carried out in order; each may fail.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::evacuations::EvacuatedHalls;
 use crate::events::LogEvent;
 use crate::ids::{HallName, Incarnation, NodeName, SessionId};
 use crate::run::{RunEnd, RunKey};
@@ -30,6 +31,8 @@
     pub token: FencingToken,
     /// Entries to dial at start.
     pub seeds: Vec<SocketAddr>,
+    /// How long after its order an evacuation must be obeyed; none if the platform orders none.
+    pub evacuation_bound: Option<Duration>,
 }
 
 /// A target's report on itself.
@@ -148,6 +151,8 @@
     },
     /// More entries, from the settings or the registry.
     Entries(Vec<SocketAddr>),
+    /// Answer to [`AgentAction::AskEvacuations`]; none if the store gave none.
+    Evacuations(Option<Arc<EvacuatedHalls>>),
     /// Stop in an orderly way.
     Drain,
 }
@@ -205,6 +210,8 @@
         /// The life.
         life: Arc<str>,
     },
+    /// Ask the store which halls are evacuated.
+    AskEvacuations,
     /// Write a line to the log.
     Log(LogEvent),
     /// Stop the process.
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::evacuations::{EvacuatedHalls, LogPlace};
 use crate::ids::{HallName, Incarnation, NodeName};
 use crate::queue::{ConfigVersion, QueueTable};
 use crate::resources::Resources;
@@ -137,6 +138,10 @@
     /// them.
     #[serde(rename = "l")]
     pub lease_until: AgentMillis,
+    /// When, on the agent's clock, the entry last heard from the store; all that it heard has been
+    /// told on this link.
+    #[serde(rename = "k", default)]
+    pub store_heard: AgentMillis,
     /// Tasks that wait at the entry for free resources.
     #[serde(rename = "w")]
     pub waiting: u32,
@@ -160,6 +165,9 @@
     /// More entries than the agent was told of before.
     #[serde(rename = "N")]
     Entries(Vec<SocketAddr>),
+    /// The evacuated halls have changed.
+    #[serde(rename = "V")]
+    Evacuations(Arc<EvacuatedHalls>),
 }
 
 /// An entry's answer to an agent's hello.
@@ -173,6 +181,8 @@
     pub entries: Vec<SocketAddr>,
     /// Runs that it waits for here, with what each takes.
     pub claims: Vec<(RunKey, Resources)>,
+    /// Evacuated halls.
+    pub evacuations: Arc<EvacuatedHalls>,
 }
 
 /// Tasks of one step to start on one target.
@@ -218,6 +228,8 @@
     Hello(PeerIntro),
     /// A configuration newer than the one that the other is known to hold.
     Config(Arc<QueueTable>),
+    /// Evacuated halls, as of a later place than the other is known to hold.
+    Evacuations(Arc<EvacuatedHalls>),
     /// More entries than the other was told of before.
     Entries(Vec<SocketAddr>),
     /// Batches whose caller has gone while runs of theirs are out: the caller may come to another
@@ -240,6 +252,8 @@
     pub address: SocketAddr,
     /// Version of the configuration that it holds.
     pub config: ConfigVersion,
+    /// Place in the log up to which it knows the evacuations.
+    pub evacuations: LogPlace,
     /// Entries that it knows.
     pub entries: Vec<SocketAddr>,
 }
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -5,11 +5,13 @@
 //! then says so and the task goes elsewhere.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 
+use crate::evacuations::EvacuatedHalls;
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::queue::Queue;
 use crate::resources::Resources;
@@ -63,6 +65,8 @@
     pub info: Option<TargetInfo>,
     /// Whether the agent is stopping.
     pub is_leaving: bool,
+    /// Whether its data hall is evacuated.
+    is_evacuated: bool,
     /// When the agent was last heard.
     pub heard: Now,
     /// When something was last sent to it.
@@ -115,6 +119,7 @@
             hall,
             info: None,
             is_leaving: false,
+            is_evacuated: false,
             heard: now,
             sent: now,
             clock: 0,
@@ -154,10 +159,20 @@
     }
 
     fn may_get_work(&self, now: Now) -> bool {
+        !self.is_evacuated && self.could_get_work(now)
+    }
+
+    /// Whether it may get work but for an evacuation.
+    fn could_get_work(&self, now: Now) -> bool {
+        self.stays(now) && self.closed_until <= now
+    }
+
+    /// Whether it is there and is not about to leave.
+    fn stays(&self, now: Now) -> bool {
         let Some(info) = &self.info else {
             return false;
         };
-        !self.is_leaving && !info.leaving && self.heard + FRESH > now && self.closed_until <= now
+        !self.is_leaving && !info.leaving && self.heard + FRESH > now
     }
 
     fn cost(&self, need: &Need<'_>, hall: &HallName) -> f64 {
@@ -214,6 +229,7 @@
     views: BTreeMap<SessionId, TargetView>,
     /// How often this entry gives an outcast a task.
     probe_every: Duration,
+    evacuated: Arc<EvacuatedHalls>,
 }
 
 impl Default for TargetBoard {
@@ -221,6 +237,7 @@
         Self {
             views: BTreeMap::new(),
             probe_every: PROBE_EVERY,
+            evacuated: Arc::default(),
         }
     }
 }
@@ -228,7 +245,26 @@
 impl TargetBoard {
     /// Notes an agent's hello.
     pub fn join(&mut self, now: Now, link: SessionId, agent: NodeName, hall: HallName) {
-        self.views.insert(link, TargetView::new(now, agent, hall));
+        let mut view = TargetView::new(now, agent, hall);
+        view.is_evacuated = self.evacuated.contains(&view.hall);
+        self.views.insert(link, view);
+    }
+
+    /// Notes which halls are evacuated.
+    pub fn note_evacuations(&mut self, evacuated: &Arc<EvacuatedHalls>) {
+        self.evacuated = evacuated.clone();
+        for view in self.views.values_mut() {
+            view.is_evacuated = evacuated.contains(&view.hall);
+        }
+    }
+
+    /// Whether evacuations alone leave a service without targets.
+    pub fn is_evacuated(&self, now: Now, service: &str) -> bool {
+        let serves = |v: &&TargetView| v.info.as_ref().is_some_and(|i| &*i.service == service);
+        let mut views = self.views.values().filter(serves);
+        let has_evacuated = views.any(|v| v.is_evacuated && v.could_get_work(now));
+        let mut views = self.views.values().filter(serves);
+        has_evacuated && !views.any(|v| v.may_get_work(now))
     }
 
     /// Notes that a link is gone.
@@ -262,6 +298,12 @@
         self.views.values().filter(|v| v.may_get_work(now)).count()
     }
 
+    /// Number of targets that may get work, or might but for an evacuation.
+    pub fn reachable(&self, now: Now) -> usize {
+        let views = self.views.values();
+        views.filter(|v| v.could_get_work(now)).count()
+    }
+
     /// Links that have been silent since `before`.
     pub fn silent(&self, before: Now) -> Vec<SessionId> {
         let silent = self.views.iter().filter(|(_, v)| v.heard < before);
@@ -300,7 +342,7 @@
 
     /// Notes a start sent to a target.
     pub fn sent_start(&mut self, now: Now, link: SessionId, size: Resources) {
-        let best_pace = self.best_pace();
+        let best_pace = self.best_pace(now);
         if let Some(view) = self.views.get_mut(&link) {
             view.starts_sent += 1;
             view.unseen.push_back(size);
@@ -325,7 +367,7 @@
         rng: &mut ChaCha8Rng,
     ) -> Option<SessionId> {
         let mut best: Option<(f64, SessionId)> = None;
-        let best_pace = self.best_pace();
+        let best_pace = self.best_pace(now);
         for (link, view) in &self.views {
             let is_open = view.may_get_work(now)
                 && view.serves(need)
@@ -345,8 +387,13 @@
         best.map(|(_, link)| link)
     }
 
-    fn best_pace(&self) -> f64 {
-        let paces = self.views.values().map(TargetView::pace);
+    /// The best pace among targets that work may be sent to. One that can get none is no yardstick:
+    /// against an idle target of an evacuated hall all others may seem too slow and get only probes.
+    /// With two of six targets evacuated for 6 s, 99.7% of the batches are served in place of 99.3%
+    /// (virtual fleet, 20 seeds).
+    fn best_pace(&self, now: Now) -> f64 {
+        let compared = |v: &&TargetView| !v.is_evacuated && v.stays(now);
+        let paces = self.views.values().filter(compared).map(TargetView::pace);
         paces.fold(f64::MAX, f64::min)
     }
 
@@ -362,8 +409,8 @@
     }
 
     /// Whether a target gets only probes.
-    pub fn is_outcast(&self, link: SessionId) -> bool {
-        let best_pace = self.best_pace();
+    pub fn is_outcast(&self, now: Now, link: SessionId) -> bool {
+        let best_pace = self.best_pace(now);
         self.views
             .get(&link)
             .is_some_and(|view| view.is_outcast(best_pace))
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -8,9 +8,14 @@
 use trestleknot_lib::batch_event::{
     EntryAction, EntryEvent, EntryOptions, Refusal, Reply, Submission,
 };
-use trestleknot_lib::ids::{Now, RequestId};
+use trestleknot_lib::evacuations::EvacuatedHalls;
+use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run_message::{
+    AgentIntro, AgentNews, AgentPacket, Order, Packet, PeerIntro, PeerNews, PeerPacket, TargetInfo,
+};
+use trestleknot_lib::target_health::HealthWord;
 use trestleknot_lib::timings::Timings;
 
 const HOST: &str = "host.example";
@@ -163,3 +168,183 @@
     assert_eq!(replies(&entry.handle(ms(20), config())), []);
     assert_eq!(entry.levels().batches, 0);
 }
+
+/// Has an agent with a target of the queue's service join on a link, from a hall.
+fn join(entry: &mut BatchEntry, now: Now, link: SessionId, hall: &str) -> Vec<EntryAction> {
+    let intro = AgentIntro {
+        name: format!("agent-{link}").into(),
+        life: link,
+        hall: hall.into(),
+    };
+    let target = TargetInfo {
+        life: "life".into(),
+        service: "service".into(),
+        capacity: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        leaving: false,
+    };
+    entry.handle(now, EntryEvent::LinkUp(link, false));
+    let free = target.capacity;
+    let hello = AgentPacket {
+        clock: 0,
+        free: Resources::NONE,
+        starts_seen: 0,
+        health: HealthWord::default(),
+        news: vec![AgentNews::Hello(intro), AgentNews::Target(Some(target))],
+    };
+    let mut actions = entry.handle(now, EntryEvent::Packet(link, Packet::FromAgent(hello)));
+    let load = AgentPacket {
+        clock: 1,
+        free,
+        starts_seen: 0,
+        health: HealthWord::default(),
+        news: Vec::new(),
+    };
+    let event = EntryEvent::Packet(link, Packet::FromAgent(load));
+    actions.extend(entry.handle(now + ms(1), event));
+    actions
+}
+
+fn evacuated(place: u64, halls: &[&str]) -> EntryEvent {
+    let halls = halls.iter().map(|hall| Arc::from(*hall));
+    EntryEvent::Evacuations(Arc::new(EvacuatedHalls {
+        place,
+        halls: halls.collect(),
+    }))
+}
+
+/// Links on which starts were ordered.
+fn ordered(actions: &[EntryAction]) -> Vec<SessionId> {
+    let links = actions.iter().filter_map(|a| match a {
+        EntryAction::Send(link, Packet::FromEntry(packet)) => {
+            let has_start = packet.orders.iter().any(|o| matches!(o, Order::Start(_)));
+            has_start.then_some(*link)
+        }
+        _ => None,
+    });
+    links.collect()
+}
+
+#[test]
+fn test_handle_evacuated_hall_is_left_out() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    // The evacuation comes before one agent joins and after the other has.
+    join(&mut entry, ms(2), 1, "maadi");
+    let told = entry.handle(ms(4), evacuated(3, &["maadi"]));
+    let is_told = |a: &EntryAction| match a {
+        EntryAction::Send(1, Packet::FromEntry(packet)) => packet
+            .orders
+            .iter()
+            .any(|o| matches!(o, Order::Evacuations(s) if s.contains("maadi"))),
+        _ => false,
+    };
+    assert!(
+        told.iter().any(is_told),
+        "its agent hears at once: {told:?}"
+    );
+    join(&mut entry, ms(5), 2, "maadi");
+    join(&mut entry, ms(6), 3, "giza");
+    for request in 0..8 {
+        let actions = entry.handle(ms(10 + request), submission(request));
+        assert!(ordered(&actions).iter().all(|link| *link == 3));
+    }
+    assert!(entry.is_ready());
+    assert_eq!(entry.levels().targets, 1);
+    assert_eq!(entry.levels().evacuated_halls, 1);
+}
+
+#[test]
+fn test_handle_evacuation_of_all_targets_refuses_at_once_and_says_when_to_return() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    entry.handle(ms(4), evacuated(3, &["maadi", "giza"]));
+    let answered = replies(&entry.handle(ms(10), submission(5)));
+    let expected = Reply::Refused {
+        why: Refusal::Evacuated,
+        retry_after: Some(ms(2_000)),
+    };
+    assert_eq!(answered, [(5, expected)]);
+    // Callers are told so by an entry; if none were ready, they would be told nothing.
+    assert!(entry.is_ready());
+    entry.handle(ms(20), evacuated(4, &[]));
+    let actions = entry.handle(ms(21), submission(6));
+    assert_eq!(ordered(&actions), [1]);
+}
+
+#[test]
+fn test_handle_evacuation_refuses_what_waits_and_has_not_begun() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    let full = AgentPacket {
+        clock: 5,
+        free: Resources::NONE,
+        starts_seen: 0,
+        health: HealthWord::default(),
+        news: Vec::new(),
+    };
+    entry.handle(ms(5), EntryEvent::Packet(1, Packet::FromAgent(full)));
+    let large = match submission(5) {
+        EntryEvent::Submit(mut submission) => {
+            submission.spec.steps[0].size.cpu_millis = 1_000;
+            EntryEvent::Submit(submission)
+        }
+        other => other,
+    };
+    assert_eq!(replies(&entry.handle(ms(6), large)), []);
+    let answered = replies(&entry.handle(ms(7), evacuated(3, &["maadi"])));
+    assert_eq!(answered.len(), 1);
+    assert!(
+        is_refused(&answered[0].1, Refusal::Evacuated),
+        "{answered:?}"
+    );
+}
+
+#[test]
+fn test_handle_evacuations_pass_between_entries_and_never_go_back() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    let intro = PeerIntro {
+        name: "other".into(),
+        life: 2,
+        address: "10.0.0.2:7720".parse().expect("an address"),
+        config: 1,
+        evacuations: 0,
+        entries: Vec::new(),
+    };
+    let from_peer = |news| {
+        let packet = PeerPacket { news: vec![news] };
+        EntryEvent::Packet(9, Packet::BetweenEntries(packet))
+    };
+    let state = |place, halls: &[&str]| match evacuated(place, halls) {
+        EntryEvent::Evacuations(state) => state,
+        other => panic!("{other:?}"),
+    };
+    entry.handle(ms(5), EntryEvent::LinkUp(9, false));
+    entry.handle(ms(5), from_peer(PeerNews::Hello(intro)));
+    entry.handle(
+        ms(6),
+        from_peer(PeerNews::Evacuations(state(8, &["maadi"]))),
+    );
+    assert_eq!(entry.levels().evacuated_halls, 1);
+    // A stale answer of the store.
+    entry.handle(ms(7), evacuated(7, &[]));
+    assert_eq!(entry.levels().evacuated_halls, 1);
+    // News go to the peer, unless it told them itself.
+    let actions = entry.handle(ms(8), evacuated(9, &[]));
+    let tells = actions.iter().any(|a| match a {
+        EntryAction::Send(9, Packet::BetweenEntries(packet)) => packet
+            .news
+            .iter()
+            .any(|n| matches!(n, PeerNews::Evacuations(s) if s.place == 9)),
+        _ => false,
+    });
+    assert!(tells, "{actions:?}");
+}
--- /dev/null
+++ b/lib/tests/test_evacuations.rs
@@ -0,0 +1,248 @@
+//! What is known of evacuated halls, read by read and process by process.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::*;
+use trestleknot_lib::evacuations::{
+    EvacuatedHalls, EvacuationReader, EvacuationRecords, EvacuationWatch, EvacuationsInForce,
+    Offered,
+};
+use trestleknot_lib::ids::{HallName, Now};
+
+const fn ms(millis: u64) -> Now {
+    Duration::from_millis(millis)
+}
+
+fn records(is_whole: bool, halls: &[(&str, bool)], place: u64) -> EvacuationRecords {
+    let halls = halls.iter().map(|(hall, is)| ((*hall).into(), *is));
+    EvacuationRecords {
+        is_whole,
+        halls: halls.collect(),
+        place,
+    }
+}
+
+fn state(place: u64, halls: &[&str]) -> Arc<EvacuatedHalls> {
+    let halls = halls.iter().map(|hall| HallName::from(*hall));
+    Arc::new(EvacuatedHalls {
+        place,
+        halls: halls.collect(),
+    })
+}
+
+#[test]
+fn test_read_by_case() {
+    let cases: [(&str, &[EvacuationRecords], &[&str]); 6] = [
+        ("nothing", &[records(true, &[], 3)], &[]),
+        (
+            "in force at start",
+            &[records(true, &[("a", true)], 3)],
+            &["a"],
+        ),
+        (
+            "ordered twice, withdrawn once",
+            &[records(true, &[("a", true), ("a", true), ("a", false)], 3)],
+            &[],
+        ),
+        (
+            "two halls, one after the other",
+            &[
+                records(true, &[("a", true)], 3),
+                records(false, &[("b", true)], 4),
+            ],
+            &["a", "b"],
+        ),
+        (
+            "withdrawn while the history was trimmed",
+            &[
+                records(true, &[("a", true)], 3),
+                records(true, &[("b", true)], 9),
+            ],
+            &["b"],
+        ),
+        (
+            "a hall that nobody knows is withdrawn",
+            &[
+                records(true, &[("a", true)], 3),
+                records(false, &[("z", false)], 4),
+            ],
+            &["a"],
+        ),
+    ];
+    for (case, reads, expected) in cases {
+        let mut reader = EvacuationReader::default();
+        let mut last = EvacuatedHalls::default();
+        for read in reads {
+            last = reader.read(read.clone());
+        }
+        assert_eq!(last.halls, state(0, expected).halls, "{case}");
+    }
+}
+
+#[test]
+fn test_offer_by_case() {
+    let mut in_force = EvacuationsInForce::default();
+    assert_eq!(in_force.offer(&state(0, &["a"])), Offered::Old);
+    assert_eq!(in_force.offer(&state(5, &["a"])), Offered::Changed);
+    assert_eq!(in_force.offer(&state(6, &["a"])), Offered::Confirmed);
+    assert_eq!(in_force.offer(&state(6, &[])), Offered::Old);
+    assert_eq!(in_force.offer(&state(4, &[])), Offered::Old);
+    assert!(in_force.contains("a"));
+    assert_eq!(in_force.offer(&state(7, &[])), Offered::Changed);
+    assert!(!in_force.contains("a"));
+}
+
+#[test]
+fn test_take_due_asks_only_when_nothing_is_heard() {
+    let mut watch = EvacuationWatch::new(ms(0), Some(ms(5_000)));
+    assert!(!watch.take_due(ms(1_400)));
+    watch.known(ms(1_400));
+    assert!(!watch.take_due(ms(2_800)));
+    assert!(watch.take_due(ms(2_900)));
+    // The answer is awaited for as long as that again.
+    assert!(!watch.take_due(ms(4_000)));
+    assert!(watch.take_due(ms(4_400)));
+    // An old word, come late, changes nothing.
+    watch.known(ms(1_000));
+    assert_eq!(watch.ask_at(), Some(ms(5_900)));
+}
+
+#[test]
+fn test_take_due_bounds_by_case() {
+    // A bound shorter than the entries' own reads is kept by asking; no bound, no question.
+    let cases = [
+        (Some(ms(5_000)), Some(ms(1_500))),
+        (Some(ms(20_000)), Some(ms(6_000))),
+        (Some(ms(1_000)), Some(ms(600))),
+        (Some(ms(0)), Some(ms(200))),
+        (None, None),
+    ];
+    for (bound, ask_at) in cases {
+        let watch = EvacuationWatch::new(ms(0), bound);
+        assert_eq!(watch.ask_at(), ask_at, "{bound:?}");
+    }
+}
+
+/// A store as the operators write it, and what a reader sees of it at any place.
+#[derive(Debug, Default)]
+struct Log {
+    records: Vec<(HallName, bool)>,
+    first_kept: usize,
+}
+
+impl Log {
+    fn halls_at(&self, place: usize) -> BTreeSet<HallName> {
+        let mut halls = BTreeSet::new();
+        for (hall, is_evacuated) in &self.records[..place] {
+            if *is_evacuated {
+                halls.insert(hall.clone());
+            } else {
+                halls.remove(hall);
+            }
+        }
+        halls
+    }
+
+    fn whole(&self, place: usize) -> EvacuationRecords {
+        let halls = self.halls_at(place);
+        EvacuationRecords {
+            is_whole: true,
+            halls: halls.into_iter().map(|hall| (hall, true)).collect(),
+            place: place as u64,
+        }
+    }
+
+    fn since(&self, from: usize) -> EvacuationRecords {
+        EvacuationRecords {
+            is_whole: false,
+            halls: self.records[from..].to_vec(),
+            place: self.records.len() as u64,
+        }
+    }
+}
+
+/// What happens to one of three processes or to the store.
+#[derive(Debug, Clone)]
+enum Step {
+    Order(u8, bool),
+    Trim,
+    /// A process reads on, or the newest records if it has read nothing or they are gone.
+    Read(usize),
+    /// A process reads the newest records as they were some records ago.
+    StaleRead(usize, usize),
+    /// A process tells another what it knows.
+    Tell(usize, usize),
+    Restart(usize),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => (0..4u8, any::<bool>()).prop_map(|(hall, is)| Step::Order(hall, is)),
+        1 => Just(Step::Trim),
+        4 => (0..3usize).prop_map(Step::Read),
+        1 => (0..3usize, 0..6usize).prop_map(|(who, behind)| Step::StaleRead(who, behind)),
+        3 => (0..3usize, 0..3usize).prop_map(|(from, to)| Step::Tell(from, to)),
+        1 => (0..3usize).prop_map(Step::Restart),
+    ]
+}
+
+#[derive(Default)]
+struct Process {
+    reader: EvacuationReader,
+    next: Option<usize>,
+    in_force: EvacuationsInForce,
+}
+
+impl Process {
+    fn read(&mut self, records: EvacuationRecords) {
+        self.next = Some(records.place as usize);
+        let state = self.reader.read(records);
+        self.in_force.offer(&Arc::new(state));
+    }
+}
+
+proptest! {
+    /// Whatever is read and told in whichever order, a process holds what was true at its place in
+    /// the log, its place never falls in one life, and a read of the end brings it up to date.
+    #[test]
+    fn test_offer_any_order_is_true_at_its_place(steps in prop::collection::vec(step(), 1..80)) {
+        let mut log = Log::default();
+        let mut processes = [Process::default(), Process::default(), Process::default()];
+        for step in steps {
+            let before: Vec<u64> = processes.iter().map(|p| p.in_force.state().place).collect();
+            let mut restarted = None;
+            match step {
+                Step::Order(hall, is) => log.records.push((format!("hall-{hall}").into(), is)),
+                Step::Trim => log.first_kept = log.records.len(),
+                Step::Read(who) => {
+                    let read = match processes[who].next {
+                        Some(from) if from >= log.first_kept => log.since(from),
+                        _ => log.whole(log.records.len()),
+                    };
+                    processes[who].read(read);
+                    let halls = &processes[who].in_force.state().halls;
+                    prop_assert_eq!(halls, &log.halls_at(log.records.len()));
+                }
+                Step::StaleRead(who, behind) => {
+                    let place = log.records.len().saturating_sub(behind);
+                    processes[who].read(log.whole(place));
+                }
+                Step::Tell(from, to) => {
+                    let state = processes[from].in_force.state().clone();
+                    processes[to].in_force.offer(&state);
+                }
+                Step::Restart(who) => {
+                    processes[who] = Process::default();
+                    restarted = Some(who);
+                }
+            }
+            for (index, process) in processes.iter().enumerate() {
+                let known = process.in_force.state();
+                prop_assert_eq!(&known.halls, &log.halls_at(known.place as usize));
+                prop_assert!(known.place >= before[index] || restarted == Some(index));
+            }
+        }
+    }
+}
--- a/lib/tests/test_request_story.rs
+++ b/lib/tests/test_request_story.rs
@@ -11,6 +11,7 @@
 t=10.200 level=INFO batch answered: job=aa02 queue=q answer=Refused { why: Busy } took_ms=100 objective_ms=200
 t=10.400 level=INFO batch admitted: job=aa03 request=r3 queue=q tasks=1
 t=10.500 level=INFO batch refused, nothing of it runs: job=aa04 request=r4 config=1 answer=Refused
+t=10.600 level=INFO batch refused, nothing of it runs: job=aa06 request=r6 config=1 answer=Refused { why: Evacuated }
 ";
     let agent = "\
 t=10.150 level=INFO run is far slower than its estimate: run=aa01.0.0.0#1 ran_ms=100 percent=20
@@ -29,7 +30,7 @@
 
 #[test]
 fn test_of_verdicts() {
-    let ids = ["aa01", "r2", "r3", "r4", "r5"];
+    let ids = ["aa01", "r2", "r3", "r4", "r5", "r6"];
     let verdicts = ids.map(|id| RequestStory::of(id, &logs()).verdict);
     insta::assert_debug_snapshot!(verdicts);
 }
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use trestleknot_lib::evacuations::EvacuatedHalls;
 use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
@@ -91,6 +92,7 @@
         timings: Timings::default(),
         token: 100,
         seeds: Vec::new(),
+        evacuation_bound: Some(ms(5_000)),
     }
 }
 
@@ -110,6 +112,7 @@
         life: 9,
         entries: Vec::new(),
         claims: Vec::new(),
+        evacuations: Arc::default(),
     };
     agent.handle(ms(4), packet(60_000, vec![Order::Welcome(welcome)]));
     agent
@@ -118,6 +121,7 @@
 fn packet(lease_until: u64, orders: Vec<Order>) -> AgentEvent {
     let packet = EntryPacket {
         lease_until,
+        store_heard: 0,
         waiting: 0,
         orders,
     };
@@ -207,6 +211,7 @@
         life: 10,
         entries: Vec::new(),
         claims: Vec::new(),
+        evacuations: Arc::default(),
     };
     let orders = vec![Order::Welcome(welcome), start(0, 5_000)];
     let actions = agent.handle(ms(1_000), packet(900, orders));
@@ -488,10 +493,12 @@
         life: 10,
         entries: Vec::new(),
         claims: Vec::new(),
+        evacuations: Arc::default(),
     };
     let from_second = |orders| {
         let packet = EntryPacket {
             lease_until: 60_000,
+            store_heard: 0,
             waiting: 0,
             orders,
         };
@@ -601,6 +608,7 @@
         life: 9,
         entries: Vec::new(),
         claims: vec![(key(0), SIZE)],
+        evacuations: Arc::default(),
     };
     agent.handle(ms(11), packet(60_000, vec![Order::Welcome(welcome)]));
     let answer = running(&[key(0)]);
@@ -759,6 +767,7 @@
         life: 9,
         entries: Vec::new(),
         claims: vec![(key, SIZE)],
+        evacuations: Arc::default(),
     };
     let orders = vec![Order::Welcome(welcome), Order::Stop(vec![key])];
     let actions = agent.handle(ms(2), packet(60_000, orders));
@@ -793,3 +802,83 @@
     let wake = agent.next_wake().expect("a run goes on");
     assert!(wake > later + ms(1), "{wake:?}");
 }
+
+fn evacuated(place: u64, halls: &[&str]) -> Arc<EvacuatedHalls> {
+    let halls = halls.iter().map(|hall| Arc::from(*hall));
+    Arc::new(EvacuatedHalls {
+        place,
+        halls: halls.collect(),
+    })
+}
+
+#[test]
+fn test_handle_evacuated_hall_starts_nothing_and_ends_what_runs() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(5), packet(60_000, vec![start(0, 500)]));
+    let StartCall { key, token, .. } = start_calls(&actions).remove(0);
+    let answer = StartAnswer::Started { clock: 1_005 };
+    agent.handle(ms(6), AgentEvent::StartAnswered { key, token, answer });
+    let order = Order::Evacuations(evacuated(7, &["hall"]));
+    let actions = agent.handle(ms(7), packet(60_000, vec![order]));
+    let stops = actions
+        .iter()
+        .any(|a| matches!(a, AgentAction::Stop { .. }));
+    assert!(!stops, "what runs in an evacuated hall ends in peace");
+    let actions = agent.handle(ms(8), packet(60_000, vec![start(1, 500)]));
+    assert_eq!(starts(&actions), 0);
+    assert_eq!(refusal(&actions), Some(NotStarted::Evacuated));
+    // An entry that does not know yet that it was withdrawn changes nothing; a later word does.
+    let order = Order::Evacuations(evacuated(6, &[]));
+    let actions = agent.handle(ms(9), packet(60_000, vec![order, start(2, 500)]));
+    assert_eq!(starts(&actions), 0);
+    let order = Order::Evacuations(evacuated(8, &[]));
+    let actions = agent.handle(ms(10), packet(60_000, vec![order, start(3, 500)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_lost_start_is_not_sent_again_in_an_evacuated_hall() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(5), packet(60_000, vec![start(0, 500)]));
+    let StartCall { key, token, .. } = start_calls(&actions).remove(0);
+    let order = Order::Evacuations(evacuated(7, &["hall"]));
+    agent.handle(ms(6), packet(60_000, vec![order]));
+    let answer = StartAnswer::Fenced;
+    let actions = agent.handle(ms(7), AgentEvent::StartAnswered { key, token, answer });
+    assert_eq!(starts(&actions), 0);
+    assert_eq!(refusal(&actions), Some(NotStarted::Evacuated));
+}
+
+#[test]
+fn test_handle_asks_the_store_when_no_entry_hears_of_it() {
+    let mut agent = ready_agent();
+    let asks = |actions: &[AgentAction]| {
+        let asked = actions
+            .iter()
+            .filter(|a| matches!(a, AgentAction::AskEvacuations));
+        asked.count()
+    };
+    let heard_at = |store_heard| {
+        let packet = EntryPacket {
+            lease_until: 60_000,
+            store_heard,
+            waiting: 0,
+            orders: Vec::new(),
+        };
+        AgentEvent::Packet(LINK, packet)
+    };
+    // As long as its entry hears of the store, the agent has no question.
+    assert_eq!(asks(&agent.handle(ms(1_400), heard_at(1_000))), 0);
+    assert_eq!(asks(&agent.handle(ms(2_400), heard_at(1_000))), 0);
+    assert_eq!(asks(&agent.handle(ms(2_500), heard_at(1_000))), 1);
+    let answer = Some(evacuated(7, &["hall"]));
+    agent.handle(ms(2_600), AgentEvent::Evacuations(answer));
+    let actions = agent.handle(ms(2_700), packet(60_000, vec![start(0, 5_000)]));
+    assert_eq!(refusal(&actions), Some(NotStarted::Evacuated));
+    // What was answered was true when it was asked.
+    assert_eq!(asks(&agent.handle(ms(3_900), heard_at(1_000))), 0);
+    assert_eq!(asks(&agent.handle(ms(4_000), heard_at(1_000))), 1);
+    // Without an answer it asks again.
+    agent.handle(ms(4_800), AgentEvent::Evacuations(None));
+    assert_eq!(asks(&agent.handle(ms(5_500), heard_at(1_000))), 1);
+}
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -165,7 +165,12 @@
         Strike::Trouble(_, trouble, t) => Strike::Trouble(index, trouble, t),
         Strike::LateOrders(_, t) => Strike::LateOrders(index, t),
         Strike::LateReports(_, t) => Strike::LateReports(index, t),
-        other @ (Strike::Leave(_) | Strike::ClockBack) => other,
+        Strike::StoreCut(n, t) => Strike::StoreCut(pick(n), t),
+        other @ (Strike::Leave(_)
+        | Strike::ClockBack
+        | Strike::Evacuate(_)
+        | Strike::GiveBack(_)
+        | Strike::StoreDown(_)) => other,
     }
 }
 
@@ -342,3 +347,127 @@
     let (first, second) = (play(3, &strikes), play(3, &strikes));
     assert_eq!(first.log, second.log);
 }
+
+/// How long after its order an evacuation must be obeyed.
+const EVACUATION_BOUND: Duration = ms(5_000);
+const EVACUATION_LOAD_TO: Now = ms(12_000);
+/// Callers whose time is up come again, with 2.5 s each.
+const EVACUATION_END: Now = ms(24_000);
+/// How long it takes when nothing else is wrong: an answer of the store and two links.
+const EVACUATION_USUAL: Duration = ms(50);
+
+fn fleet_of_halls(seed: u64) -> RunFleet {
+    let shape = FleetShape {
+        agents: 6,
+        halls: 3,
+        entries_meet: true,
+        evacuation_bound: Some(EVACUATION_BOUND),
+        ..FleetShape::default()
+    };
+    let mut fleet = RunFleet::with_shape(seed, shape, testutils::run_fleet::config());
+    fleet.load(LOAD_FROM, EVACUATION_LOAD_TO, LOAD);
+    fleet
+}
+
+#[test]
+fn test_run_until_evacuated_hall_gets_no_work_and_its_runs_end() {
+    let mut served = Vec::new();
+    for seed in 0..20 {
+        let mut fleet = fleet_of_halls(seed);
+        fleet.strike(ms(2_000), Strike::Evacuate(1));
+        fleet.strike(ms(8_000), Strike::GiveBack(1));
+        fleet.run_until(EVACUATION_END);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        assert_eq!(
+            fleet.starts_in_evacuated(EVACUATION_USUAL),
+            0,
+            "seed {seed}"
+        );
+        served.push(fleet.served(ms(2_000), ms(8_000)));
+    }
+    // The other halls carry it, but for one seed with a moment of more batches than they have room.
+    let mean = served.iter().sum::<f64>() / served.len() as f64;
+    assert!(mean > 0.995, "only {mean} served: {served:?}");
+}
+
+#[test]
+fn test_run_until_evacuations_are_obeyed_by_processes_cut_off_from_the_store() {
+    // All entries are cut off from the store, and the agents are not: they ask it themselves.
+    for seed in 0..10 {
+        let mut fleet = fleet_of_halls(seed);
+        for entry in 0..ENTRIES {
+            fleet.strike(ms(1_500), Strike::StoreCut(Node::Entry(entry), ms(20_000)));
+        }
+        fleet.strike(ms(2_000), Strike::Evacuate(1));
+        fleet.run_until(EVACUATION_END);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        let late = fleet.starts_after_evacuation();
+        assert!(late.is_empty(), "seed {seed}: {late:#?}");
+        // Well within the bound: the agents' question, and nobody sends there any more.
+        assert_eq!(fleet.starts_in_evacuated(ms(1_700)), 0, "seed {seed}");
+    }
+}
+
+#[test]
+fn test_run_until_evacuation_reaches_entries_through_one_that_hears_of_it() {
+    for seed in 0..10 {
+        let mut fleet = fleet_of_halls(seed);
+        for entry in 1..ENTRIES {
+            fleet.strike(ms(1_500), Strike::StoreCut(Node::Entry(entry), ms(20_000)));
+        }
+        fleet.strike(ms(2_000), Strike::Evacuate(1));
+        fleet.run_until(EVACUATION_END);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        assert_eq!(
+            fleet.starts_in_evacuated(EVACUATION_USUAL),
+            0,
+            "seed {seed}"
+        );
+    }
+}
+
+#[test]
+fn test_run_until_random_strikes_keep_evacuations() {
+    let mut evacuated = 0;
+    for seed in 0..120 {
+        let mut rng = ChaCha8Rng::seed_from_u64(70_000 + seed);
+        let mut strikes = Vec::new();
+        for _ in 0..rng.random_range(1..5) {
+            let hall = rng.random_range(0..3);
+            let from = rng.random_range(600..6_000);
+            strikes.push((ms(from), Strike::Evacuate(hall)));
+            if rng.random_bool(0.6) {
+                let to = from + rng.random_range(50..6_000);
+                strikes.push((ms(to), Strike::GiveBack(hall)));
+            }
+            evacuated += 1;
+        }
+        for _ in 0..rng.random_range(0..7) {
+            strikes.push((ms(rng.random_range(600..7_000)), random_strike(&mut rng)));
+        }
+        for _ in 0..rng.random_range(0..4) {
+            let node = match rng.random_bool(0.7) {
+                true => Node::Entry(rng.random_range(0..ENTRIES)),
+                false => Node::Agent(rng.random_range(0..6)),
+            };
+            let length = ms(rng.random_range(500..9_000));
+            strikes.push((
+                ms(rng.random_range(600..6_000)),
+                Strike::StoreCut(node, length),
+            ));
+        }
+        if rng.random_bool(0.2) {
+            let length = ms(rng.random_range(500..3_000));
+            strikes.push((ms(rng.random_range(600..6_000)), Strike::StoreDown(length)));
+        }
+        let mut fleet = fleet_of_halls(seed);
+        for (at, strike) in &strikes {
+            fleet.strike(*at, *strike);
+        }
+        fleet.run_until(EVACUATION_END);
+        assert_kept(&fleet, &format!("seed {seed}, {strikes:?}"));
+        let late = fleet.starts_after_evacuation();
+        assert!(late.is_empty(), "seed {seed}, {strikes:?}: {late:#?}");
+    }
+    assert!(evacuated > 200, "only {evacuated} evacuations");
+}
--- a/lib/tests/test_target_board.rs
+++ b/lib/tests/test_target_board.rs
@@ -5,6 +5,7 @@
 
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use trestleknot_lib::evacuations::EvacuatedHalls;
 use trestleknot_lib::ids::{HallName, Now};
 use trestleknot_lib::queue::Queue;
 use trestleknot_lib::resources::Resources;
@@ -127,3 +128,41 @@
     board.note_entries(12);
     assert_eq!(probes(&mut board), 3);
 }
+
+#[test]
+fn test_choose_evacuated_target_gets_nothing_and_is_no_yardstick() {
+    let mut board = board();
+    board.join(ms(1), 3, "agent-3".into(), "maadi".into());
+    let info = board.get(SOUND).and_then(|v| v.info.clone());
+    board.get_mut(3).expect("it has joined").info = info;
+    let paced = |pace_percent| {
+        word(HealthWord {
+            pace_percent,
+            failed_percent: 0,
+        })
+    };
+    // Against the one in the evacuated hall, both others would be too slow.
+    board.heard(ms(10), BAD, paced(300));
+    board.heard(ms(10), SOUND, paced(300));
+    board.heard(ms(10), 3, paced(100));
+    board.note_evacuations(&Arc::new(EvacuatedHalls {
+        place: 1,
+        halls: [HallName::from("maadi")].into(),
+    }));
+    assert!(!board.is_outcast(ms(11), SOUND));
+    assert_eq!((board.usable(ms(11)), board.reachable(ms(11))), (2, 3));
+    let queue = queue();
+    let hall: HallName = "hall".into();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for _ in 0..50 {
+        let need = Need {
+            size: TASK,
+            queue: &queue,
+            required_label: None,
+            preferred_rack: None,
+            avoid: None,
+        };
+        let chosen = board.choose(ms(11), &need, &hall, |_| false, &mut rng);
+        assert!(matches!(chosen, Some(BAD | SOUND)), "{chosen:?}");
+    }
+}
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -215,6 +215,7 @@
                 accelerators: 0,
             },
             one_way: Duration::from_secs_f64(self.one_way_ms / 1_000.0),
+            ..FleetShape::default()
         };
         let mut fleet = RunFleet::with_shape(seed, shape, self.config());
         fleet.keeps_log = false;
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -88,13 +88,32 @@
     /// An operator publishes a configuration.
     pub fn publish(&self, table: &QueueTable) {
         let value = stand_in_format::encode_config(table).into_bytes();
-        self.append(names::CONFIG_TOPIC, names::CONFIG_KEY, value);
+        self.append(names::OPERATOR_TOPIC, names::CONFIG_KEY, value);
+    }
+
+    /// An operator writes anything under a key.
+    pub fn publish_raw(&self, key: &str, value: &[u8]) {
+        self.append(names::OPERATOR_TOPIC, key, value.to_vec());
+    }
+
+    /// An operator evacuates a data hall.
+    pub fn evacuate(&self, hall: &str) {
+        let key = format!("{}{hall}", names::EVACUATION_KEY);
+        self.append(names::OPERATOR_TOPIC, &key, b"{}".to_vec());
+    }
+
+    /// An operator takes a data hall back.
+    pub fn give_back(&self, hall: &str) {
+        let key = format!("{}{hall}", names::EVACUATION_KEY);
+        self.append(names::OPERATOR_TOPIC, &key, Vec::new());
     }
 
     fn append(&self, topic: &str, key: &str, value: Vec<u8>) {
         let mut newest = lock(&self.newest);
         newest.retain(|(t, k, _)| t != topic || k != key);
-        newest.push((topic.to_owned(), key.to_owned(), value.clone()));
+        if !value.is_empty() {
+            newest.push((topic.to_owned(), key.to_owned(), value.clone()));
+        }
         let mut topics = lock(&self.topics);
         if !topics.iter().any(|t| t.name == topic) {
             topics.push(Topic {
@@ -202,6 +221,7 @@
             until: order.lease_until,
             token: order.token,
             life,
+            is_late: false,
         };
         let now = self.now();
         let answer = lock(&self.target).start(now, &request);
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -14,6 +14,7 @@
 use platform::client::PlatformClient;
 use platform::names;
 use platform::settings::PATH_VARIABLE;
+pub use platform::stand_in_format::HALL;
 use platform::stand_in_format::{self, PlainBatch, SettingsPlan};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -7,6 +7,7 @@
 pub mod checks;
 mod hits;
 mod links;
+mod operators;
 mod process;
 mod targets;
 
@@ -22,8 +23,9 @@
 use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch_entry::BatchEntry;
 use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions};
+use trestleknot_lib::evacuations::EvacuatedHalls;
 use trestleknot_lib::events::LogEvent;
-use trestleknot_lib::ids::{Now, RequestId, SessionId};
+use trestleknot_lib::ids::{HallName, Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::BatchId;
@@ -34,6 +36,7 @@
 
 use crate::run_target::{RunTarget, SERVICE, TargetTrouble};
 use links::Links;
+use operators::Operators;
 use process::Process;
 
 /// Entries of the fleet.
@@ -77,6 +80,12 @@
     pub capacity: Resources,
     /// One way between two processes, their own work included.
     pub one_way: Duration,
+    /// Number of data halls, over which processes are dealt in turn.
+    pub halls: usize,
+    /// Whether entries link to each other.
+    pub entries_meet: bool,
+    /// How long after its order an evacuation must be obeyed; without it there is no store.
+    pub evacuation_bound: Option<Duration>,
 }
 
 impl Default for FleetShape {
@@ -87,6 +96,9 @@
             bounds: PlatformBounds::default(),
             capacity: CAPACITY,
             one_way: links::DELAY,
+            halls: 1,
+            entries_meet: false,
+            evacuation_bound: None,
         }
     }
 }
@@ -118,6 +130,14 @@
     Leave(usize),
     /// The time of day from which tokens come is set back by an hour.
     ClockBack,
+    /// A data hall is evacuated.
+    Evacuate(usize),
+    /// A data hall is given back.
+    GiveBack(usize),
+    /// A process is cut off from the store.
+    StoreCut(Node, Duration),
+    /// The store answers nobody.
+    StoreDown(Duration),
 }
 
 enum Event {
@@ -125,7 +145,11 @@
     Deliver(Node, SessionId, Packet),
     Up(Node, SessionId, bool),
     Down(Node, SessionId),
-    Dial(usize, SocketAddr),
+    Dial(Node, SocketAddr),
+    /// An answer of the store to an entry.
+    StoreAnswer(usize, u64, Arc<EvacuatedHalls>),
+    /// An entry's next read of the store.
+    StoreRead(usize, u64),
     Agent(usize, u64, AgentEvent),
     Order(usize, targets::LateOrder),
     Look(usize),
@@ -180,8 +204,9 @@
     timings: Timings,
     shape: FleetShape,
     config: Arc<QueueTable>,
-    /// Addresses that each agent keeps a connection to.
-    dialled: Vec<BTreeSet<SocketAddr>>,
+    /// Addresses that each process keeps a connection to.
+    dialled: BTreeMap<Node, BTreeSet<SocketAddr>>,
+    operators: Operators,
     /// Lines of the log, for a failed check.
     pub log: Vec<String>,
     /// Whether the log is kept.
@@ -228,7 +253,8 @@
             timings: Timings::new(bounds).expect("bounds that the chain of times can hold"),
             shape,
             config: Arc::new(config),
-            dialled: vec![BTreeSet::new(); shape.agents],
+            dialled: BTreeMap::new(),
+            operators: Operators::default(),
             log: Vec::new(),
             keeps_log: true,
             orders: 0,
@@ -333,12 +359,19 @@
         }
     }
 
-    fn is_cut(&self, node: Node) -> bool {
-        let until = match node {
+    fn cut_until(&self, node: Node) -> Now {
+        match node {
             Node::Entry(i) => self.entries[i].cut_until,
             Node::Agent(i) => self.agents[i].cut_until,
-        };
-        until > self.now
+        }
+    }
+
+    fn is_cut(&self, node: Node) -> bool {
+        self.cut_until(node) > self.now
+    }
+
+    fn hall_of(&self, index: usize) -> HallName {
+        format!("hall-{}", index % self.shape.halls).into()
     }
 
     fn happen(&mut self, event: Event) {
@@ -348,7 +381,7 @@
             | Event::Up(node, ..)
             | Event::Down(node, _) => Some(*node),
             Event::Agent(i, ..) => Some(Node::Agent(*i)),
-            Event::Gone(i, ..) => Some(Node::Entry(*i)),
+            Event::Gone(i, ..) | Event::StoreAnswer(i, ..) => Some(Node::Entry(*i)),
             _ => None,
         };
         if let Some(node) = node {
@@ -371,7 +404,13 @@
             }
             Event::Up(Node::Agent(i), link, _) => self.agent_linked(i, link),
             Event::Down(node, link) => self.side_down(node, link),
-            Event::Dial(agent, address) => self.dial(agent, address),
+            Event::Dial(node, address) => self.dial(node, address),
+            Event::StoreAnswer(i, life, state) => {
+                if self.entries[i].life == life {
+                    self.tell_entry(i, EntryEvent::Evacuations(state));
+                }
+            }
+            Event::StoreRead(i, life) => self.read_store(i, life),
             Event::Agent(i, life, event) => {
                 if self.agents[i].life == life {
                     self.tell_agent(i, event);
@@ -409,7 +448,7 @@
                 let options = EntryOptions {
                     name: format!("entry-{i}").into(),
                     life,
-                    hall: "hall".into(),
+                    hall: self.hall_of(i),
                     address: Self::address(i),
                     seeds,
                     seed: life,
@@ -422,15 +461,19 @@
                 process.wake = None;
                 self.tell_entry(i, EntryEvent::Wake);
                 self.tell_entry(i, EntryEvent::Config(self.config.clone()));
+                if self.shape.evacuation_bound.is_some() {
+                    self.after(operators::FIRST_READ, Event::StoreRead(i, life));
+                }
             }
             Node::Agent(i) => {
                 let options = AgentOptions {
                     name: format!("agent-{i}").into(),
                     life,
-                    hall: "hall".into(),
+                    hall: self.hall_of(i),
                     timings: self.timings,
                     token: self.token_base + self.now.as_millis() as u64,
                     seeds,
+                    evacuation_bound: self.shape.evacuation_bound,
                 };
                 let process = &mut self.agents[i];
                 process.core = Some(RunAgent::new(Now::ZERO, options));
@@ -480,8 +523,12 @@
             EntryAction::Close(link) => self.close(Node::Entry(i), link),
             EntryAction::Log(event) => self.note_log(Node::Entry(i), &event),
             EntryAction::Exit => self.stop(Node::Entry(i), Duration::from_millis(300)),
-            // Entries find each other by dialling in the daemons; here every agent knows all.
-            EntryAction::Dial(_) | EntryAction::Measured(..) => {}
+            EntryAction::Dial(address) => {
+                if self.shape.entries_meet {
+                    self.keep_dialled(Node::Entry(i), address);
+                }
+            }
+            EntryAction::Measured(..) => {}
         }
     }
 
@@ -514,8 +561,9 @@
                 self.send(Node::Agent(i), link, Packet::FromAgent(packet));
             }
             AgentAction::Close(link) => self.close(Node::Agent(i), link),
-            AgentAction::Dial(address) => self.keep_dialled(i, address),
-            AgentAction::HangUp(address) => self.hang_up(i, address),
+            AgentAction::Dial(address) => self.keep_dialled(Node::Agent(i), address),
+            AgentAction::HangUp(address) => self.hang_up(Node::Agent(i), address),
+            AgentAction::AskEvacuations => self.ask_store(i),
             AgentAction::Start(call) => self.order_start(i, call),
             AgentAction::Stop { key, token, life } => self.order_stop(i, key, token, life),
             AgentAction::Renew { renewal, life } => self.order_renewal(i, renewal, life),
--- a/lib/testutils/src/run_fleet/hits.rs
+++ b/lib/testutils/src/run_fleet/hits.rs
@@ -10,6 +10,7 @@
 impl RunFleet {
     pub(super) fn hit(&mut self, strike: Strike) {
         self.log.push(format!("{:?} strike {strike:?}", self.now));
+        self.note_trouble(strike);
         match strike {
             Strike::Kill(node) => self.stop(node, Duration::from_millis(300)),
             Strike::PowerOff(node) => self.power_off(node),
@@ -43,6 +44,10 @@
             }
             Strike::Leave(i) => self.targets[i].target.leave(),
             Strike::ClockBack => self.token_base -= 3_600_000,
+            Strike::Evacuate(hall) => self.evacuate(hall),
+            Strike::GiveBack(hall) => self.give_back(hall),
+            Strike::StoreCut(node, length) => self.cut_from_store(node, length),
+            Strike::StoreDown(length) => self.stop_store(length),
         }
     }
 
@@ -80,9 +85,9 @@
             Node::Agent(i) => {
                 self.agents[i].core = None;
                 self.agents[i].life = 0;
-                self.dialled[i].clear();
             }
         }
+        self.dialled.remove(&node);
     }
 
     pub(super) fn cut(&mut self, node: Node, length: Duration) {
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -19,28 +19,30 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Link {
-    agent: usize,
+    dialler: Node,
     entry: usize,
-    agent_open: bool,
+    dialler_open: bool,
     entry_open: bool,
 }
 
 impl Link {
     fn has(&self, node: Node) -> bool {
-        node == Node::Agent(self.agent) || node == Node::Entry(self.entry)
+        node == self.dialler || node == Node::Entry(self.entry)
     }
 
     fn side(&mut self, node: Node) -> &mut bool {
-        match node {
-            Node::Agent(_) => &mut self.agent_open,
-            Node::Entry(_) => &mut self.entry_open,
+        if node == self.dialler {
+            &mut self.dialler_open
+        } else {
+            &mut self.entry_open
         }
     }
 
     fn other(&self, node: Node) -> Node {
-        match node {
-            Node::Agent(_) => Node::Entry(self.entry),
-            Node::Entry(_) => Node::Agent(self.agent),
+        if node == self.dialler {
+            Node::Entry(self.entry)
+        } else {
+            self.dialler
         }
     }
 }
@@ -49,8 +51,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Links {
     links: BTreeMap<SessionId, Link>,
-    /// The newest link of an agent to an entry.
-    newest: BTreeMap<(usize, usize), SessionId>,
+    /// The newest link of a process that dialled to an entry.
+    newest: BTreeMap<(Node, usize), SessionId>,
     next: SessionId,
 }
 
@@ -64,16 +66,21 @@
 }
 
 impl RunFleet {
-    /// Keeps a connection of an agent to an address.
-    pub(super) fn keep_dialled(&mut self, agent: usize, address: SocketAddr) {
-        if self.dialled[agent].insert(address) {
-            self.after(Duration::ZERO, Event::Dial(agent, address));
+    /// Keeps a connection of a process to an address.
+    pub(super) fn keep_dialled(&mut self, node: Node, address: SocketAddr) {
+        if self.dialled.entry(node).or_default().insert(address) {
+            self.after(Duration::ZERO, Event::Dial(node, address));
         }
     }
 
     /// Keeps it no more.
-    pub(super) fn hang_up(&mut self, agent: usize, address: SocketAddr) {
-        self.dialled[agent].remove(&address);
+    pub(super) fn hang_up(&mut self, node: Node, address: SocketAddr) {
+        self.dialled.entry(node).or_default().remove(&address);
+    }
+
+    fn is_dialled(&self, node: Node, address: SocketAddr) -> bool {
+        let dialled = self.dialled.get(&node);
+        dialled.is_some_and(|d| d.contains(&address))
     }
 
     pub(super) fn agent_linked(&mut self, agent: usize, id: SessionId) {
@@ -83,37 +90,37 @@
         }
     }
 
-    pub(super) fn dial(&mut self, agent: usize, address: SocketAddr) {
+    pub(super) fn dial(&mut self, dialler: Node, address: SocketAddr) {
         // A dial belongs to a process; a new life dials anew, so copies end here.
-        if self.agents[agent].core.is_none() || !self.dialled[agent].contains(&address) {
+        if !self.is_alive(dialler) || !self.is_dialled(dialler, address) {
             return;
         }
         let entry = (0..self.shape.entries).find(|i| Self::address(*i) == address);
         let Some(entry) = entry else {
             return;
         };
-        self.after(DIAL_EVERY, Event::Dial(agent, address));
-        let newest = self.links.newest.get(&(agent, entry));
+        self.after(DIAL_EVERY, Event::Dial(dialler, address));
+        let newest = self.links.newest.get(&(dialler, entry));
         let newest = newest.and_then(|id| self.links.links.get(id));
-        let is_linked = newest.is_some_and(|l| l.agent_open);
+        let is_linked = newest.is_some_and(|l| l.dialler_open);
         let can_reach = self.entries[entry].core.is_some()
             && !self.is_cut(Node::Entry(entry))
-            && !self.is_cut(Node::Agent(agent));
+            && !self.is_cut(dialler);
         if is_linked || !can_reach {
             return;
         }
         self.links.next += 1;
         let id = self.links.next;
         let link = Link {
-            agent,
+            dialler,
             entry,
-            agent_open: true,
+            dialler_open: true,
             entry_open: true,
         };
         self.links.links.insert(id, link);
-        self.links.newest.insert((agent, entry), id);
+        self.links.newest.insert((dialler, entry), id);
         self.after(self.shape.one_way, Event::Up(Node::Entry(entry), id, false));
-        self.after(self.shape.one_way, Event::Up(Node::Agent(agent), id, true));
+        self.after(self.shape.one_way, Event::Up(dialler, id, true));
     }
 
     pub(super) fn send(&mut self, from: Node, id: SessionId, packet: Packet) {
@@ -127,12 +134,7 @@
         self.packets += 1;
         count_orders(&packet, &mut self.orders, &mut self.full);
         // TCP holds back what a cut delays and delivers it in order.
-        let healed = match (from, to) {
-            (Node::Agent(a), Node::Entry(e)) | (Node::Entry(e), Node::Agent(a)) => {
-                self.agents[a].cut_until.max(self.entries[e].cut_until)
-            }
-            _ => self.now,
-        };
+        let healed = self.cut_until(from).max(self.cut_until(to));
         let at = healed.max(self.now) + self.shape.one_way;
         self.at(at, Event::Deliver(to, id, packet));
     }
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -92,6 +92,7 @@
             until: call.until,
             token,
             life: Some(call.life),
+            is_late: false,
         };
         let answered = |answer| AgentEvent::StartAnswered { key, token, answer };
         if self.targets[i].is_down(self.now) {
@@ -255,7 +256,8 @@
         }
         let target = &mut self.targets[i].target;
         match order {
-            LateOrder::Start(request) => {
+            LateOrder::Start(mut request) => {
+                request.is_late = true;
                 target.start(now, &request);
             }
             LateOrder::Stop(key, token, life) => target.stop(now, key, token, life.as_deref()),
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -59,6 +59,8 @@
     pub to: Option<Now>,
     /// How it ended, as the target listed it.
     pub end: Option<RunEnd>,
+    /// Whether the target began it long after the order.
+    pub is_late: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -83,6 +85,8 @@
     pub token: FencingToken,
     /// Life that is meant.
     pub life: Option<Arc<str>>,
+    /// Whether it is carried out long after it was sent.
+    pub is_late: bool,
 }
 
 /// See the module.
@@ -280,6 +284,7 @@
             from: now,
             to: None,
             end: None,
+            is_late: request.is_late,
         });
         let run = Running {
             record: self.records.len() - 1,
