agent: a target is offered to entries once its lists are read

Ruled out: evacuations, load (average 2).

Change: entries hear of a target when its lists have been read.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -202,7 +202,7 @@
             life: self.options.life,
             hall: self.options.hall.clone(),
         };
-        let target = AgentNews::Target(self.lives.current().cloned());
+        let target = AgentNews::Target(self.offered_target());
         if let Some(found) = self.entries.get_mut(link) {
             found.news.push(AgentNews::Hello(intro));
             found.news.push(target);
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -137,6 +137,7 @@
             self.knows_lists = true;
             let adopted = self.book.len();
             self.log(EventCode::TargetListsRead, format!("adopted={adopted}"));
+            self.tell_target();
             self.answer_early_orders();
         }
     }
--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -74,14 +74,22 @@
             EventCode::TargetReported
         };
         self.log(code, detail);
-        self.tell_target();
+        if self.knows_lists {
+            self.tell_target();
+        }
     }
 
     pub(super) fn tell_target(&mut self) {
-        let news = AgentNews::Target(self.lives.current().cloned());
+        let news = AgentNews::Target(self.offered_target());
         self.entries.tell_all(&news);
     }
 
+    /// The target as entries are told of it: once its lists are read. Told sooner, an entry would
+    /// say that it is ready, and find no room for its first batches.
+    pub(super) fn offered_target(&self) -> Option<TargetInfo> {
+        self.lives.current().filter(|_| self.knows_lists).cloned()
+    }
+
     pub(super) fn target_left(&mut self, life: &Arc<str>) {
         if self.lives.current_life().as_ref() == Some(life) {
             self.end_life("it said goodbye");
--- a/lib/tests/test_run_agent.rs
+++ b/lib/tests/test_run_agent.rs
@@ -882,3 +882,33 @@
     agent.handle(ms(4_800), AgentEvent::Evacuations(None));
     assert_eq!(asks(&agent.handle(ms(5_500), heard_at(1_000))), 1);
 }
+
+/// Targets that the actions tell of.
+fn targets_told(actions: &[AgentAction]) -> Vec<Option<TargetInfo>> {
+    let sent = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(_, packet) => Some(packet),
+        _ => None,
+    });
+    let news = sent.flat_map(|p| p.news.clone());
+    let told = news.filter_map(|n| match n {
+        AgentNews::Target(target) => Some(target),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn test_handle_target_is_offered_once_its_lists_are_read() {
+    // An entry that is told of it sooner says that it is ready, and has no room for its first batches.
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    let actions = agent.handle(ms(1), AgentEvent::LinkUp(LINK, address(1)));
+    assert_eq!(targets_told(&actions), [None]);
+    let actions = agent.handle(ms(2), report("life-1", false, 1));
+    let number = questions(&actions)[0].0;
+    let actions = agent.handle(ms(3), life_answered(number, LifeAnswer::Lives));
+    assert_eq!(targets_told(&actions), []);
+    let number = renewals(&actions)[0];
+    let answer = lists();
+    let actions = agent.handle(ms(4), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(targets_told(&actions), [Some(info("life-1", false))]);
+}
