entry: payloads travel packed, and the link's price counts in the choice of targets

Each target of a batch gets the whole payload, 1.1 kB as a rule; 3.4 targets a batch filled the link. Nothing read limits.link-mbps, and no replay had links with a rate.

Testutils: entries' links get a rate and a queue each way, bytes are counted by kind, also on the metrics page (trestleknot_link_bytes_sent). A payload is packed once a batch (zstd, level 1: 8 us for 1,200 bytes on a core, to 53%). Ways: zlib-rs 23 us to 52%, at level 1 nothing gained; miniz_oxide 28 us to 54%; LZ4 not tried, it has no entropy coding. A target that lacks the payload costs its time on the link, more the busier the link is, over the run's time.

Starts still go to 3.4 targets a batch: chance and crowding weigh more than the link.

--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -171,6 +171,7 @@
         seeds: common.seeds.clone(),
         seed: life,
         timings: common.timings,
+        link_rate: common.link_rate,
     };
     let node = EntryNode::start(options, listener);
     let feed = Rc::new(Store::new(common.store).await);
--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -159,11 +159,11 @@
     /// The metrics page.
     pub fn metrics(&self) -> String {
         let levels = self.core.borrow().levels();
-        let (sent, received) = self.links.traffic();
         self.figures.level("runs", levels.runs);
         self.figures.level("entries", levels.entries);
-        self.figures.level("link_bytes_sent", sent);
+        let received = self.links.bytes_received();
         self.figures.level("link_bytes_received", received);
+        self.figures.link_bytes(&self.links.bytes_sent());
         self.figures.render()
     }
 
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -23,6 +23,8 @@
 use crate::entry_drain::EntryDrain;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{NodeName, Now, SessionId};
+use crate::link_pace::LinkPace;
+use crate::payload::PayloadPacker;
 use crate::room_forecast::RoomForecast;
 use crate::run::{BatchId, RunKey};
 use crate::run_message::{AgentMillis, Order, Packet, PeerPacket, StartOrder};
@@ -33,6 +35,9 @@
 /// Batches in a row that find no room before the rest is left for later.
 const MOST_MISSES: u32 = 6;
 
+/// Bytes of an answer to a caller, heads included.
+const ANSWER_BYTES: usize = 200;
+
 /// What waits to be sent to an agent.
 #[derive(Debug, Default)]
 struct Outbox {
@@ -61,6 +66,8 @@
     usual_patience: UsualPatience,
     standing: StandingQueue,
     forecast: RoomForecast,
+    link: LinkPace,
+    packer: PayloadPacker,
     exited: bool,
 }
 
@@ -83,6 +90,8 @@
             usual_patience: UsualPatience::default(),
             standing: StandingQueue::default(),
             forecast: RoomForecast::default(),
+            link: LinkPace::new(options.link_rate),
+            packer: PayloadPacker::default(),
             exited: false,
             options,
         }
@@ -105,9 +114,22 @@
         self.forecast.note_waiting(self.now, has_waiting);
         self.check_drain();
         self.flush();
+        self.note_traffic();
         std::mem::take(&mut self.out)
     }
 
+    /// Notes what goes through this VM's link.
+    fn note_traffic(&mut self) {
+        for action in &self.out {
+            let bytes = match action {
+                EntryAction::Send(_, packet) => packet.rough_bytes(),
+                EntryAction::Reply(..) => ANSWER_BYTES,
+                _ => continue,
+            };
+            self.link.sent(self.now, bytes);
+        }
+    }
+
     /// When [`EntryEvent::Wake`] is due.
     pub fn next_wake(&self) -> Option<Now> {
         let times = [
@@ -208,6 +230,7 @@
             hall: &self.options.hall,
             table: &mut self.table,
             board: &mut self.board,
+            link: &self.link,
             rng: &mut self.rng,
             placed: Vec::new(),
         };
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -260,6 +260,8 @@
             required_label: spec.required_label.as_deref(),
             preferred_rack: None,
             avoid: None,
+            payload_at: &batch.payload_at,
+            payload_cost: 0.0,
         };
         let is_same = |view: &crate::target_board::TargetView| view.agent == *agent;
         let hall = &self.options.hall;
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -125,7 +125,8 @@
                 self.table.len(),
             ),
         );
-        let batch = Batch::new(&spec, queue, request, times);
+        let payload = self.packer.pack(&spec.payload);
+        let batch = Batch::new(&spec, payload, queue, request, times);
         self.table.insert(spec.id, batch);
         Ok(())
     }
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -11,6 +11,7 @@
 use crate::evacuations::EvacuatedHalls;
 use crate::events::LogEvent;
 use crate::ids::{HallName, Incarnation, NodeName, RequestId, SessionId};
+use crate::link_pace::ByteRate;
 use crate::queue::QueueTable;
 use crate::run::BatchId;
 use crate::run_message::Packet;
@@ -33,6 +34,8 @@
     pub seed: u64,
     /// The chain of times.
     pub timings: Timings,
+    /// What the VM's link carries, in bytes a second; none if it is not known.
+    pub link_rate: Option<ByteRate>,
 }
 
 /// A batch as it arrives.
--- a/lib/src/batch_placing.rs
+++ b/lib/src/batch_placing.rs
@@ -5,15 +5,21 @@
 //! tasks are alike.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use rand_chacha::ChaCha8Rng;
 
+use crate::batch::StepSpec;
 use crate::batch_table::BatchTable;
-use crate::held_batch::TaskState;
+use crate::held_batch::{Batch, TaskState};
 use crate::ids::{HallName, NodeName, Now, SessionId};
+use crate::link_pace::LinkPace;
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
 use crate::target_board::{Need, TargetBoard, TargetView};
 
+/// A run is taken to last this long at the least where costs are shares of it.
+const SHORTEST_RUN: Duration = Duration::from_millis(10);
+
 /// Tasks of one step that go to one target.
 #[derive(Debug)]
 pub struct Placed {
@@ -44,6 +50,8 @@
     pub table: &'a mut BatchTable,
     /// The targets.
     pub board: &'a mut TargetBoard,
+    /// The entry's own link.
+    pub link: &'a LinkPace,
     /// Chance.
     pub rng: &'a mut ChaCha8Rng,
     /// What was placed.
@@ -107,6 +115,12 @@
         all_placed
     }
 
+    /// What the payload costs that one more target needs, as a share of a task's run time.
+    fn payload_cost(&self, batch: &Batch, spec: &StepSpec) -> f64 {
+        let price = self.link.price(self.now, batch.payload.len());
+        price.div_duration_f64(spec.estimate.max(SHORTEST_RUN))
+    }
+
     /// Chooses a target for a task and notes that it has it.
     fn place_task(&mut self, id: BatchId, step: usize, task: &Waiting) -> Option<SessionId> {
         let batch = self.table.get(id)?;
@@ -117,6 +131,8 @@
             required_label: spec.required_label.as_deref(),
             preferred_rack: spec.preferred_rack.as_deref(),
             avoid: task.avoid.as_deref(),
+            payload_at: &batch.payload_at,
+            payload_cost: self.payload_cost(batch, spec),
         };
         let table = &*self.table;
         let is_full = |view: &TargetView| {
@@ -139,6 +155,9 @@
             run: task.run,
         };
         self.board.sent_start(self.now, link, size);
+        if let Some(batch) = self.table.get_mut(id) {
+            batch.payload_at.insert(link);
+        }
         self.table.note_out(self.now, key, &agent);
         Some(link)
     }
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -143,14 +143,14 @@
     /// The metrics page.
     pub fn metrics(&self) -> String {
         let levels = self.core.borrow().levels();
-        let (sent, received) = self.links.traffic();
         self.figures.level("batches", levels.batches);
         self.figures.level("targets", levels.targets);
         self.figures.level("config_version", levels.config_version);
         self.figures
             .level("evacuated_halls", levels.evacuated_halls);
-        self.figures.level("link_bytes_sent", sent);
+        let received = self.links.bytes_received();
         self.figures.level("link_bytes_received", received);
+        self.figures.link_bytes(&self.links.bytes_sent());
         self.figures.render()
     }
 
--- a/lib/src/figures.rs
+++ b/lib/src/figures.rs
@@ -2,6 +2,7 @@
 //!
 //! They are counted on the thread that runs the core; the page is made when it is asked for.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
@@ -26,6 +27,7 @@
     response_ms: Histogram<f64>,
     run_ms: Histogram<f64>,
     levels: Gauge<u64>,
+    link_bytes: Gauge<u64>,
 }
 
 impl Figures {
@@ -47,6 +49,7 @@
             answers: meter.u64_counter("trestleknot_answers").build(),
             response_ms: histogram("trestleknot_response_ms"),
             run_ms: histogram("trestleknot_run_ms"),
+            link_bytes: meter.u64_gauge("trestleknot_link_bytes_sent").build(),
             levels: meter.u64_gauge("trestleknot_level").build(),
             registry,
             _meters: meters,
@@ -79,6 +82,14 @@
         self.levels.record(value, &[KeyValue::new("what", what)]);
     }
 
+    /// Sets the bytes sent on links, by what they were for.
+    pub fn link_bytes(&self, sent: &BTreeMap<&'static str, u64>) {
+        for (kind, bytes) in sent {
+            self.link_bytes
+                .record(*bytes, &[KeyValue::new("kind", *kind)]);
+        }
+    }
+
     /// The page.
     pub fn render(&self) -> String {
         let families = self.registry.gather();
--- a/lib/src/held_batch.rs
+++ b/lib/src/held_batch.rs
@@ -1,9 +1,11 @@
 //! One batch that an entry holds, with its steps and tasks.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use crate::batch::{BatchSpec, StepSpec};
-use crate::ids::{NodeName, Now, RequestId};
+use crate::ids::{NodeName, Now, RequestId, SessionId};
+use crate::payload::Payload;
 use crate::queue::Queue;
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
 
@@ -98,7 +100,7 @@
     /// Its queue, as configured when it came.
     pub queue: Arc<Queue>,
     /// What every task is given.
-    pub payload: Arc<str>,
+    pub payload: Payload,
     /// Its steps.
     pub steps: Vec<Step>,
     /// When it came.
@@ -116,6 +118,8 @@
     pub place_by: Now,
     /// Whether any order to start was ever sent for it.
     pub is_tried: bool,
+    /// Links on which its payload was sent.
+    pub payload_at: BTreeSet<SessionId>,
     /// Tasks out.
     pub out: u32,
     /// Whether it is still wanted.
@@ -124,7 +128,13 @@
 
 impl Batch {
     /// A batch that has just come.
-    pub fn new(spec: &BatchSpec, queue: Arc<Queue>, request: RequestId, times: BatchTimes) -> Self {
+    pub fn new(
+        spec: &BatchSpec,
+        payload: Payload,
+        queue: Arc<Queue>,
+        request: RequestId,
+        times: BatchTimes,
+    ) -> Self {
         let task = Task {
             state: TaskState::Waiting,
             run: 1,
@@ -141,7 +151,7 @@
         Self {
             request: Some(request),
             queue,
-            payload: spec.payload.clone(),
+            payload,
             steps: steps.collect(),
             arrived: times.arrived,
             due: times.due,
@@ -150,6 +160,7 @@
             in_time_until: times.in_time_until,
             place_by: times.place_by,
             is_tried: false,
+            payload_at: BTreeSet::new(),
             out: 0,
             state: BatchState::Open,
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,9 +12,9 @@
 //!
 //! Batches on the users' platform have layers of their own, which docs/design/platform.md explains:
 //!
-//! - words: [`resources`], [`run`], [`queue`], [`batch`], [`run_message`];
+//! - words: [`resources`], [`run`], [`queue`], [`batch`], [`payload`], [`run_message`];
 //! - state: [`answer_time`], [`run_book`], [`target_lease`], [`room_shares`], [`room_forecast`], [`entry_leases`],
-//!   [`homes`], [`evacuations`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
+//!   [`homes`], [`evacuations`], [`link_pace`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
 //!   [`entry_directory`], [`entry_drain`];
 //! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
 //!   [`batch_event`] and [`run_event`], and the choice of targets in [`batch_placing`];
@@ -73,6 +73,7 @@
 pub mod ledger;
 pub mod line_log;
 pub mod link_auth;
+pub mod link_pace;
 pub mod links;
 pub mod log_account;
 pub mod log_line;
@@ -81,6 +82,7 @@
 pub mod message;
 pub mod node_links;
 pub mod outbox;
+pub mod payload;
 pub mod peer_book;
 pub mod permit;
 pub mod placement;
--- a/lib/src/node_links.rs
+++ b/lib/src/node_links.rs
@@ -63,7 +63,8 @@
     dialled: RefCell<BTreeMap<SocketAddr, DialNumber>>,
     next_dial: Cell<DialNumber>,
     next_link: Cell<SessionId>,
-    bytes_sent: Cell<u64>,
+    /// Bytes sent since the start, by what they were for.
+    bytes_sent: RefCell<BTreeMap<&'static str, u64>>,
     bytes_received: Cell<u64>,
 }
 
@@ -75,14 +76,19 @@
             dialled: RefCell::default(),
             next_dial: Cell::new(1),
             next_link: Cell::new(1),
-            bytes_sent: Cell::new(0),
+            bytes_sent: RefCell::default(),
             bytes_received: Cell::new(0),
         })
     }
 
-    /// Bytes sent and received since the start.
-    pub fn traffic(&self) -> (u64, u64) {
-        (self.bytes_sent.get(), self.bytes_received.get())
+    /// Bytes received since the start.
+    pub fn bytes_received(&self) -> u64 {
+        self.bytes_received.get()
+    }
+
+    /// Bytes sent since the start, by what they were for.
+    pub fn bytes_sent(&self) -> BTreeMap<&'static str, u64> {
+        self.bytes_sent.borrow().clone()
     }
 
     /// Sends a packet; a link that can't take it is closed.
@@ -92,6 +98,8 @@
             return;
         };
         let bytes = codec::encode_value(packet);
+        let mut sent = self.bytes_sent.borrow_mut();
+        *sent.entry(packet.kind()).or_default() += bytes.len() as u64;
         if writer.try_send(bytes).is_err() {
             writers.remove(&link);
         }
@@ -202,8 +210,6 @@
         let (mut write, mut read) = socket.split();
         let writing = async {
             while let Some(bytes) = unsent.recv().await {
-                self.bytes_sent
-                    .set(self.bytes_sent.get() + bytes.len() as u64);
                 write.feed(Message::Binary(bytes.into())).await?;
                 if unsent.is_empty() {
                     write.flush().await?;
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -19,6 +19,7 @@
 use crate::events::{EventCode, LogEvent};
 use crate::homes::{HomeStep, Homes};
 use crate::ids::{Incarnation, Now, SessionId};
+use crate::payload::PayloadUnpacker;
 use crate::resources::Resources;
 use crate::room_shares::Room;
 use crate::run::{RunEnd, RunKey};
@@ -60,6 +61,7 @@
     /// Stops that came before the lists were read, each with its entry's life.
     early_stops: Vec<(Incarnation, RunKey)>,
     homes: Homes,
+    unpacker: PayloadUnpacker,
     evacuations: EvacuationsInForce,
     evacuation_watch: EvacuationWatch,
     /// When the store was asked for evacuations that it has not answered yet.
@@ -86,6 +88,7 @@
             early_claims: Vec::new(),
             early_stops: Vec::new(),
             homes: Homes::new(&options.name, options.timings.start_window),
+            unpacker: PayloadUnpacker::default(),
             evacuations: EvacuationsInForce::default(),
             evacuation_watch: EvacuationWatch::new(now, options.evacuation_bound),
             evacuations_asked: None,
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -6,7 +6,8 @@
 use super::{CATCH_UP, RunAgent};
 use crate::events::EventCode;
 use crate::ids::{Incarnation, Now, SessionId};
-use crate::run::{NotStarted, RunKey, TaskKey};
+use crate::payload::PayloadError;
+use crate::run::{NotStarted, RunKey};
 use crate::run_book::{FencingToken, Phase, Run};
 use crate::run_event::{AgentAction, StartAnswer, StartCall};
 use crate::run_message::{AgentNews, StartOrder};
@@ -33,20 +34,25 @@
         let Some(entry) = self.entries.get_mut(link).and_then(|l| l.entry) else {
             return;
         };
-        for &(index, run) in &order.runs {
-            let task = TaskKey {
-                batch: order.batch,
-                time: 0,
-                step: order.step,
-                index,
-            };
-            let key = RunKey { task, run };
-            if let Err(reason) = self.start_run(entry, key, &order) {
+        let payload = match self.unpacker.unpack(&order.payload) {
+            Ok(payload) => payload,
+            Err(e) => return self.refuse_malformed(entry, &order, &e),
+        };
+        for key in order.keys() {
+            if let Err(reason) = self.start_run(entry, key, &order, &payload) {
                 self.refuse(Some(entry), key, reason);
             }
         }
     }
 
+    /// Nobody who speaks the same version sends such an order.
+    fn refuse_malformed(&mut self, entry: Incarnation, order: &StartOrder, error: &PayloadError) {
+        self.log(EventCode::MalformedFrame, error.to_string());
+        for key in order.keys() {
+            self.refuse(Some(entry), key, NotStarted::Unreachable);
+        }
+    }
+
     pub(super) fn refuse(&mut self, entry: Option<Incarnation>, key: RunKey, reason: NotStarted) {
         self.log(
             EventCode::RunNotStarted,
@@ -63,6 +69,7 @@
         entry: Incarnation,
         key: RunKey,
         order: &StartOrder,
+        payload: &Arc<str>,
     ) -> Result<(), NotStarted> {
         if self.draining_since.is_some() {
             return Err(NotStarted::Leaving);
@@ -97,7 +104,7 @@
         let run = Run {
             owner: Some(entry),
             size: Some(order.size),
-            payload: order.payload.clone(),
+            payload: payload.clone(),
             estimate: Duration::from_millis(u64::from(order.estimate_ms)),
             start_by,
             since: self.now,
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -11,9 +11,10 @@
 
 use crate::evacuations::{EvacuatedHalls, LogPlace};
 use crate::ids::{HallName, Incarnation, NodeName};
+use crate::payload::Payload;
 use crate::queue::{ConfigVersion, QueueTable};
 use crate::resources::Resources;
-use crate::run::{BatchId, NotStarted, RunEnd, RunKey, RunNumber};
+use crate::run::{BatchId, NotStarted, RunEnd, RunKey, RunNumber, TaskKey};
 use crate::target_health::HealthWord;
 
 /// Milliseconds on the clock of one agent's life, from its start.
@@ -33,6 +34,39 @@
     BetweenEntries(PeerPacket),
 }
 
+/// Bytes around a packet: a frame of WebSocket, heads of TCP and IP, fields that every packet has.
+const PACKET_BYTES: usize = 70;
+/// Bytes of an order or a piece of news without what it carries.
+const SMALL_BYTES: usize = 40;
+/// Bytes of an order to start without its payload.
+const START_BYTES: usize = 100;
+/// Bytes of a run's name.
+const RUN_BYTES: usize = 8;
+/// Bytes of a queue in a configuration.
+const QUEUE_BYTES: usize = 180;
+
+impl Packet {
+    /// About how many bytes it takes on a link.
+    pub fn rough_bytes(&self) -> usize {
+        let content = match self {
+            Self::FromAgent(packet) => packet.news.len() * SMALL_BYTES,
+            Self::FromEntry(packet) => packet.orders.iter().map(Order::rough_bytes).sum(),
+            Self::BetweenEntries(packet) => packet.news.iter().map(PeerNews::rough_bytes).sum(),
+        };
+        PACKET_BYTES + content
+    }
+
+    /// What it is for, for counting what links carry.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::FromAgent(packet) if packet.news.is_empty() => "load",
+            Self::FromAgent(_) => "news",
+            Self::FromEntry(packet) => packet.kind(),
+            Self::BetweenEntries(packet) => packet.kind(),
+        }
+    }
+}
+
 /// What an agent tells an entry. Every packet carries the agent's clock and load, so that any of
 /// them serves as a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -150,6 +184,18 @@
     pub orders: Vec<Order>,
 }
 
+impl EntryPacket {
+    fn kind(&self) -> &'static str {
+        if self.orders.is_empty() {
+            "heartbeat"
+        } else if self.orders.iter().any(|o| matches!(o, Order::Start(_))) {
+            "starts"
+        } else {
+            "orders"
+        }
+    }
+}
+
 /// One order of an entry.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Order {
@@ -170,6 +216,20 @@
     Evacuations(Arc<EvacuatedHalls>),
 }
 
+impl Order {
+    fn rough_bytes(&self) -> usize {
+        match self {
+            Self::Start(start) => START_BYTES + start.payload.len() + start.runs.len() * RUN_BYTES,
+            Self::Stop(runs) => SMALL_BYTES + runs.len() * SMALL_BYTES,
+            Self::Welcome(welcome) => {
+                let named = welcome.claims.len() + welcome.entries.len();
+                SMALL_BYTES * (1 + named)
+            }
+            Self::Entries(_) | Self::Evacuations(_) => SMALL_BYTES,
+        }
+    }
+}
+
 /// An entry's answer to an agent's hello.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Welcome {
@@ -199,7 +259,7 @@
     pub service: Arc<str>,
     /// What every task is given.
     #[serde(rename = "p")]
-    pub payload: Arc<str>,
+    pub payload: Payload,
     /// What each task takes.
     #[serde(rename = "z")]
     pub size: Resources,
@@ -214,6 +274,22 @@
     pub runs: Vec<(u16, RunNumber)>,
 }
 
+impl StartOrder {
+    /// The runs.
+    pub fn keys(&self) -> impl Iterator<Item = RunKey> {
+        let (batch, step) = (self.batch, self.step);
+        self.runs.iter().map(move |&(index, run)| {
+            let task = TaskKey {
+                batch,
+                time: 0,
+                step,
+                index,
+            };
+            RunKey { task, run }
+        })
+    }
+}
+
 /// What entries tell each other.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerPacket {
@@ -221,6 +297,17 @@
     pub news: Vec<PeerNews>,
 }
 
+impl PeerPacket {
+    fn kind(&self) -> &'static str {
+        let has_config = self.news.iter().any(|n| matches!(n, PeerNews::Config(_)));
+        if has_config {
+            "configuration"
+        } else {
+            "between entries"
+        }
+    }
+}
+
 /// One piece of news of an entry to another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerNews {
@@ -241,6 +328,15 @@
     Heartbeat,
 }
 
+impl PeerNews {
+    fn rough_bytes(&self) -> usize {
+        match self {
+            Self::Config(table) => SMALL_BYTES + table.queues.len() * QUEUE_BYTES,
+            _ => SMALL_BYTES,
+        }
+    }
+}
+
 /// Who an entry is.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerIntro {
--- a/lib/src/target_board.rs
+++ b/lib/src/target_board.rs
@@ -4,7 +4,7 @@
 //! entries' orders show only in the agent's next packet, so an order may find no room; the agent
 //! then says so and the task goes elsewhere.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,6 +107,10 @@
     pub preferred_rack: Option<&'a str>,
     /// Agent to avoid, for it has just served the task badly.
     pub avoid: Option<&'a str>,
+    /// Links on which the batch's payload was sent.
+    pub payload_at: &'a BTreeSet<SessionId>,
+    /// Cost of sending it on another one, as a share of the run time.
+    pub payload_cost: f64,
 }
 
 /// Factor on the run time outside the preferred rack.
@@ -379,7 +383,10 @@
             // A little chance keeps entries from all choosing the same one.
             let chance = rng.random_range(0.97..1.03);
             let doubt = view.staleness(now) * rng.random_range(0.0..STALE_COST);
-            let cost = view.cost(need, hall) * chance + doubt;
+            let mut cost = view.cost(need, hall) * chance + doubt;
+            if !need.payload_at.contains(link) {
+                cost += need.payload_cost;
+            }
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, *link));
             }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -33,6 +33,7 @@
         seeds: Vec::new(),
         seed: 1,
         timings: Timings::default(),
+        link_rate: None,
     })
 }
 
--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -87,6 +87,16 @@
     assert!(wide.wait_to_refusal() < ms(50), "{figures:?}");
 }
 
+#[test]
+fn test_figures_narrow_links_carry_the_usual_load() {
+    let figures = play("usual_choked", 1_000, 6_000);
+    // Payloads sent as they are to targets chosen without regard to the link: .300 .889 .684. Packed:
+    // .875 .986 .992. With the link's price in the choice besides: .887 .986 .990.
+    assert!(in_time(&figures, 0) > 0.8, "{figures:?}");
+    assert!(in_time(&figures, 1) > 0.95, "{figures:?}");
+    assert!(in_time(&figures, 2) > 0.95, "{figures:?}");
+}
+
 #[test]
 fn test_figures_slow_targets_hurt_little_once_they_are_known() {
     let figures = play("slow_quarter", 2_000, 4_000);
--- a/lib/tests/test_target_board.rs
+++ b/lib/tests/test_target_board.rs
@@ -1,5 +1,6 @@
 //! Which target gets a task, as far as its agent's word on its health decides.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,6 +99,8 @@
             required_label: None,
             preferred_rack: None,
             avoid: None,
+            payload_at: &BTreeSet::new(),
+            payload_cost: 0.0,
         };
         if let Some(link) = board.choose(now, &need, &hall, |_| false, &mut rng) {
             assert_eq!(link, BAD);
@@ -161,6 +164,8 @@
             required_label: None,
             preferred_rack: None,
             avoid: None,
+            payload_at: &BTreeSet::new(),
+            payload_cost: 0.0,
         };
         let chosen = board.choose(ms(11), &need, &hall, |_| false, &mut rng);
         assert!(matches!(chosen, Some(BAD | SOUND)), "{chosen:?}");
--- a/lib/testutils/src/bin/replay.rs
+++ b/lib/testutils/src/bin/replay.rs
@@ -45,6 +45,12 @@
         figures.orders,
         figures.packets
     );
+    for (kind, traffic) in &figures.traffic {
+        println!(
+            "  {kind:12} {:7} of {:9} bytes",
+            traffic.count, traffic.bytes
+        );
+    }
     for (kind, k) in &figures.kinds {
         println!(
             "  {kind:12} asked {:5} in time {:.3} late {:4} refused {:4} failed {:4} refused after {:3} ms",
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -4,6 +4,7 @@
 //! and the size of the fleet. The same pattern and seed give the same figures, so that a decision
 //! can be weighed against another by them, and a test can state what must be reached.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use rand::{Rng as _, SeedableRng as _};
@@ -16,7 +17,7 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
 
-use crate::run_fleet::{Caller, FleetShape, Node, RunFleet, Strike};
+use crate::run_fleet::{Caller, FleetShape, Node, RunFleet, Strike, Traffic};
 use crate::run_target::{SERVICE, TargetTrouble};
 
 /// Load begins when the processes have found each other.
@@ -42,6 +43,9 @@
     pub work_ms: u64,
     /// Thousandths of a core that a task takes.
     pub cpu_millis: u64,
+    /// Mean size of the payload in bytes; each batch has 0.4 to 1.6 times as much.
+    #[serde(default)]
+    pub payload_bytes: usize,
 }
 
 /// A time of more arrivals.
@@ -111,6 +115,9 @@
     pub target_cpu_millis: u64,
     /// One way between two processes in milliseconds, with what they take to read it.
     pub one_way_ms: f64,
+    /// What an entry's link carries each way; without it, everything at once.
+    #[serde(default)]
+    pub entry_link_mbps: Option<f64>,
     /// How long load lasts.
     pub load_ms: u64,
     /// How callers are spread.
@@ -179,6 +186,8 @@
     pub packets: u64,
     /// Core seconds answered in time, a second, over what all targets have.
     pub goodput: f64,
+    /// What entries' links carried, by what it was for; nothing where links have no rate.
+    pub traffic: BTreeMap<&'static str, Traffic>,
 }
 
 impl Figures {
@@ -215,6 +224,7 @@
                 accelerators: 0,
             },
             one_way: Duration::from_secs_f64(self.one_way_ms / 1_000.0),
+            entry_link_mbps: self.entry_link_mbps,
             ..FleetShape::default()
         };
         let mut fleet = RunFleet::with_shape(seed, shape, self.config());
@@ -256,6 +266,7 @@
             full: fleet.full,
             packets: fleet.packets,
             goodput: good_work / cores / (span.end - span.start).as_secs_f64(),
+            traffic: fleet.traffic.by_kind.clone(),
         }
     }
 
@@ -306,6 +317,10 @@
             caller.queue = index;
             caller.guess = Some(rng.random_range(0.6..1.4));
             caller.entry = groups[rng.random_range(0..groups.len())];
+            if kind.payload_bytes > 0 {
+                let letters = kind.payload_bytes as f64 * rng.random_range(0.4..1.6);
+                caller.payload_letters = letters as usize;
+            }
             fleet.add_caller(rng.random(), caller);
             let pause = -f64::ln(rng.random_range(1e-9..1.0)) / self.rate(kind, at).max(1e-3);
             at += Duration::from_secs_f64(pause);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -5,6 +5,7 @@
 
 mod callers;
 pub mod checks;
+mod entry_traffic;
 mod hits;
 mod links;
 mod operators;
@@ -12,6 +13,7 @@
 mod targets;
 
 pub use callers::Caller;
+pub use entry_traffic::Traffic;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -22,7 +24,7 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch_entry::BatchEntry;
-use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions};
+use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply, Submission};
 use trestleknot_lib::evacuations::EvacuatedHalls;
 use trestleknot_lib::events::LogEvent;
 use trestleknot_lib::ids::{HallName, Now, RequestId, SessionId};
@@ -35,6 +37,7 @@
 use trestleknot_lib::timings::{PlatformBounds, Timings};
 
 use crate::run_target::{RunTarget, SERVICE, TargetTrouble};
+use entry_traffic::EntryTraffic;
 use links::Links;
 use operators::Operators;
 use process::Process;
@@ -86,6 +89,8 @@
     pub entries_meet: bool,
     /// How long after its order an evacuation must be obeyed; without it there is no store.
     pub evacuation_bound: Option<Duration>,
+    /// What an entry's link carries each way, in Mbit/s; without it, everything at once.
+    pub entry_link_mbps: Option<f64>,
 }
 
 impl Default for FleetShape {
@@ -99,6 +104,7 @@
             halls: 1,
             entries_meet: false,
             evacuation_bound: None,
+            entry_link_mbps: None,
         }
     }
 }
@@ -156,6 +162,10 @@
     Report(usize, bool),
     LateReport(usize, TargetReport),
     Submit(BatchId),
+    /// A caller's request has come through the entry's link.
+    Submitted(usize, u64, Submission),
+    /// An answer has gone through the entry's link.
+    Answered(usize, RequestId, Reply),
     Cancel(BatchId),
     Gone(usize, u64, RequestId),
     Start(Node),
@@ -207,6 +217,8 @@
     /// Addresses that each process keeps a connection to.
     dialled: BTreeMap<Node, BTreeSet<SocketAddr>>,
     operators: Operators,
+    /// What entries' links carry.
+    pub traffic: EntryTraffic,
     /// Lines of the log, for a failed check.
     pub log: Vec<String>,
     /// Whether the log is kept.
@@ -255,6 +267,7 @@
             config: Arc::new(config),
             dialled: BTreeMap::new(),
             operators: Operators::default(),
+            traffic: EntryTraffic::new(shape.entry_link_mbps),
             log: Vec::new(),
             keeps_log: true,
             orders: 0,
@@ -381,7 +394,9 @@
             | Event::Up(node, ..)
             | Event::Down(node, _) => Some(*node),
             Event::Agent(i, ..) => Some(Node::Agent(*i)),
-            Event::Gone(i, ..) | Event::StoreAnswer(i, ..) => Some(Node::Entry(*i)),
+            Event::Gone(i, ..) | Event::StoreAnswer(i, ..) | Event::Submitted(i, ..) => {
+                Some(Node::Entry(*i))
+            }
             _ => None,
         };
         if let Some(node) = node {
@@ -421,6 +436,8 @@
             Event::Report(i, again) => self.report(i, again),
             Event::LateReport(i, report) => self.tell_agent(i, AgentEvent::Report(report)),
             Event::Submit(id) => self.submit(id),
+            Event::Submitted(entry, life, submission) => self.submitted(entry, life, submission),
+            Event::Answered(entry, request, reply) => self.replied(entry, request, reply),
             Event::Cancel(id) => self.cancel(id),
             Event::Gone(i, life, request) => {
                 if self.entries[i].life == life {
@@ -453,6 +470,7 @@
                     seeds,
                     seed: life,
                     timings: self.timings,
+                    link_rate: self.shape.entry_link_mbps.map(|mbps| mbps * 1e6 / 8.0),
                 };
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntry::new(options));
@@ -518,7 +536,7 @@
 
     fn entry_action(&mut self, i: usize, action: EntryAction) {
         match action {
-            EntryAction::Reply(request, reply) => self.replied(i, request, reply),
+            EntryAction::Reply(request, reply) => self.send_answer(i, request, reply),
             EntryAction::Send(link, packet) => self.send(Node::Entry(i), link, packet),
             EntryAction::Close(link) => self.close(Node::Entry(i), link),
             EntryAction::Log(event) => self.note_log(Node::Entry(i), &event),
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use rand::Rng as _;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
 use trestleknot_lib::batch::{BatchSpec, StepSpec};
 use trestleknot_lib::batch_event::{EntryEvent, Question, Reply, Submission};
 use trestleknot_lib::ids::{Now, RequestId};
@@ -20,6 +21,8 @@
     pub work_ms: u64,
     /// What each task takes.
     pub size: Resources,
+    /// Letters of the payload behind the length of the work.
+    pub payload_letters: usize,
     /// The caller's guess of the work over the work; drawn when it is sent if there is none.
     pub guess: Option<f64>,
     /// The queue that it goes to.
@@ -49,6 +52,7 @@
             tasks,
             work_ms,
             size,
+            payload_letters: 0,
             guess: None,
             queue: 0,
             entry: None,
@@ -63,6 +67,18 @@
     }
 }
 
+/// The length of the work, and letters of four bits each that can't be guessed.
+fn payload_of(caller: &Caller, id: BatchId) -> String {
+    let mut payload = caller.work_ms.to_string();
+    if caller.payload_letters > 0 {
+        let mut rng = ChaCha8Rng::seed_from_u64(id);
+        let letters = (0..caller.payload_letters).map(|_| rng.random_range(b'a'..=b'p') as char);
+        payload.push(' ');
+        payload.extend(letters);
+    }
+    payload
+}
+
 impl RunFleet {
     pub(super) fn submit(&mut self, id: BatchId) {
         let Some(caller) = self.callers.get_mut(&id) else {
@@ -87,9 +103,10 @@
             None => self.rng.random_range(0.6..1.4),
         };
         let estimate = guess * caller.work_ms as f64;
+        let payload = payload_of(caller, id);
         let spec = BatchSpec {
             id,
-            payload: caller.work_ms.to_string().into(),
+            payload: payload.into(),
             steps: vec![StepSpec {
                 count: caller.tasks,
                 size: caller.size,
@@ -115,7 +132,7 @@
             // Its connection would wait in the process that stands still; the caller gives up.
             return;
         }
-        self.tell_entry(entry, EntryEvent::Submit(submission));
+        self.send_request(entry, submission);
     }
 
     /// Cancels a batch at the entry where its caller waits; one that has its answer stays as it is.
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -135,7 +135,8 @@
         count_orders(&packet, &mut self.orders, &mut self.full);
         // TCP holds back what a cut delays and delivers it in order.
         let healed = self.cut_until(from).max(self.cut_until(to));
-        let at = healed.max(self.now) + self.shape.one_way;
+        let through = self.traffic.packet(self.now, from, to, &packet);
+        let at = healed.max(through) + self.shape.one_way;
         self.at(at, Event::Deliver(to, id, packet));
     }
 
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -77,7 +77,7 @@
 pub struct StartRequest {
     /// The run.
     pub key: RunKey,
-    /// Length of the work in milliseconds, as text.
+    /// Length of the work in milliseconds, as text; anything may follow it.
     pub payload: Arc<str>,
     /// End of the lease.
     pub until: TargetMillis,
@@ -275,7 +275,8 @@
         }
         self.hold(now, request.until);
         self.highest.insert(task, request.key.run);
-        let work = Duration::from_millis(request.payload.parse().unwrap_or(50));
+        let length = request.payload.split(' ').next().unwrap_or_default();
+        let work = Duration::from_millis(length.parse().unwrap_or(50));
         let slowdown = self.trouble.slowdown;
         let ends_at = slowdown.is_finite().then(|| now + work.mul_f64(slowdown));
         self.records.push(RunRecord {
