entry: a wrong estimate is not sent on

Two batches, each with an estimate of a twelfth of their work, were moved from target to target; each counted as the other's proof that the target is slow, so that two empty targets of four stood at a pace of 9 to 11 and got probes only, while batches were refused.

Change: a step whose tasks are slow at two agents has its estimate replaced by the shortest time seen, in what is sent from then on and in what moves are judged by.

--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -233,7 +233,7 @@
             return;
         }
         let step = &mut batch.steps[usize::from(key.task.step)];
-        let is_estimate_wrong = step.is_slow_everywhere(&agent);
+        let is_estimate_wrong = step.is_slow_everywhere(&agent, whole);
         if is_estimate_wrong && !self.board.is_outcast(self.now, link) {
             return;
         }
--- a/lib/src/held_batch.rs
+++ b/lib/src/held_batch.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::batch::{BatchSpec, StepSpec};
 use crate::ids::{NodeName, Now, RequestId, SessionId};
@@ -49,19 +50,25 @@
     pub tasks: Vec<Task>,
     /// Tasks that are not done.
     pub left: u32,
-    /// Agent on whose target a task of the step was first found slow.
-    slow_at: Option<NodeName>,
+    /// Agent on whose target a task of the step was first found slow, and how long the shortest of
+    /// its slow tasks would take.
+    slow_at: Option<(NodeName, Duration)>,
     /// Whether tasks of the step have been found slow at two agents.
     is_estimate_wrong: bool,
 }
 
 impl Step {
-    /// Notes that a task of the step is slow at an agent; says whether tasks have been slow at two
-    /// agents by now. Then it is the estimate that is wrong, not the targets, and moving on would
-    /// go on for ever.
-    pub fn is_slow_everywhere(&mut self, agent: &NodeName) -> bool {
-        let first = self.slow_at.get_or_insert_with(|| agent.clone());
-        self.is_estimate_wrong |= *first != *agent;
+    /// Notes that a task of the step is slow at an agent, where it would take so long; says whether
+    /// tasks have been slow at two agents by now. Then it is the estimate that is wrong, not the
+    /// targets, and moving on would go on for ever. The time that was seen takes its place: sent on
+    /// with the next orders, the wrong one would make targets seem slow to all entries.
+    pub fn is_slow_everywhere(&mut self, agent: &NodeName, takes: Duration) -> bool {
+        let (first, shortest) = self.slow_at.get_or_insert_with(|| (agent.clone(), takes));
+        *shortest = takes.min(*shortest);
+        if *first != *agent {
+            self.is_estimate_wrong = true;
+            self.spec.estimate = *shortest;
+        }
         self.is_estimate_wrong
     }
 }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -9,6 +9,7 @@
     EntryAction, EntryEvent, EntryOptions, Refusal, Reply, Submission,
 };
 use trestleknot_lib::evacuations::EvacuatedHalls;
+use trestleknot_lib::held_batch::{Batch, BatchTimes};
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
@@ -349,3 +350,31 @@
     });
     assert!(tells, "{actions:?}");
 }
+
+#[test]
+fn test_is_slow_everywhere_replaces_a_wrong_estimate() {
+    let EntryEvent::Submit(submission) = submission(5) else {
+        panic!("a submission");
+    };
+    let EntryEvent::Config(table) = config() else {
+        panic!("a configuration");
+    };
+    let times = BatchTimes {
+        arrived: ms(0),
+        due: ms(100),
+        is_overdue: false,
+        give_up: ms(2_000),
+        in_time_until: ms(50),
+        place_by: ms(50),
+    };
+    let queue = table.queues[0].clone();
+    let mut batch = Batch::new(&submission.spec, "work".into(), queue, 1, times);
+    let step = &mut batch.steps[0];
+    let (first, second) = ("agent-1".into(), "agent-2".into());
+    // One target may be slow by itself, however often it says so.
+    assert!(!step.is_slow_everywhere(&first, ms(900)));
+    assert!(!step.is_slow_everywhere(&first, ms(800)));
+    assert_eq!(step.spec.estimate, ms(100));
+    assert!(step.is_slow_everywhere(&second, ms(850)));
+    assert_eq!(step.spec.estimate, ms(800));
+}
