agent: an agent without a link asks the store for entries at once

Change: a question for entries when a process starts, and 0.2, 0.4, 0.8 and then every 1.5 s as long as no link stands (entry_search); the core decides it, the node asks.

--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -238,8 +238,7 @@
     };
     let target = Rc::new(TargetClient::new(settings.target).await);
     let store = Rc::new(Store::new(common.store).await);
-    let node = AgentNode::start(options, target, store.clone());
-    ntex::rt::spawn(node.clone().look_for_entries(store));
+    let node = AgentNode::start(options, target, store.clone(), store);
     let drained = node.clone();
     let drain = move || drained.tell(AgentEvent::Drain);
     ntex::rt::spawn(obey_signals(drain));
--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -4,26 +4,22 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tokio::sync::Notify;
 
-use crate::entry_node::StoreHealth;
 use crate::evacuations::EvacuationReader;
 use crate::events::{EventCode, LogEvent};
 use crate::figures::Figures;
 use crate::ids::SessionId;
 use crate::node_links::{LinkSink, NodeLinks};
-use crate::platform_ports::{EntryRegistry, OperatorFeed, TargetPort};
+use crate::platform_ports::{EntryRegistry, OperatorFeed, PortError, TargetPort};
 use crate::run_agent::RunAgent;
 use crate::run_event::{AgentAction, AgentEvent, AgentOptions, StartCall};
 use crate::run_message::Packet;
 use crate::target_lease::Renewal;
 use crate::wake_timer::WakeTimer;
 
-/// An agent without any link asks the registry for entries at this interval.
-const LOOK_FOR_ENTRIES: Duration = Duration::from_millis(1_500);
-
 /// See the module.
 pub struct AgentNode {
     me: Weak<AgentNode>,
@@ -32,6 +28,7 @@
     links: Rc<NodeLinks>,
     target: Rc<dyn TargetPort>,
     operators: Rc<dyn OperatorFeed>,
+    registry: Rc<dyn EntryRegistry>,
     figures: Figures,
     ended: Notify,
 }
@@ -42,6 +39,7 @@
         options: AgentOptions,
         target: Rc<dyn TargetPort>,
         operators: Rc<dyn OperatorFeed>,
+        registry: Rc<dyn EntryRegistry>,
     ) -> Rc<Self> {
         let timer = WakeTimer::new(Instant::now());
         let core = RunAgent::new(timer.now(), options);
@@ -52,6 +50,7 @@
             links: NodeLinks::new(),
             target,
             operators,
+            registry,
             figures: Figures::new(),
             ended: Notify::new(),
         });
@@ -87,6 +86,7 @@
             AgentAction::Renew { renewal, life } => self.renew(renewal, life),
             AgentAction::AskLife { look, life } => self.ask_life(look, life),
             AgentAction::AskEvacuations => self.ask_evacuations(),
+            AgentAction::AskEntries => self.ask_entries(),
             AgentAction::Log(event) => {
                 self.figures.event(event.code);
                 event.emit();
@@ -139,6 +139,18 @@
         });
     }
 
+    fn ask_entries(&self) {
+        let Some(me) = self.me.upgrade() else {
+            return;
+        };
+        ntex::rt::spawn(async move {
+            match me.registry.list().await {
+                Ok(addresses) => me.tell(AgentEvent::Entries(addresses)),
+                Err(e) => store_failed(&e),
+            }
+        });
+    }
+
     fn ask_evacuations(&self) {
         let Some(me) = self.me.upgrade() else {
             return;
@@ -148,7 +160,7 @@
             let state = match answer {
                 Ok(news) => Some(Arc::new(EvacuationReader::default().read(news.evacuations))),
                 Err(e) => {
-                    LogEvent::new(EventCode::StoreDown, format!("cause=\"{e}\"")).emit();
+                    store_failed(&e);
                     None
                 }
             };
@@ -171,24 +183,10 @@
     pub async fn ended(&self) {
         self.ended.notified().await;
     }
+}
 
-    /// Looks for entries in the registry for as long as there is no link. Never returns.
-    pub async fn look_for_entries(self: Rc<Self>, registry: Rc<dyn EntryRegistry>) {
-        let mut health = StoreHealth::default();
-        loop {
-            tokio::time::sleep(LOOK_FOR_ENTRIES).await;
-            if self.core.borrow().levels().entries > 0 {
-                continue;
-            }
-            match registry.list().await {
-                Ok(addresses) => {
-                    health.answered();
-                    self.tell(AgentEvent::Entries(addresses));
-                }
-                Err(e) => health.failed(&e.to_string()).await,
-            }
-        }
-    }
+fn store_failed(cause: &PortError) {
+    LogEvent::new(EventCode::StoreDown, format!("cause=\"{cause}\"")).emit();
 }
 
 impl LinkSink for AgentNode {
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -271,7 +271,8 @@
             }
         }
         let placed = placing.placed;
-        if placing.lacked_room {
+        // Without any target, what waits is news of targets and not room.
+        if placing.lacked_room && placing.board.usable(self.now) > 0 {
             self.lacked_room = Some(self.now);
         }
         self.link_full_until = self.link.full_until(self.now);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,7 +13,7 @@
 //! Batches on the users' platform have layers of their own, which docs/design/platform.md explains:
 //!
 //! - words: [`resources`], [`run`], [`queue`], [`batch`], [`payload`], [`run_message`];
-//! - state: [`answer_time`], [`payload_cache`], [`run_book`], [`target_lease`], [`room_shares`], [`room_forecast`], [`entry_leases`],
+//! - state: [`answer_time`], [`payload_cache`], [`entry_search`], [`run_book`], [`target_lease`], [`room_shares`], [`room_forecast`], [`entry_leases`],
 //!   [`homes`], [`evacuations`], [`link_pace`], [`batch_table`], [`target_board`], [`peer_book`], [`closing_elsewhere`], [`early_batches`],
 //!   [`entry_directory`], [`entry_drain`];
 //! - the cores: [`batch_entry`] and [`run_agent`], with what they are told and want done in
@@ -54,6 +54,7 @@
 pub mod entry_permits;
 pub mod entry_platform;
 mod entry_router;
+pub mod entry_search;
 pub mod entry_targets;
 pub mod evacuations;
 pub mod events;
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -15,6 +15,7 @@
 
 use crate::answer_time::AnswerTime;
 use crate::entry_leases::EntryLeases;
+use crate::entry_search::EntrySearch;
 use crate::evacuations::{EvacuationWatch, EvacuationsInForce};
 use crate::events::{EventCode, LogEvent};
 use crate::homes::{HomeStep, Homes};
@@ -62,6 +63,7 @@
     /// Stops that came before the lists were read, each with its entry's life.
     early_stops: Vec<(Incarnation, RunKey)>,
     homes: Homes,
+    search: EntrySearch,
     unpacker: PayloadUnpacker,
     payloads: PayloadCache,
     evacuations: EvacuationsInForce,
@@ -90,6 +92,7 @@
             early_claims: Vec::new(),
             early_stops: Vec::new(),
             homes: Homes::new(&options.name, options.timings.start_window),
+            search: EntrySearch::new(now),
             unpacker: PayloadUnpacker::default(),
             payloads: PayloadCache::default(),
             evacuations: EvacuationsInForce::default(),
@@ -111,6 +114,7 @@
             return Vec::new();
         }
         self.dispatch_event(event);
+        self.search_entries();
         self.keep_homes();
         self.ask_evacuations();
         self.ask_lives();
@@ -130,6 +134,9 @@
             self.lease.retry_at(),
             self.lives.next_wake(),
             self.ask_evacuations_at(),
+            self.search
+                .next_wake()
+                .filter(|_| self.draining_since.is_none()),
             // A process that stops changes no links any more.
             self.homes
                 .next_wake()
@@ -233,6 +240,13 @@
         }
     }
 
+    fn search_entries(&mut self) {
+        let is_linked = !self.entries.is_empty();
+        if self.draining_since.is_none() && self.search.take_due(self.now, is_linked) {
+            self.out.push(AgentAction::AskEntries);
+        }
+    }
+
     /// Dials, parts and hangs up as the choice of entries wants it. A process that stops changes
     /// nothing any more.
     fn keep_homes(&mut self) {
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -212,6 +212,8 @@
     },
     /// Ask the store which halls are evacuated.
     AskEvacuations,
+    /// Ask the store for entries; what it knows comes as [`AgentEvent::Entries`].
+    AskEntries,
     /// Write a line to the log.
     Log(LogEvent),
     /// Stop the process.
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -157,6 +157,7 @@
     match all[rng.random_range(0..all.len())] {
         Strike::Kill(n) => Strike::Kill(pick(n)),
         Strike::PowerOff(n) => Strike::PowerOff(pick(n)),
+        Strike::PowerOffFor(n, t) => Strike::PowerOffFor(pick(n), t),
         Strike::Freeze(n, t) => Strike::Freeze(pick(n), t),
         Strike::Cut(n, t) => Strike::Cut(pick(n), t),
         Strike::Reset(n) => Strike::Reset(pick(n)),
@@ -471,3 +472,29 @@
     }
     assert!(evacuated > 200, "only {evacuated} evacuations");
 }
+
+#[test]
+fn test_run_until_entries_that_are_back_before_the_seeds_are_found() {
+    // Everything loses power at 2 s and is back at 2.9 s, but for the only seed, which is back at 3.9 s.
+    for seed in 0..10 {
+        let shape = FleetShape {
+            entries: 4,
+            seeds: Some(1),
+            evacuation_bound: Some(EVACUATION_BOUND),
+            ..FleetShape::default()
+        };
+        let mut fleet = RunFleet::with_shape(seed, shape, testutils::run_fleet::config());
+        fleet.load(ms(3_050), ms(3_700), LOAD);
+        for entry in 0..4 {
+            fleet.strike(ms(2_000), Strike::PowerOff(Node::Entry(entry)));
+        }
+        for agent in 0..AGENTS {
+            fleet.strike(ms(2_000), Strike::PowerOff(Node::Agent(agent)));
+        }
+        fleet.strike(ms(2_950), Strike::PowerOff(Node::Entry(0)));
+        fleet.run_until(END);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        let served = fleet.served(ms(3_050), ms(3_700));
+        assert!(served > 0.99, "seed {seed}: {served}");
+    }
+}
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -17,7 +17,7 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
 
-use crate::run_fleet::{Caller, FleetShape, Node, RunFleet, Strike, Traffic};
+use crate::run_fleet::{Caller, FleetShape, Node, POWER_OFF, RunFleet, Strike, Traffic};
 use crate::run_target::{SERVICE, TargetTrouble};
 
 /// Load begins when the processes have found each other.
@@ -72,7 +72,8 @@
     Fail,
     /// Half of the orders are lost, and carried out late.
     LoseOrders,
-    /// Entries and agents lose power, and are back 900 ms later.
+    /// Entries and agents lose power, and are back 900 ms later, one after the other within the time
+    /// of the trouble.
     PowerOff,
     /// Targets are empty and new at this moment: those of the share are switched off until then.
     Join,
@@ -333,7 +334,8 @@
         if let What::PowerOff = trouble.what {
             for entry in 0..self.entries {
                 if rng.random_bool(trouble.share) {
-                    fleet.strike(at, Strike::PowerOff(Node::Entry(entry)));
+                    let off = power_off(Node::Entry(entry), length, rng);
+                    fleet.strike(at, off);
                 }
             }
         }
@@ -358,7 +360,10 @@
                     fleet.strike(at, troubled(fails));
                 }
                 What::LoseOrders => fleet.strike(at, Strike::LateOrders(target, length)),
-                What::PowerOff => fleet.strike(at, Strike::PowerOff(Node::Agent(target))),
+                What::PowerOff => {
+                    let off = power_off(Node::Agent(target), length, rng);
+                    fleet.strike(at, off);
+                }
                 What::Join => fleet.start_later(Node::Agent(target), at),
             }
         }
@@ -386,6 +391,15 @@
     }
 }
 
+/// A loss of power, after which processes are back within `spread` of each other.
+fn power_off(node: Node, spread: Duration, rng: &mut ChaCha8Rng) -> Strike {
+    if spread.is_zero() {
+        return Strike::PowerOff(node);
+    }
+    let back_after = POWER_OFF + spread.mul_f64(rng.random_range(0.0..1.0));
+    Strike::PowerOffFor(node, back_after)
+}
+
 fn count_caller(caller: &Caller, figures: &mut KindFigures) {
     figures.asked += 1;
     let objective = Duration::from_millis(caller.work_ms).mul_f64(STRETCH) + TARGET_LATENCY;
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -14,6 +14,7 @@
 
 pub use callers::Caller;
 pub use entry_traffic::Traffic;
+pub use hits::POWER_OFF;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -91,6 +92,8 @@
     pub evacuation_bound: Option<Duration>,
     /// What an entry's link carries each way, in Mbit/s; without it, everything at once.
     pub entry_link_mbps: Option<f64>,
+    /// Number of entries, the first ones, that processes are told of at start; all if there is none.
+    pub seeds: Option<usize>,
 }
 
 impl Default for FleetShape {
@@ -105,6 +108,7 @@
             entries_meet: false,
             evacuation_bound: None,
             entry_link_mbps: None,
+            seeds: None,
         }
     }
 }
@@ -116,6 +120,8 @@
     Kill(Node),
     /// The same, but its connections say nothing.
     PowerOff(Node),
+    /// The same for so long.
+    PowerOffFor(Node, Duration),
     /// A process stands still.
     Freeze(Node, Duration),
     /// A process is cut off from all others.
@@ -459,7 +465,8 @@
             return;
         }
         let life = self.rng.random();
-        let seeds: Vec<SocketAddr> = (0..self.shape.entries).map(Self::address).collect();
+        let seeds = self.shape.seeds.unwrap_or(self.shape.entries);
+        let seeds: Vec<SocketAddr> = (0..seeds).map(Self::address).collect();
         match node {
             Node::Entry(i) => {
                 let options = EntryOptions {
@@ -582,6 +589,7 @@
             AgentAction::Dial(address) => self.keep_dialled(Node::Agent(i), address),
             AgentAction::HangUp(address) => self.hang_up(Node::Agent(i), address),
             AgentAction::AskEvacuations => self.ask_store(i),
+            AgentAction::AskEntries => self.ask_registry(i),
             AgentAction::Start(call) => self.order_start(i, call),
             AgentAction::Stop { key, token, life } => self.order_stop(i, key, token, life),
             AgentAction::Renew { renewal, life } => self.order_renewal(i, renewal, life),
--- a/lib/testutils/src/run_fleet/hits.rs
+++ b/lib/testutils/src/run_fleet/hits.rs
@@ -7,13 +7,17 @@
 
 use super::{Event, Node, RunFleet, Strike, targets};
 
+/// How long a process without power is away as a rule.
+pub const POWER_OFF: Duration = Duration::from_millis(900);
+
 impl RunFleet {
     pub(super) fn hit(&mut self, strike: Strike) {
         self.log.push(format!("{:?} strike {strike:?}", self.now));
         self.note_trouble(strike);
         match strike {
             Strike::Kill(node) => self.stop(node, Duration::from_millis(300)),
-            Strike::PowerOff(node) => self.power_off(node),
+            Strike::PowerOff(node) => self.power_off(node, POWER_OFF),
+            Strike::PowerOffFor(node, length) => self.power_off(node, length),
             Strike::Freeze(Node::Entry(i), length) => {
                 self.entries[i].frozen_until = self.now + length;
             }
@@ -61,7 +65,7 @@
         self.after(pause, Event::Start(node));
     }
 
-    pub(super) fn power_off(&mut self, node: Node) {
+    pub(super) fn power_off(&mut self, node: Node, length: Duration) {
         if let Node::Entry(i) = node {
             // Its callers hear nothing until their own time is up.
             let life = self.entries[i].life;
@@ -73,7 +77,7 @@
         }
         self.links.silence(node);
         self.forget_process(node);
-        self.after(Duration::from_millis(900), Event::Start(node));
+        self.after(length, Event::Start(node));
     }
 
     pub(super) fn forget_process(&mut self, node: Node) {
--- a/lib/testutils/src/run_fleet/operators.rs
+++ b/lib/testutils/src/run_fleet/operators.rs
@@ -8,7 +8,7 @@
 use trestleknot_lib::ids::{HallName, Now};
 use trestleknot_lib::run_event::AgentEvent;
 
-use super::{Event, Node, RunFleet, Strike};
+use super::{Event, Node, RunFleet, Strike, hits};
 use crate::run_target::RunRecord;
 
 /// From the start of an entry to its first answer of the store.
@@ -123,13 +123,26 @@
         self.after(pause, Event::Agent(agent, life, event));
     }
 
+    /// An agent asks the store for entries. All have left their addresses there; where processes are
+    /// told of all of them at start, there is nothing to learn.
+    pub(super) fn ask_registry(&mut self, agent: usize) {
+        if self.shape.seeds.is_none() || !self.reaches_store(Node::Agent(agent)) {
+            return;
+        }
+        let life = self.agents[agent].life;
+        let entries = (0..self.shape.entries).map(Self::address).collect();
+        let event = AgentEvent::Entries(entries);
+        self.after(ANSWER, Event::Agent(agent, life, event));
+    }
+
     pub(super) fn note_trouble(&mut self, strike: Strike) {
         let (node, length) = match strike {
             Strike::Kill(node) | Strike::Drain(node) | Strike::Reset(node) => {
                 (Some(node), Duration::from_millis(500))
             }
-            Strike::PowerOff(node) => (Some(node), Duration::from_millis(1_000)),
+            Strike::PowerOff(node) => (Some(node), hits::POWER_OFF + Duration::from_millis(100)),
             Strike::Freeze(node, length)
+            | Strike::PowerOffFor(node, length)
             | Strike::Cut(node, length)
             | Strike::StoreCut(node, length) => (Some(node), length),
             Strike::StoreDown(length) => (None, length),
