agent: reports and ends that are passed over leave a line

Cause: a leave went unheard for 3.7 s and no line said whether the report came, or with which number; 0 of some 1,000 lines of that agent named a number. No decision changes. Conclusion: the hypotheses can be told apart by the logs from now on.

--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -122,6 +122,9 @@
         for &(end_number, key, end) in ended {
             if self.lease.is_new_end(end_number) {
                 self.end_run(key, end);
+            } else if self.book.get(key).is_some() {
+                let detail = format!("run={key} end={end:?} number={end_number}");
+                self.log(EventCode::EndPassedOver, detail);
             }
         }
         let Some(answered) = self.lease.answered(number) else {
--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -13,8 +13,16 @@
 impl RunAgent {
     pub(super) fn report(&mut self, report: TargetReport) {
         let life = report.info.life.clone();
+        let (number, leaving) = (report.sequence, report.info.leaving);
         match self.lives.report(self.now, report) {
             Reported::Known => {}
+            Reported::Late(known) => {
+                let why = format!("why=\"number {known} was seen\"");
+                self.passed_over(&life, number, leaving, &why);
+            }
+            Reported::PastLife => {
+                self.passed_over(&life, number, leaving, "why=\"that life is over\"");
+            }
             Reported::Changed => self.target_changed(),
             Reported::ToBeAsked => {
                 self.log(
@@ -25,6 +33,12 @@
         }
     }
 
+    /// A report comes every second or so: a line for each is no flood.
+    fn passed_over(&mut self, life: &str, number: u64, leaving: bool, why: &str) {
+        let detail = format!("life={life} number={number} leaving={leaving} {why}");
+        self.log(EventCode::ReportPassedOver, detail);
+    }
+
     /// Asks the lives that have reported and are not proven to live yet.
     pub(super) fn ask_lives(&mut self) {
         while let Some(life) = self.lives.take_due(self.now, self.lease.next_number()) {
--- a/lib/src/target_lives.rs
+++ b/lib/src/target_lives.rs
@@ -54,8 +54,12 @@
 /// What a report comes to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reported {
-    /// Nothing: it is late, or says what is known.
+    /// Nothing: it says what is known.
     Known,
+    /// Nothing: its number is no higher than this one, which the same life has told before.
+    Late(u64),
+    /// Nothing: the life that it names is over.
+    PastLife,
     /// The current life has changed.
     Changed,
     /// Another life reports, and is to be asked.
@@ -86,7 +90,7 @@
     /// Takes in a report.
     pub fn report(&mut self, now: Now, report: TargetReport) -> Reported {
         if self.past.contains(&report.info.life) {
-            return Reported::Known;
+            return Reported::PastLife;
         }
         if self.current_life().as_ref() == Some(&report.info.life) {
             return self.report_of_current(report);
@@ -97,7 +101,7 @@
 
     fn report_of_current(&mut self, report: TargetReport) -> Reported {
         if report.sequence <= self.sequence {
-            return Reported::Known;
+            return Reported::Late(self.sequence);
         }
         self.sequence = report.sequence;
         if self.current.as_ref() == Some(&report.info) {
