--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -88,14 +88,17 @@
             AgentAction::AskLife { look, life } => self.ask_life(look, life),
             AgentAction::AskEvacuations => self.ask_evacuations(),
             AgentAction::AskEntries => self.ask_entries(),
-            AgentAction::Log(event) => {
-                self.figures.event(event.code);
-                event.emit();
-            }
+            AgentAction::Log(event) => self.log(event),
             AgentAction::Exit => self.ended.notify_one(),
         }
     }
 
+    /// Writes a line to the log and counts it on the metrics page.
+    pub fn log(&self, event: LogEvent) {
+        self.figures.event(event.code);
+        event.emit();
+    }
+
     fn dial(&self, address: SocketAddr) {
         if let Some(me) = self.me.upgrade() {
             self.links.dial(address, me);
@@ -159,7 +162,12 @@
         ntex::rt::spawn(async move {
             let answer = me.operators.newest().await;
             let state = match answer {
-                Ok(news) => Some(Arc::new(EvacuationReader::default().read(news.evacuations))),
+                Ok(news) => {
+                    for e in news.unreadable {
+                        me.log(LogEvent::new(EventCode::RecordUnreadable, e.to_string()));
+                    }
+                    Some(Arc::new(EvacuationReader::default().read(news.evacuations)))
+                }
                 Err(e) => {
                     store_failed(&e);
                     None
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -82,10 +82,7 @@
             EntryAction::Send(link, packet) => self.links.send(link, &packet),
             EntryAction::Close(link) => self.links.close(link),
             EntryAction::Dial(address) => self.dial(address),
-            EntryAction::Log(event) => {
-                self.figures.event(event.code);
-                event.emit();
-            }
+            EntryAction::Log(event) => self.log(event),
             EntryAction::Measured(took_ms, _) => {
                 self.figures.response(Duration::from_millis(took_ms));
             }
@@ -93,6 +90,12 @@
         }
     }
 
+    /// Writes a line to the log and counts it on the metrics page.
+    fn log(&self, event: LogEvent) {
+        self.figures.event(event.code);
+        event.emit();
+    }
+
     fn dial(&self, address: SocketAddr) {
         if let Some(me) = self.me.upgrade() {
             self.links.dial(address, me);
@@ -168,7 +171,7 @@
                 Ok(news) => {
                     health.answered();
                     for e in news.unreadable {
-                        LogEvent::new(EventCode::RecordUnreadable, e.to_string()).emit();
+                        self.log(LogEvent::new(EventCode::RecordUnreadable, e.to_string()));
                     }
                     let evacuated = evacuations.read(news.evacuations);
                     self.tell(EntryEvent::Evacuations(Arc::new(evacuated)));
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -115,6 +115,7 @@
     ReportPassedOver = 2006, Warn, "report of the target passed over, for it is taken for an old one";
     EndPassedOver = 2007, Warn, "end of a run that is still booked passed over, for its number was seen before";
     TargetGoodbye = 2008, Info, "target says goodbye, it is closed until it answers again";
+    ReportUnreadable = 2009, Warn, "report or goodbye that can't be read, another writer's: passed over";
     RunNotStarted = 2101, Info, "order led to no run";
     RunEnded = 2102, Info, "run ended";
     RunAdopted = 2103, Info, "run of an earlier life of the agent adopted";
--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -29,6 +29,9 @@
                 self.passed_over(&life, number, leaving, "why=\"that life is over\"");
             }
             Reported::Changed => self.target_changed(),
+            Reported::OtherService => {
+                self.passed_over(&life, number, leaving, "why=\"another service\"");
+            }
             Reported::ToBeAsked => {
                 let known = self.lives.current_life();
                 let known = known.map_or("-".to_owned(), ToString::to_string);
--- a/lib/src/target_lives.rs
+++ b/lib/src/target_lives.rs
@@ -61,6 +61,9 @@
     Late(u64),
     /// Nothing: the life that it names is over.
     PastLife,
+    /// Nothing: it names another service than the life it speaks for. A life keeps its service, so
+    /// this is another writer's, and its number is not the target's.
+    OtherService,
     /// The current life has changed.
     Changed,
     /// Another life reports, and is to be asked.
@@ -121,6 +124,10 @@
         if report.sequence <= self.sequence {
             return Reported::Late(self.sequence);
         }
+        let service = self.current.as_ref().map(|t| &t.service);
+        if service != Some(&report.info.service) {
+            return Reported::OtherService;
+        }
         self.sequence = report.sequence;
         if self.current.as_ref() == Some(&report.info) {
             return Reported::Known;
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -13,7 +13,7 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse, HttpServer};
 use platform::names;
 use platform::stand_in_format::{self, OrderBody, RenewalBody};
-use platform::store::split_records;
+use platform::store_format::split_records;
 use tokio::sync::oneshot;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::QueueTable;
@@ -329,6 +329,9 @@
                 return respond(400, "records are cut short");
             };
             for record in records {
+                let Ok(record) = record else {
+                    return respond(400, "a record can't be read");
+                };
                 let key = String::from_utf8_lossy(record.key);
                 store.append(topic, &key, record.value.to_vec());
             }
