--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -167,6 +167,7 @@
         Strike::Trouble(_, trouble, t) => Strike::Trouble(index, trouble, t),
         Strike::LateOrders(_, t) => Strike::LateOrders(index, t),
         Strike::LateReports(_, t) => Strike::LateReports(index, t),
+        Strike::Strangers(_, t) => Strike::Strangers(index, t),
         Strike::StoreCut(n, t) => Strike::StoreCut(pick(n), t),
         other @ (Strike::Leave(_)
         | Strike::ClockBack
@@ -281,6 +282,48 @@
     }
 }
 
+#[test]
+fn test_run_until_reports_of_other_writers_change_nothing() {
+    // They come beside restarts, crashes, late reports and agents that lose their memory.
+    let mut served = Vec::new();
+    for seed in 0..100 {
+        let mut rng = ChaCha8Rng::seed_from_u64(40_000 + seed);
+        let mut strikes = Vec::new();
+        for i in 0..AGENTS {
+            strikes.push((ms(700), Strike::Strangers(i, ms(11_000))));
+            let at = ms(rng.random_range(600..6_000));
+            let strike = match rng.random_range(0..5) {
+                0 => Strike::Restart(i),
+                1 => Strike::Crash(i),
+                2 => Strike::Kill(Node::Agent(i)),
+                3 => Strike::LateReports(i, ms(3_000)),
+                _ => random_strike(&mut rng),
+            };
+            strikes.push((at, strike));
+        }
+        let fleet = play(seed, &strikes);
+        assert_kept(&fleet, &format!("seed {seed}, {strikes:?}"));
+        served.push(fleet.served(ms(8_000), LOAD_TO));
+    }
+    let mean = served.iter().sum::<f64>() / served.len() as f64;
+    assert!(mean > 0.99, "only {mean} served after it: {served:?}");
+}
+
+#[test]
+fn test_run_until_leave_beside_other_writers_is_obeyed() {
+    for seed in 0..20 {
+        let left = ms(2_500 + 100 * seed);
+        let strikes = [
+            (ms(600), Strike::Strangers(1, ms(11_000))),
+            (ms(2_000), Strike::Restart(1)),
+            (left, Strike::Leave(1)),
+        ];
+        let fleet = play(seed, &strikes);
+        assert_kept(&fleet, &format!("seed {seed}"));
+        assert_eq!(fleet.starts_after_leaving(1, left), 0, "seed {seed}");
+    }
+}
+
 /// Bounds of platforms unlike the usual one: lease, stop, grace, callers' return, in milliseconds.
 const OTHER_BOUNDS: [(u64, u64, u64, u64); 4] = [
     (400, 50, 6_000, 1_300),
--- a/lib/testutils/src/bin/soak.rs
+++ b/lib/testutils/src/bin/soak.rs
@@ -55,7 +55,7 @@
     Hangup(usize),
     /// The store goes wrong.
     Store(Fault, Duration),
-    /// A target crashes.
+    /// A target crashes; every second one comes back under its name.
     Crash(usize),
     /// A target is in trouble.
     Target(usize, TargetTrouble, Duration),
@@ -223,7 +223,13 @@
         }
         Strike::Crash(index) => {
             let at = fleet.targets[index].now();
-            fleet.targets[index].target().crash(at);
+            let mut target = fleet.targets[index].target();
+            // Half of the targets come back under their names.
+            if index % 2 == 0 {
+                target.crash(at);
+            } else {
+                target.restart(at);
+            }
         }
         Strike::Target(index, trouble, pause) => {
             fleet.targets[index].target().trouble = trouble;
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -141,6 +141,9 @@
     LateOrders(usize, Duration),
     /// A target's reports come again seconds later for a while, and half of them only then.
     LateReports(usize, Duration),
+    /// Beside each report of a target, another writer sends one that can be read and is not the
+    /// target's, for a while.
+    Strangers(usize, Duration),
     /// A target says that it leaves.
     Leave(usize),
     /// The time of day from which tokens come is set back by an hour.
--- a/lib/testutils/src/run_fleet/hits.rs
+++ b/lib/testutils/src/run_fleet/hits.rs
@@ -44,6 +44,10 @@
                 self.targets[i].delays_reports = true;
                 self.after(length, Event::End(targets::Ending::LateReports(i)));
             }
+            Strike::Strangers(i, length) => {
+                self.targets[i].has_strangers = true;
+                self.after(length, Event::End(targets::Ending::Strangers(i)));
+            }
             Strike::LateOrders(i, length) => {
                 self.targets[i].loses_orders = true;
                 self.after(length, Event::End(targets::Ending::LateOrders(i)));
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -34,6 +34,7 @@
     Trouble(usize),
     LateOrders(usize),
     LateReports(usize),
+    Strangers(usize),
 }
 
 struct Waiting {
@@ -49,6 +50,8 @@
     pub(super) loses_orders: bool,
     /// Whether each report comes a second time seconds later, and half of them only then.
     pub(super) delays_reports: bool,
+    /// Whether another writer's report comes beside each.
+    pub(super) has_strangers: bool,
     down_until: Now,
     waiting: Vec<Waiting>,
 }
@@ -59,6 +62,7 @@
             target,
             loses_orders: false,
             delays_reports: false,
+            has_strangers: false,
             down_until: Now::ZERO,
             waiting: Vec::new(),
         }
@@ -194,6 +198,9 @@
         }
         let (info, sequence) = self.targets[i].target.report();
         let report = TargetReport { info, sequence };
+        if self.targets[i].has_strangers {
+            self.report_of_stranger(i, report.clone());
+        }
         if self.targets[i].delays_reports {
             let pause = Duration::from_millis(self.rng.random_range(100..4_000));
             self.after(pause, Event::LateReport(i, report.clone()));
@@ -206,6 +213,22 @@
         }
     }
 
+    /// A report that the target did not write: of a name or a start that it never had, or of a
+    /// service that it does not run, with a number far ahead.
+    fn report_of_stranger(&mut self, i: usize, mut report: TargetReport) {
+        report.sequence += 1_000;
+        report.info.leaving = self.rng.random_bool(0.5);
+        match self.rng.random_range(0..4) {
+            0 => report.info.life.name = "stranger".into(),
+            1 => report.info.life.born = None,
+            2 => report.info.life.born = Some(self.rng.random()),
+            _ => report.info.service = "nobody's".into(),
+        }
+        let life = self.agents[i].life;
+        let pause = Duration::from_millis(self.rng.random_range(0..500));
+        self.after(pause, Event::Agent(i, life, AgentEvent::Report(report)));
+    }
+
     /// Looks at a target again when something happens there by itself.
     fn watch(&mut self, i: usize) {
         if let Some(at) = self.targets[i].target.next_change() {
@@ -295,6 +318,7 @@
             Ending::Trouble(i) => self.targets[i].target.trouble = TargetTrouble::default(),
             Ending::LateOrders(i) => self.targets[i].loses_orders = false,
             Ending::LateReports(i) => self.targets[i].delays_reports = false,
+            Ending::Strangers(i) => self.targets[i].has_strangers = false,
         }
     }
 }
