soak: another writer reports beside every target

Cause: words that can't be read were only met by tests of single decoders, not by the running programs.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -9,6 +9,7 @@
 use platform::names;
 use testutils::platform_stand_ins::Fault;
 use testutils::process_fleet::{self, HOST, PREFIX, ProcessFleet, Role, Signal};
+use testutils::target_reports::{Misheard, report_forever};
 use trestleknot_lib::worker_threads::run_system;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_trestleknot");
@@ -29,12 +30,18 @@
     let fleet = ProcessFleet::start(Path::new(PROGRAM), &folder, network, entries, agents);
     let mut fleet = fleet.expect("a fleet on loopback addresses");
     run_system(name, async move {
-        let reports = ProcessFleet::report_forever(fleet.targets.clone(), fleet.agent_addresses());
-        ntex::rt::spawn(reports);
+        let misheard = Misheard::default();
+        let (targets, agents) = (fleet.targets.clone(), fleet.agent_addresses());
+        ntex::rt::spawn(report_forever(targets, agents, misheard.clone()));
         let addresses: Vec<_> = (0..entries).map(|i| fleet.entry_address(i)).collect();
         let is_ready = process_fleet::await_ready(&addresses, Duration::from_secs(10)).await;
         assert!(is_ready, "not ready: {}", fleet.log(0));
         test(&mut fleet).await;
+        assert_eq!(
+            misheard.get(),
+            0,
+            "reports that can't be read were acknowledged"
+        );
     });
     let _ = std::fs::remove_dir_all(folder);
 }
--- a/lib/testutils/src/bin/soak.rs
+++ b/lib/testutils/src/bin/soak.rs
@@ -3,7 +3,7 @@
 //! `soak --seed N --for 20s` starts entries, agents and stand-ins on loopback addresses, sends
 //! batches and injects a schedule of faults that the seed alone decides: processes killed, paused
 //! and stopped in turn, the store down, slow or losing answers, targets that crash, fall silent or
-//! lose orders, configurations in quick succession, callers that leave, and connections that
+//! lose orders, another writer that reports beside them, configurations in quick succession, callers that leave, and connections that
 //! proxies delay, silence, cut one way and reset. It checks what callers and
 //! targets saw and ends with a summary; the exit status is the verdict.
 
@@ -22,6 +22,7 @@
 use testutils::platform_stand_ins::Fault;
 use testutils::process_fleet::{self, ProcessFleet, Signal};
 use testutils::run_target::{RunRecord, TargetTrouble};
+use testutils::target_reports::{Misheard, report_forever};
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::{RunEnd, TaskKey};
 use trestleknot_lib::worker_threads::run_system;
@@ -373,9 +374,9 @@
 
 impl Soak {
     async fn run(mut self) -> Vec<String> {
-        let reports =
-            ProcessFleet::report_forever(self.fleet.targets.clone(), self.fleet.agent_addresses());
-        ntex::rt::spawn(reports);
+        let misheard = Misheard::default();
+        let (targets, agents) = (self.fleet.targets.clone(), self.fleet.agent_addresses());
+        ntex::rt::spawn(report_forever(targets, agents, misheard.clone()));
         let entries: Vec<_> = (0..ENTRIES).map(|i| self.fleet.entry_address(i)).collect();
         if !process_fleet::await_ready(&entries, Duration::from_secs(10)).await {
             return vec!["the fleet did not become ready".to_owned()];
@@ -422,7 +423,14 @@
             outcomes.len(),
             records.len()
         );
-        check(&records, &outcomes, self.length)
+        let mut broken = check(&records, &outcomes, self.length);
+        if misheard.get() > 0 {
+            let count = misheard.get();
+            broken.push(format!(
+                "{count} reports that can't be read were acknowledged"
+            ));
+        }
+        broken
     }
 
     async fn play(&mut self, begun: Instant) {
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -29,8 +29,6 @@
 const LINK_PORT: u16 = 7720;
 /// Port of stand-ins.
 const STAND_IN_PORT: u16 = 8169;
-/// How often targets report on themselves.
-const REPORT_EVERY: Duration = Duration::from_millis(300);
 /// Host of the queue.
 pub const HOST: &str = "queue.example";
 /// Path of the queue.
@@ -328,29 +326,6 @@
         fs::read_to_string(path).unwrap_or_default()
     }
 
-    /// Has the targets report to their agents for ever, from the thread that calls it.
-    pub async fn report_forever(targets: Vec<TargetStandIn>, agents: Vec<SocketAddr>) {
-        let mut clients = Vec::new();
-        for agent in &agents {
-            clients.push(PlatformClient::new(&agent.to_string()).await);
-        }
-        loop {
-            for (target, client) in targets.iter().zip(&clients) {
-                let (info, sequence) = target.target().report();
-                let path = stand_in_format::report_path(&info.life.name);
-                let body = stand_in_format::encode_report(&info, sequence).into_bytes();
-                let request = client.request(Method::POST, &path);
-                let request = request.content_type("application/json");
-                let sent = PlatformClient::call(request, body, Duration::from_millis(200));
-                // An agent that is down is told again.
-                ntex::rt::spawn(async move {
-                    let _ = sent.await;
-                });
-            }
-            ntex::time::sleep(REPORT_EVERY).await;
-        }
-    }
-
     /// Addresses of all agents for reports.
     pub fn agent_addresses(&self) -> Vec<SocketAddr> {
         (0..self.targets.len())
