soak: targets leave, and nothing may begin there 2 s after that was heard

Cause: no check of the soak knew of leaves, so a leave that goes unheard could not be found by it. Change: about every five seconds a target says that it leaves and begins its next life 4 s later, every second one under its name; the stand-in notes when the leave was acknowledged, and each start names the time since.

--- a/lib/testutils/src/bin/soak.rs
+++ b/lib/testutils/src/bin/soak.rs
@@ -40,6 +40,10 @@
 const CALM: Duration = Duration::from_secs(6);
 /// Share of the batches of the calm's second half that must succeed.
 const SERVED_AGAIN: f64 = 0.9;
+/// How long after its leave was acknowledged work may still begin on a target.
+const LEAVE_LIMIT: Duration = Duration::from_secs(2);
+/// From a target's leave until its next life.
+const LEAVES_FOR: Duration = Duration::from_millis(4_000);
 /// Tasks that a target holds at a time.
 const ROOM: i64 = 8;
 
@@ -58,6 +62,8 @@
     Store(Fault, Duration),
     /// A target crashes; every second one comes back under its name.
     Crash(usize),
+    /// A target says that it leaves; its next life comes a while later.
+    Leave(usize),
     /// A target is in trouble.
     Target(usize, TargetTrouble, Duration),
     /// Orders to a target go wrong.
@@ -141,6 +147,18 @@
     }
 }
 
+/// Leaves of a seed, about one in five seconds. They have draws of their own.
+fn leaves(seed: u64, length: Duration) -> Vec<(Duration, Strike)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed);
+    let mut at = Duration::from_millis(rng.random_range(1_500..3_500));
+    let mut leaves = Vec::new();
+    while at + CALM < length {
+        leaves.push((at, Strike::Leave(rng.random_range(0..AGENTS))));
+        at += Duration::from_millis(rng.random_range(4_000..6_000));
+    }
+    leaves
+}
+
 /// The schedule of a seed: when each fault strikes.
 fn schedule(seed: u64, length: Duration) -> Vec<(Duration, Strike)> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -150,6 +168,8 @@
         strikes.push((at, random_strike(&mut rng)));
         at += Duration::from_millis(rng.random_range(200..1_800));
     }
+    strikes.extend(leaves(seed, length));
+    strikes.sort_by_key(|(at, _)| *at);
     strikes
 }
 
@@ -222,15 +242,10 @@
             fleet.store.set_fault(fault);
             later.push((now + pause, Later::StoreGood));
         }
-        Strike::Crash(index) => {
-            let at = fleet.targets[index].now();
-            let mut target = fleet.targets[index].target();
-            // Half of the targets come back under their names.
-            if index % 2 == 0 {
-                target.crash(at);
-            } else {
-                target.restart(at);
-            }
+        Strike::Crash(index) => begin_next_life(fleet, index),
+        Strike::Leave(index) => {
+            fleet.targets[index].target().leave();
+            later.push((now + LEAVES_FOR, Later::NextLife(index)));
         }
         Strike::Target(index, trouble, pause) => {
             fleet.targets[index].target().trouble = trouble;
@@ -249,6 +264,17 @@
     }
 }
 
+/// Half of the targets come back under their names.
+fn begin_next_life(fleet: &ProcessFleet, index: usize) {
+    let at = fleet.targets[index].now();
+    let mut target = fleet.targets[index].target();
+    if index.is_multiple_of(2) {
+        target.crash(at);
+    } else {
+        target.restart(at);
+    }
+}
+
 fn proxy_of(fleet: &ProcessFleet, path: Path) -> &FaultProxy {
     match path {
         Path::Store(index) => &fleet.store_proxies[index],
@@ -266,6 +292,7 @@
     TargetGood(usize),
     OrdersGood(usize),
     ProxyGood(Path),
+    NextLife(usize),
 }
 
 fn end_fault(fleet: &mut ProcessFleet, later: Later) {
@@ -279,6 +306,7 @@
             }
         }
         Later::Continue(index) => fleet.signal(index, Signal::Continue),
+        Later::NextLife(index) => begin_next_life(fleet, index),
         Later::StoreGood => fleet.store.set_fault(Fault::None),
         Later::TargetGood(index) => {
             fleet.targets[index].target().trouble = TargetTrouble::default();
@@ -301,6 +329,9 @@
         if !outcomes.contains_key(&record.key.task.batch) {
             broken.push(format!("{} was never sent", record.key));
         }
+        if record.after_leave.is_some_and(|after| after > LEAVE_LIMIT) {
+            broken.push(format!("began on a target that leaves: {record:?}"));
+        }
     }
     for (task, runs) in &mut by_task {
         runs.sort_by_key(|r| r.from);
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -64,6 +64,8 @@
     pub end: Option<RunEnd>,
     /// Whether the target began it long after the order.
     pub is_late: bool,
+    /// How long before it began the target's leave had been acknowledged, if it had.
+    pub after_leave: Option<Duration>,
 }
 
 #[derive(Debug, Clone)]
@@ -112,6 +114,8 @@
     next_end: EndNumber,
     sequence: u64,
     is_leaving: bool,
+    /// When the leave was acknowledged.
+    leave_heard: Option<Now>,
     /// What is wrong with it.
     pub trouble: TargetTrouble,
     /// Every run that it ever had.
@@ -136,6 +140,7 @@
             next_end: 1,
             sequence: 0,
             is_leaving: false,
+            leave_heard: None,
             trouble: TargetTrouble::default(),
             records: Vec::new(),
         }
@@ -187,6 +192,13 @@
         self.is_leaving = true;
     }
 
+    /// Notes that the report of a life that leaves was acknowledged.
+    pub fn note_leave_heard(&mut self, now: Now, life: &TargetLife) {
+        if self.is_leaving && self.life() == *life {
+            self.leave_heard.get_or_insert(now);
+        }
+    }
+
     /// Ends its life, and begins another that runs nothing and has another name.
     pub fn crash(&mut self, now: Now) {
         self.restart(now);
@@ -201,6 +213,7 @@
         }
         self.born = now;
         self.is_leaving = false;
+        self.leave_heard = None;
         self.token_seen = 0;
         self.lease_until = 0;
         self.highest.clear();
@@ -313,6 +326,7 @@
             to: None,
             end: None,
             is_late: request.is_late,
+            after_leave: self.leave_heard.map(|heard| now.saturating_sub(heard)),
         });
         let run = Running {
             record: self.records.len() - 1,
--- a/lib/testutils/src/target_reports.rs
+++ b/lib/testutils/src/target_reports.rs
@@ -28,6 +28,10 @@
     answer.ok().map(|a| a.status.as_u16())
 }
 
+fn is_acknowledged(status: Option<u16>) -> bool {
+    status.is_some_and(|s| (200..300).contains(&s))
+}
+
 async fn report_once(
     client: Rc<PlatformClient>,
     target: TargetStandIn,
@@ -37,10 +41,13 @@
     let (info, sequence) = target.target().report();
     let path = stand_in_format::report_path(&info.life.name);
     let body = stand_in_format::encode_report(&info, sequence).into_bytes();
-    post(&client, &path, body).await;
+    let status = post(&client, &path, body).await;
+    if info.leaving && is_acknowledged(status) {
+        target.target().note_leave_heard(target.now(), &info.life);
+    }
     let strange = strange_report(turn, &info, sequence);
     let status = post(&client, &strange.path, strange.body).await;
-    if !strange.is_readable && status.is_some_and(|s| s < 300) {
+    if !strange.is_readable && is_acknowledged(status) {
         misheard.set(misheard.get() + 1);
     }
 }
