--- /dev/null
+++ b/lib/tests/test_run_agent/leases.rs
@@ -0,0 +1,297 @@
+//! Renewals: silence, doubt, and what may lapse.
+
+use super::*;
+
+#[test]
+fn test_handle_silent_target_is_asked_until_it_answers() {
+    let mut agent = ready_agent();
+    let mut actions = agent.handle(ms(10), packet(600_000, vec![start(0, 500)]));
+    let mut now = ms(10);
+    // It answers nothing until its leases must have run out.
+    while now < ms(3_000) {
+        // The entry goes on talking, so its link stands.
+        let mut events = vec![AgentEvent::Wake, packet(600_000, Vec::new())];
+        for action in &actions {
+            match action {
+                AgentAction::Renew { renewal, .. } => {
+                    let (number, answer) = (renewal.number, RenewalAnswer::Silent);
+                    events.push(AgentEvent::RenewalAnswered { number, answer });
+                }
+                AgentAction::Start(call) => events.push(AgentEvent::StartAnswered {
+                    key: call.key,
+                    token: call.token,
+                    answer: StartAnswer::Silent,
+                }),
+                _ => {}
+            }
+        }
+        actions = Vec::new();
+        for event in events {
+            now += ms(20);
+            actions.extend(agent.handle(now, event));
+        }
+    }
+    assert_eq!(agent.levels().runs, 0, "what ran has lapsed");
+    // It is asked on, and gets work again once it has answered.
+    let mut asked = renewals(&actions);
+    while asked.is_empty() && now < ms(4_000) {
+        now += ms(20);
+        asked = renewals(&agent.handle(now, packet(600_000, Vec::new())));
+    }
+    let number = *asked.first().expect("it is asked");
+    let answer = lists();
+    agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+    let start_by = now.as_millis() as u64 + 500;
+    let actions = agent.handle(now, packet(600_000, vec![start(1, start_by)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_lost_renewal_is_noticed_by_the_usual_time_of_answers() {
+    let mut agent = ready_agent();
+    teach_quick_answers(&mut agent);
+    // What was asked for until now is answered; the next renewal is lost.
+    let mut now = ms(203);
+    let mut actions = agent.handle(now, packet(60_000, vec![start(0, 5_000)]));
+    for number in 1..40 {
+        let answer = lists();
+        actions.extend(agent.handle(now, AgentEvent::RenewalAnswered { number, answer }));
+    }
+    let on_the_way = actions.iter().rev().find_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(*renewal),
+        _ => None,
+    });
+    let lost = on_the_way.expect("a renewal is on the way");
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_200 },
+    };
+    now += ms(1);
+    agent.handle(now, started);
+    let overdue = now + lost.wait + ms(40);
+    let mut again = None;
+    while again.is_none() && now < overdue {
+        now += ms(2);
+        again = renewals(&agent.handle(now, AgentEvent::Wake))
+            .first()
+            .copied();
+    }
+    assert!(again.is_some(), "nothing was asked again until {now:?}");
+
+    // What the first one lists, should it come after all, still counts.
+    let answer = RenewalAnswer::Lists {
+        born: None,
+        clock: 1_300,
+        running: Vec::new(),
+        ended: vec![(1, key(0), RunEnd::Done)],
+    };
+    let number = lost.number;
+    agent.handle(now + ms(1), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 0);
+}
+
+#[test]
+fn test_handle_idle_target_in_doubt_is_asked_until_it_answers() {
+    let mut agent = ready_agent();
+    // One run, and a renewal that is lost; the run's end is learnt from the start's refusal.
+    let mut actions = agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let lost = fence(&actions).number;
+    let refused = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Late,
+    };
+    agent.handle(ms(11), refused);
+    let answer = RenewalAnswer::Silent;
+    let event = AgentEvent::RenewalAnswered {
+        number: lost,
+        answer,
+    };
+    actions = agent.handle(ms(450), event);
+    let mut now = ms(450);
+    while renewals(&actions).is_empty() && now < ms(1_000) {
+        now += ms(5);
+        actions = agent.handle(now, AgentEvent::Wake);
+    }
+    let number = *renewals(&actions).first().expect("it is asked again");
+    // Until it answers, nothing is started on it.
+    let doubtful = agent.handle(now, packet(60_000, vec![start(1, 5_000)]));
+    assert_eq!(refusal(&doubtful), Some(NotStarted::Doubtful));
+    let answer = lists();
+    agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(now, packet(60_000, vec![start(2, 5_000)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+#[test]
+fn test_handle_nothing_starts_while_a_lease_must_run_out() {
+    let mut agent = ready_agent();
+    // A second entry, which will answer for its runs throughout.
+    let second: SessionId = 2;
+    agent.handle(ms(5), AgentEvent::LinkUp(second, address(2)));
+    let welcome = Welcome {
+        name: "second".into(),
+        life: 10,
+        entries: Vec::new(),
+        claims: Vec::new(),
+        evacuations: Arc::default(),
+    };
+    let from_second = |orders| {
+        let packet = EntryPacket {
+            lease_until: 60_000,
+            store_heard: 0,
+            waiting: 0,
+            orders,
+        };
+        AgentEvent::Packet(second, packet)
+    };
+    agent.handle(ms(6), from_second(vec![Order::Welcome(welcome)]));
+    agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_010 },
+    };
+    agent.handle(ms(12), started);
+    // The first entry's link breaks; its run is stopped, but the target lists it on and on.
+    agent.handle(ms(20), AgentEvent::LinkDown(LINK));
+    let mut actions = Vec::new();
+    for step in 2..90 {
+        let now = ms(10 * step);
+        let running = vec![ListedRun {
+            key: key(0),
+            percent: 1,
+        }];
+        let mut answers: Vec<AgentEvent> = renewals(&actions)
+            .into_iter()
+            .map(|number| AgentEvent::RenewalAnswered {
+                number,
+                answer: RenewalAnswer::Lists {
+                    born: None,
+                    clock: 1_000 + 10 * step,
+                    running: running.clone(),
+                    ended: Vec::new(),
+                },
+            })
+            .collect();
+        answers.push(AgentEvent::Wake);
+        let handled = answers.into_iter().map(|event| agent.handle(now, event));
+        actions = handled.collect::<Vec<_>>().concat();
+    }
+    // A start would extend the lease of that run as well.
+    let actions = agent.handle(ms(900), from_second(vec![start(1, 5_000)]));
+    assert_eq!(starts(&actions), 0, "{actions:?}");
+}
+
+/// The ends of the leases that the renewals ask for.
+fn leases(actions: &[AgentAction]) -> Vec<Option<u64>> {
+    let renewals = actions.iter().filter_map(|a| match a {
+        AgentAction::Renew { renewal, .. } => Some(renewal.until),
+        _ => None,
+    });
+    renewals.collect()
+}
+
+/// A new life of an agent whose target runs something of an earlier life's, read at 2 ms. Gives
+/// the actions with it.
+fn agent_with_adopted_run() -> (RunAgent, Vec<AgentAction>) {
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    let actions = agent.handle(ms(1), AgentEvent::Wake);
+    let number = renewals(&actions)[0];
+    let answer = running(&[key(0)]);
+    let actions = agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 1, "it is adopted");
+    (agent, actions)
+}
+
+#[test]
+fn test_handle_run_without_owner_is_not_renewed() {
+    let (mut agent, mut actions) = agent_with_adopted_run();
+    let mut stopped_at = None;
+    for step in 1..40 {
+        let now = ms(2 + 10 * step);
+        assert!(leases(&actions).iter().all(Option::is_none), "{actions:?}");
+        if actions
+            .iter()
+            .any(|a| matches!(a, AgentAction::Stop { .. }))
+        {
+            stopped_at.get_or_insert(now);
+        }
+        let mut next = agent.handle(now, AgentEvent::Wake);
+        for number in renewals(&actions) {
+            let answer = running(&[key(0)]);
+            next.extend(agent.handle(now, AgentEvent::RenewalAnswered { number, answer }));
+        }
+        actions = next;
+    }
+    let stopped_at = stopped_at.expect("nobody claims it, so it is stopped");
+    assert!(stopped_at < ms(300), "{stopped_at:?}");
+}
+
+#[test]
+fn test_handle_claimed_run_is_renewed() {
+    let (mut agent, actions) = agent_with_adopted_run();
+    let number = *renewals(&actions).last().expect("a look is on the way");
+    agent.handle(ms(10), AgentEvent::LinkUp(LINK, address(1)));
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: vec![(key(0), SIZE)],
+        evacuations: Arc::default(),
+    };
+    agent.handle(ms(11), packet(60_000, vec![Order::Welcome(welcome)]));
+    let answer = running(&[key(0)]);
+    let actions = agent.handle(ms(12), AgentEvent::RenewalAnswered { number, answer });
+    assert!(leases(&actions).iter().any(Option::is_some), "{actions:?}");
+}
+
+/// Ends that entries are told.
+fn ends(actions: &[AgentAction]) -> Vec<(RunKey, RunEnd)> {
+    let mut ends = Vec::new();
+    for action in actions {
+        let AgentAction::Send(_, packet) = action else {
+            continue;
+        };
+        for news in &packet.news {
+            if let AgentNews::Ended { key, end, .. } = news {
+                ends.push((*key, *end));
+            }
+        }
+    }
+    ends
+}
+
+#[test]
+fn test_handle_stop_before_the_lists_are_read_proves_nothing() {
+    // A new life of the agent, beside a target that still runs what an earlier life started.
+    let key = key(0);
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    agent.handle(ms(1), AgentEvent::LinkUp(LINK, address(1)));
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: vec![(key, SIZE)],
+        evacuations: Arc::default(),
+    };
+    let orders = vec![Order::Welcome(welcome), Order::Stop(vec![key])];
+    let actions = agent.handle(ms(2), packet(60_000, orders));
+    assert_eq!(ends(&actions), [], "it may still run");
+    let actions = agent.handle(ms(3), report("life-1", false, 1));
+    let (number, _) = questions(&actions)[0];
+    let actions = agent.handle(ms(4), life_answered(number, LifeAnswer::Lives(None)));
+    let number = renewals(&actions)[0];
+    let running = vec![ListedRun { key, percent: 10 }];
+    let answer = RenewalAnswer::Lists {
+        born: None,
+        clock: 1_000,
+        running,
+        ended: Vec::new(),
+    };
+    let actions = agent.handle(ms(5), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(ends(&actions), [], "it runs");
+    let is_stop = |a: &AgentAction| matches!(a, AgentAction::Stop { key: k, .. } if *k == key);
+    assert!(actions.iter().any(is_stop), "it is stopped: {actions:?}");
+}
--- /dev/null
+++ b/lib/tests/test_run_agent/lives.rs
@@ -0,0 +1,186 @@
+//! Lives of the target: whose report and whose answer counts.
+
+use super::*;
+
+#[test]
+fn test_handle_late_report_of_ready_does_not_take_leaving_back() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), report("life-1", true, 3));
+    agent.handle(ms(11), report("life-1", false, 2));
+    let actions = agent.handle(ms(12), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(refusal(&actions), Some(NotStarted::Leaving));
+}
+
+#[test]
+fn test_handle_new_life_is_learnt_before_it_gets_work() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), report("life-2", false, 1));
+    let (number, life) = questions(&actions)[0];
+    assert_eq!(life, "life-2");
+    let actions = agent.handle(ms(10), life_answered(number, LifeAnswer::Lives(None)));
+    let asked = renewals(&actions);
+    assert_eq!(asked.len(), 1, "its lists are asked for");
+    let refused = agent.handle(ms(11), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(refusal(&refused), Some(NotStarted::Unreachable));
+    let number = asked[0];
+    let answer = lists();
+    agent.handle(ms(12), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(13), packet(60_000, vec![start(1, 500)]));
+    assert_eq!(starts(&actions), 1);
+}
+
+/// An agent on whose target a run of its entry goes, started at 12 ms.
+fn agent_with_run() -> RunAgent {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_010 },
+    };
+    agent.handle(ms(12), started);
+    assert_eq!(agent.levels().runs, 1);
+    agent
+}
+
+#[test]
+fn test_handle_late_report_of_a_dead_life_ends_nothing() {
+    let mut agent = agent_with_run();
+    // A cut held it back until its sender had crashed and the present life had reported.
+    let actions = agent.handle(ms(20), report("life-0", false, 9));
+    assert_eq!(agent.levels().runs, 1, "a report proves nothing");
+    let (number, life) = questions(&actions)[0];
+    assert_eq!(life, "life-0");
+    agent.handle(ms(21), life_answered(number, LifeAnswer::OtherLife));
+    assert_eq!(agent.levels().runs, 1);
+    let actions = agent.handle(ms(22), packet(60_000, vec![start(1, 5_000)]));
+    assert_eq!(starts(&actions), 1, "the living life gets work");
+    // What is known to be dead is not asked again.
+    let actions = agent.handle(ms(23), report("life-0", false, 10));
+    assert_eq!(questions(&actions), []);
+}
+
+#[test]
+fn test_handle_answer_of_a_new_life_ends_the_one_before() {
+    let mut agent = agent_with_run();
+    let actions = agent.handle(ms(20), report("life-2", false, 1));
+    assert_eq!(agent.levels().runs, 1, "a report proves nothing");
+    let (number, _) = questions(&actions)[0];
+    agent.handle(ms(21), life_answered(number, LifeAnswer::Lives(None)));
+    assert_eq!(agent.levels().runs, 0);
+}
+
+#[test]
+fn test_handle_silent_life_is_asked_again_for_a_while() {
+    let mut agent = agent_with_run();
+    let mut actions = agent.handle(ms(20), report("life-2", false, 1));
+    let mut asked = 0;
+    for step in 3..1_000 {
+        let now = ms(10 * step);
+        let mut next = Vec::new();
+        for (number, _) in questions(&actions) {
+            asked += 1;
+            next.extend(agent.handle(now, life_answered(number, LifeAnswer::Silent)));
+        }
+        next.extend(agent.handle(now, AgentEvent::Wake));
+        actions = next;
+    }
+    assert!((10..60).contains(&asked), "asked {asked} times");
+}
+
+#[test]
+fn test_handle_answer_from_before_the_present_life_does_not_end_it() {
+    // An agent that has just started and knows nothing: the dead life's report comes first.
+    let mut agent = ready_agent();
+    let old = agent.handle(ms(20), report("life-2", false, 1));
+    let (old_question, _) = questions(&old)[0];
+    let new = agent.handle(ms(21), report("life-3", false, 1));
+    let (new_question, _) = questions(&new)[0];
+    let actions = agent.handle(ms(22), life_answered(new_question, LifeAnswer::Lives(None)));
+    let (asked_anew, life) = questions(&actions)[0];
+    assert_eq!(life, "life-2");
+    // The dead life's answer was on its way for longer.
+    let late = agent.handle(ms(23), life_answered(old_question, LifeAnswer::Lives(None)));
+    assert_eq!(refusal(&late), None);
+    agent.handle(ms(24), life_answered(asked_anew, LifeAnswer::OtherLife));
+    let number = *renewals(&actions).last().expect("its lists are asked for");
+    let answer = lists();
+    agent.handle(ms(25), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(26), packet(60_000, vec![start(1, 5_000)]));
+    let call = start_calls(&actions).pop().expect("it is started");
+    assert_eq!(&*call.life, "life-3");
+}
+
+#[test]
+fn test_handle_late_lists_of_a_dead_life_are_not_read() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)]));
+    let old = fence(&actions).number;
+    let actions = agent.handle(ms(20), report("life-2", false, 1));
+    let (number, _) = questions(&actions)[0];
+    let actions = agent.handle(ms(21), life_answered(number, LifeAnswer::Lives(None)));
+    let new = fence(&actions).number;
+    let (number, answer) = (new, lists());
+    agent.handle(ms(22), AgentEvent::RenewalAnswered { number, answer });
+    // Its number of ends is far above those of the present life.
+    let answer = RenewalAnswer::Lists {
+        born: None,
+        clock: 900_000,
+        running: Vec::new(),
+        ended: vec![(500, key(9), RunEnd::Done)],
+    };
+    let number = old;
+    agent.handle(ms(23), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(24), packet(60_000, vec![start(1, 5_000)]));
+    let call = start_calls(&actions).pop().expect("it is started");
+    assert!(
+        call.until < 100_000,
+        "the dead life's clock: {}",
+        call.until
+    );
+    let started = AgentEvent::StartAnswered {
+        key: key(1),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_020 },
+    };
+    let actions = agent.handle(ms(25), started);
+    let number = renewals(&actions).last().copied().unwrap_or(new + 1);
+    let answer = RenewalAnswer::Lists {
+        born: None,
+        clock: 1_030,
+        running: Vec::new(),
+        ended: vec![(1, key(1), RunEnd::Done)],
+    };
+    agent.handle(ms(30), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.levels().runs, 0, "its own end is news");
+}
+
+/// Targets that the actions tell of.
+fn targets_told(actions: &[AgentAction]) -> Vec<Option<TargetInfo>> {
+    let sent = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(_, packet) => Some(packet),
+        _ => None,
+    });
+    let news = sent.flat_map(|p| p.news.clone());
+    let told = news.filter_map(|n| match n {
+        AgentNews::Target(target) => Some(target),
+        _ => None,
+    });
+    told.collect()
+}
+
+#[test]
+fn test_handle_target_is_offered_once_its_lists_are_read() {
+    // An entry that is told of it sooner says that it is ready, and has no room for its first batches.
+    let mut agent = RunAgent::new(Now::ZERO, options());
+    let actions = agent.handle(ms(1), AgentEvent::LinkUp(LINK, address(1)));
+    assert_eq!(targets_told(&actions), [None]);
+    let actions = agent.handle(ms(2), report("life-1", false, 1));
+    let number = questions(&actions)[0].0;
+    let actions = agent.handle(ms(3), life_answered(number, LifeAnswer::Lives(None)));
+    assert_eq!(targets_told(&actions), []);
+    let number = renewals(&actions)[0];
+    let answer = lists();
+    let actions = agent.handle(ms(4), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(targets_told(&actions), [Some(info("life-1", false))]);
+}
