--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -10,11 +10,15 @@
 mod links;
 mod operators;
 mod process;
+mod shape;
+mod strike;
 mod targets;
 
 pub use callers::Caller;
 pub use entry_traffic::Traffic;
 pub use hits::POWER_OFF;
+pub use shape::{FleetShape, Node};
+pub use strike::Strike;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -38,7 +42,7 @@
 use trestleknot_lib::target_life::TargetLife;
 use trestleknot_lib::timings::{PlatformBounds, Timings};
 
-use crate::run_target::{RunTarget, SERVICE, TargetTrouble};
+use crate::run_target::{RunTarget, SERVICE};
 use entry_traffic::EntryTraffic;
 use links::Links;
 use operators::Operators;
@@ -63,101 +67,6 @@
     accelerators: 0,
 };
 
-/// A process of the fleet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Node {
-    /// An entry.
-    Entry(usize),
-    /// An agent.
-    Agent(usize),
-}
-
-/// How large a fleet is, and what it runs on.
-#[derive(Debug, Clone, Copy)]
-pub struct FleetShape {
-    /// Number of entries.
-    pub entries: usize,
-    /// Number of agents, each with a target.
-    pub agents: usize,
-    /// The platform's bounds.
-    pub bounds: PlatformBounds,
-    /// What each target has.
-    pub capacity: Resources,
-    /// One way between two processes, their own work included.
-    pub one_way: Duration,
-    /// Number of data halls, over which processes are dealt in turn.
-    pub halls: usize,
-    /// Whether entries link to each other.
-    pub entries_meet: bool,
-    /// How long after its order an evacuation must be obeyed; without it there is no store.
-    pub evacuation_bound: Option<Duration>,
-    /// What an entry's link carries each way, in Mbit/s; without it, everything at once.
-    pub entry_link_mbps: Option<f64>,
-    /// Number of entries, the first ones, that processes are told of at start; all if there is none.
-    pub seeds: Option<usize>,
-}
-
-impl Default for FleetShape {
-    fn default() -> Self {
-        Self {
-            entries: ENTRIES,
-            agents: AGENTS,
-            bounds: PlatformBounds::default(),
-            capacity: CAPACITY,
-            one_way: links::DELAY,
-            halls: 1,
-            entries_meet: false,
-            evacuation_bound: None,
-            entry_link_mbps: None,
-            seeds: None,
-        }
-    }
-}
-
-/// Something that goes wrong.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Strike {
-    /// A process is killed and starts again 300 ms later.
-    Kill(Node),
-    /// The same, but its connections say nothing.
-    PowerOff(Node),
-    /// The same for so long.
-    PowerOffFor(Node, Duration),
-    /// A process stands still.
-    Freeze(Node, Duration),
-    /// A process is cut off from all others.
-    Cut(Node, Duration),
-    /// All connections of a process are reset, its callers' as well.
-    Reset(Node),
-    /// A process is told to stop, and starts again once it has.
-    Drain(Node),
-    /// A target dies; its next life has another name and reports 200 ms later.
-    Crash(usize),
-    /// A target dies; its next life has its name and reports 200 ms later.
-    Restart(usize),
-    /// A target is in trouble for a while.
-    Trouble(usize, TargetTrouble, Duration),
-    /// Half of the orders to a target are not answered for a while, and carried out seconds later.
-    LateOrders(usize, Duration),
-    /// A target's reports come again seconds later for a while, and half of them only then.
-    LateReports(usize, Duration),
-    /// Beside each report of a target, another writer sends one that can be read and is not the
-    /// target's, for a while.
-    Strangers(usize, Duration),
-    /// A target says that it leaves.
-    Leave(usize),
-    /// The time of day from which tokens come is set back by an hour.
-    ClockBack,
-    /// A data hall is evacuated.
-    Evacuate(usize),
-    /// A data hall is given back.
-    GiveBack(usize),
-    /// A process is cut off from the store.
-    StoreCut(Node, Duration),
-    /// The store answers nobody.
-    StoreDown(Duration),
-}
-
 enum Event {
     Wake(Node, u64),
     Deliver(Node, SessionId, Packet),
