agent: ends are named as seen only at once behind their listing

Cause: found by a new test on the real programs. A target that starts again while it has nothing to do breaks no call; the next renewal named end 48 of the former life as seen, the new life forgot its own ends below it, and runs that were done passed for lost and were started a second time. Change: a renewal names the last end seen only if the lists were read in the same moment; behind a silence or a pause it names none. What is listed again is known by its number.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -10,6 +10,7 @@
 use testutils::platform_stand_ins::Fault;
 use testutils::process_fleet::{self, HOST, PREFIX, ProcessFleet, Role, Signal};
 use testutils::target_reports::{Misheard, report_forever};
+use trestleknot_lib::run::RunEnd;
 use trestleknot_lib::worker_threads::run_system;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_trestleknot");
@@ -116,6 +117,46 @@
     });
 }
 
+#[test]
+fn test_serve_target_restarted_under_its_name_is_heard() {
+    with_fleet("restart", 75, 1, 2, async |fleet| {
+        let client = client(fleet, 0).await;
+        // Numbers of reports and ends rise in the first life.
+        for id in 0..6 {
+            assert_eq!(submit(&client, 0x100 + id, 8, 30).await, succeeded());
+        }
+        let target = fleet.targets[0].clone();
+        target.target().restart(target.now());
+        // A process that ends closes its connections.
+        fleet.target_proxies[0].reset();
+        let before = target.target().records.len();
+        let mut id = 0x200;
+        while target.target().records.len() < before + 8 && id < 0x2ff {
+            assert_eq!(submit(&client, id, 8, 30).await, succeeded());
+            id += 1;
+        }
+        let records = target.target().records[before..].to_vec();
+        assert!(!records.is_empty(), "it gets work: {}", fleet.log(1));
+        let done = records.iter().filter(|r| r.end == Some(RunEnd::Done));
+        let mut done: Vec<_> = done.map(|r| r.key.task).collect();
+        done.sort_unstable();
+        let twice = done.windows(2).find(|pair| pair[0] == pair[1]);
+        assert_eq!(twice, None, "a done run passed for lost: {}", fleet.log(1));
+        target.target().leave();
+        while target.target().leave_heard().is_none() {
+            ntex::time::sleep(Duration::from_millis(20)).await;
+        }
+        // What was on its way to the agent is started before it takes in the leave, or never.
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        let before = target.target().records.len();
+        for id in 0..3 {
+            assert_eq!(submit(&client, 0x300 + id, 8, 30).await, succeeded());
+        }
+        let after = target.target().records.len();
+        assert_eq!(after, before, "it leaves: {}", fleet.log(1));
+    });
+}
+
 #[test]
 fn test_serve_planned_stops_cut_off_nothing() {
     with_fleet("stops", 64, 2, 2, async |fleet| {
--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -96,12 +96,12 @@
     pub(super) fn check_born(&mut self, number: u64, born: Option<BornMillis>) {
         let is_current = self.lives.current_life().is_none_or(|l| l.tells(born));
         if is_current && !self.lease.is_other_life(born) {
-            self.lease.note_life(born);
+            self.lease.note_life(self.now, born);
             return;
         }
         self.life_over("lists of another start");
         self.lease.forget_numbers(number);
-        self.lease.note_life(born);
+        self.lease.note_life(self.now, born);
         self.tell_target();
     }
 
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -51,7 +51,7 @@
     pub token: FencingToken,
     /// New end of the lease on the target's clock; none to look only.
     pub until: Option<TargetMillis>,
-    /// Ends up to this one are known.
+    /// Ends up to this one are known, and were listed just now; otherwise zero.
     pub last_seen: EndNumber,
     /// How long the target may wait for an end before it answers.
     pub wait: Duration,
@@ -100,6 +100,8 @@
     /// When the life whose lists were read last began.
     born: Option<BornMillis>,
     last_seen: EndNumber,
+    /// When the lists were read last.
+    listed_at: Option<Now>,
     in_flight: Option<InFlight>,
     next_number: u64,
     /// First number of a renewal to the present life of the target.
@@ -125,6 +127,7 @@
             clock: None,
             born: None,
             last_seen: 0,
+            listed_at: None,
             in_flight: None,
             next_number: 1,
             first_number: 1,
@@ -170,8 +173,9 @@
     }
 
     /// Notes which life tells the lists that are read.
-    pub fn note_life(&mut self, born: Option<BornMillis>) {
+    pub fn note_life(&mut self, now: Now, born: Option<BornMillis>) {
         self.born = born.or(self.born);
+        self.listed_at = Some(now);
     }
 
     /// Notes that the target answers.
@@ -321,12 +325,12 @@
             token: self.token,
             wait,
         });
-        // Behind a silence a new life may answer, whose ends this number would make it forget: runs
-        // that it has done would then pass for lost.
-        let last_seen = if self.is_in_doubt() {
-            0
-        } else {
+        // Behind a silence or a pause a new life may answer, whose ends this number would make it
+        // forget: runs that it has done would then pass for lost.
+        let last_seen = if self.listed_at == Some(now) {
             self.last_seen
+        } else {
+            0
         };
         Renewal {
             number,
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -199,6 +199,11 @@
         }
     }
 
+    /// When the leave of its present life was acknowledged.
+    pub fn leave_heard(&self) -> Option<Now> {
+        self.leave_heard
+    }
+
     /// Ends its life, and begins another that runs nothing and has another name.
     pub fn crash(&mut self, now: Now) {
         self.restart(now);
