--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -92,7 +92,8 @@
         self.target_changed();
     }
 
-    /// Notices by its lists that the target started again under its name.
+    /// Notices by its lists that the target started again under its name. Its numbers begin anew:
+    /// compared with those of the life before, a leave and every end passed for old news.
     pub(super) fn check_born(&mut self, number: u64, born: Option<BornMillis>) {
         let is_current = self.lives.current_life().is_none_or(|l| l.tells(born));
         if is_current && !self.lease.is_other_life(born) {
