agent: what was ordered under a former name is lost once another name answers

Cause: runs were kept over a goodbye, and a late 421 to a start that bore the former name ended the life that was current by then and shut it out for good. Change: the lives remember the name under which orders went out last; a life of another name ends what was ordered under it, one of the same name leaves that to its lists.

--- a/lib/src/run_agent/lives.rs
+++ b/lib/src/run_agent/lives.rs
@@ -79,11 +79,12 @@
     }
 
     fn life_begins(&mut self, life: &TargetLife) {
-        let is_namesake = self.lives.current_name().as_ref() == Some(&life.name);
-        if is_namesake {
-            self.life_over("it started again");
-        } else {
-            self.end_life("a new life answers");
+        // Orders that bore another name can't have been obeyed by this life, and those of its own
+        // name can: what they started is told by its lists. At first nothing was ordered.
+        let is_other_name = self.lives.last_name().is_some_and(|n| *n != life.name);
+        self.life_over("a new life answers");
+        if is_other_name {
+            self.end_all(RunEnd::Lost);
         }
         // What was read without a name may have been another life's.
         self.lease.reset_life();
--- a/lib/src/target_lives.rs
+++ b/lib/src/target_lives.rs
@@ -74,6 +74,8 @@
 #[derive(Debug, Default)]
 pub struct TargetLives {
     current: Option<TargetInfo>,
+    /// Name of the last life that was current: orders that may still be on their way bear it.
+    last_name: Option<TargetName>,
     /// Number of the current life's last report.
     sequence: u64,
     past: VecDeque<TargetLife>,
@@ -96,6 +98,11 @@
         self.current_life().map(|life| life.name.clone())
     }
 
+    /// Name of the last life that was worked with.
+    pub fn last_name(&self) -> Option<&TargetName> {
+        self.last_name.as_ref()
+    }
+
     /// Whether the target may be leaving: by the current life's word, or by that of another life of
     /// its name that is still being asked. The latter was missed where lives were told apart by
     /// name alone: a target got new work for 3.7 s after its leave.
@@ -190,6 +197,7 @@
             return;
         };
         let TargetReport { info, sequence } = self.reported.remove(position).report;
+        self.last_name = Some(info.life.name.clone());
         self.current = Some(info);
         self.sequence = sequence;
         // An answer of another life may be on its way from before this one began.
