--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -173,6 +173,8 @@
         seed: incarnation,
         timings: common.timings,
         link_rate: common.link_rate,
+        processor_share: common.processor_share,
+        far_factor: common.far_factor,
     };
     let node = EntryNode::start(options, listener);
     let feed = Rc::new(Store::new(common.store).await);
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -12,7 +12,7 @@
 use crate::resources::Resources;
 use crate::run::{NotStarted, RunEnd, RunKey};
 use crate::run_message::{
-    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Packet, Welcome,
+    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Packet, Welcome,
 };
 use crate::target_health::HealthReport;
 use crate::target_registry::{EjectionChange, LoadReport, StartRefusal, TaskRequirements};
@@ -119,6 +119,7 @@
             entries: self.directory.entries(),
             claims,
             evacuations: self.directory.evacuations().clone(),
+            protocol: PROTOCOL_VERSION,
         };
         let mut outbox = Outbox {
             orders: vec![Order::Welcome(welcome)],
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -36,6 +36,10 @@
     pub timings: Timings,
     /// Rate of the VM's network link in bytes per second, if known.
     pub link_rate: Option<ByteRate>,
+    /// Share of a core that the process may use, if limited.
+    pub processor_share: Option<f64>,
+    /// Factor on the run time of a task outside its preferred rack, if the platform states it.
+    pub far_factor: Option<f64>,
 }
 
 /// A batch as it arrives from a caller.
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -22,7 +22,9 @@
 use crate::preferred_entries::{FULL_MESH_LIMIT, LinkStep, PREFERRED_COUNT, PreferredEntries};
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
-use crate::run_message::{ClosingBatch, Packet, PeerIntro, PeerNews, PeerPacket};
+use crate::run_message::{
+    ClosingBatch, EntryMillis, PROTOCOL_VERSION, Packet, PeerIntro, PeerNews, PeerPacket,
+};
 
 /// Number of entries to which an entry of a large fleet links. On average as many link to it.
 const NEIGHBOUR_COUNT: usize = 6;
@@ -146,13 +148,19 @@
             self.peers.tell(now, link, PeerNews::WantConfig);
         }
         for (link, news) in self.peers.take_due(now) {
-            self.send(link, news);
+            self.send(now, link, news);
         }
         std::mem::take(&mut self.pending_actions)
     }
 
-    fn send(&mut self, link: SessionId, news: Vec<PeerNews>) {
-        let packet = Packet::BetweenEntries(PeerPacket { news });
+    fn processor_millis(&self) -> u32 {
+        let share = self.options.processor_share;
+        share.map_or(0, |share| (share * 1_000.0).round() as u32)
+    }
+
+    fn send(&mut self, now: Now, link: SessionId, news: Vec<PeerNews>) {
+        let clock = now.as_millis() as EntryMillis;
+        let packet = Packet::BetweenEntries(PeerPacket { clock, news });
         self.pending_actions.push(EntryAction::Send(link, packet));
     }
 
@@ -169,6 +177,8 @@
             config: self.config.version(),
             evacuations: self.evacuations.state().position,
             entries: self.peers.known(),
+            protocol: PROTOCOL_VERSION,
+            processor_millis: self.processor_millis(),
         }
     }
 
@@ -195,7 +205,7 @@
     pub fn greet(&mut self, now: Now, link: SessionId, address: SocketAddr) {
         self.neighbours.link_up(now, address, link);
         let hello = PeerNews::Hello(self.intro());
-        self.send(link, vec![hello]);
+        self.send(now, link, vec![hello]);
     }
 
     /// Records that a link is gone.
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -27,7 +27,7 @@
 use crate::run::{RunEnd, RunKey};
 use crate::run_event::{AgentAction, AgentEvent, AgentGauges, AgentOptions};
 use crate::run_message::{
-    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, Welcome,
+    AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Welcome,
 };
 use crate::run_table::{Run, RunTable, Stopping};
 use crate::target_health::TargetHealth;
@@ -238,6 +238,7 @@
             name: self.options.name.clone(),
             life: self.options.incarnation,
             hall: self.options.hall.clone(),
+            protocol: PROTOCOL_VERSION,
         };
         let target = AgentNews::Target(self.announced_target());
         if let Some(found) = self.entry_links.get_mut(link) {
@@ -345,6 +346,7 @@
             entries,
             claims,
             evacuations,
+            protocol: _,
         } = welcome;
         let count = claims.len();
         self.log(
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -21,6 +21,21 @@
 /// Milliseconds since the start of one incarnation of an agent.
 pub type AgentMillis = u64;
 
+/// Milliseconds since the start of one incarnation of an entry.
+pub type EntryMillis = u64;
+
+/// Version of the messages that a process understands. Processes of different builds run side by
+/// side during an upgrade, and a link is closed on a message that can't be decoded. Messages of a
+/// later version are therefore sent only to processes that announced it.
+pub type ProtocolVersion = u32;
+
+/// Version of the messages of this build. Builds that announce none count as version 0.
+pub const PROTOCOL_VERSION: ProtocolVersion = 1;
+
+fn is_default<T: Default + PartialEq>(value: &T) -> bool {
+    *value == T::default()
+}
+
 /// One message on a link.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Packet {
@@ -151,6 +166,9 @@
     pub life: Incarnation,
     /// Data hall of its VM.
     pub hall: HallName,
+    /// Version of the messages that the agent understands.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub protocol: ProtocolVersion,
 }
 
 /// What a target reports about itself and its incarnation.
@@ -245,6 +263,9 @@
     pub claims: Vec<(RunKey, Resources)>,
     /// The evacuated halls.
     pub evacuations: Arc<EvacuatedHalls>,
+    /// Version of the messages that the entry understands.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub protocol: ProtocolVersion,
 }
 
 /// Tasks of one step to start on one target.
@@ -300,6 +321,9 @@
 /// A packet between two entries.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerPacket {
+    /// The sender's clock when it wrote the packet.
+    #[serde(rename = "t", default, skip_serializing_if = "is_default")]
+    pub clock: EntryMillis,
     /// News, in order.
     pub news: Vec<PeerNews>,
 }
@@ -385,4 +409,10 @@
     pub evacuations: StorePosition,
     /// Entries that it knows.
     pub entries: Vec<SocketAddr>,
+    /// Version of the messages that it understands.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub protocol: ProtocolVersion,
+    /// Share of a core that its process may use, in thousandths; 0 if not known.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub processor_millis: u32,
 }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -42,6 +42,8 @@
         seed: 1,
         timings: Timings::default(),
         link_rate,
+        processor_share: None,
+        far_factor: None,
     })
 }
 
@@ -184,6 +186,7 @@
         name: format!("agent-{link}").into(),
         life: link,
         hall: hall.into(),
+        protocol: 0,
     };
     let target = TargetInfo {
         life: TargetIncarnation {
@@ -330,9 +333,14 @@
         config: 1,
         evacuations: 0,
         entries: Vec::new(),
+        protocol: 0,
+        processor_millis: 0,
     };
     let from_peer = |news| {
-        let packet = PeerPacket { news: vec![news] };
+        let packet = PeerPacket {
+            clock: 0,
+            news: vec![news],
+        };
         EntryEvent::Packet(9, Packet::BetweenEntries(packet))
     };
     let state = |place, halls: &[&str]| match evacuated(place, halls) {
--- a/lib/tests/test_entry_directory.rs
+++ b/lib/tests/test_entry_directory.rs
@@ -228,6 +228,8 @@
         seed: 1,
         timings: Timings::default(),
         link_rate: None,
+        processor_share: None,
+        far_factor: None,
     };
     EntryDirectory::new(Arc::new(options), Timings::default().lost_agent_bound)
 }
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -583,7 +583,10 @@
 }
 
 fn peer_packet(news: PeerNews) -> Packet {
-    Packet::BetweenEntries(PeerPacket { news: vec![news] })
+    Packet::BetweenEntries(PeerPacket {
+        clock: 0,
+        news: vec![news],
+    })
 }
 
 fn agent_news() -> Vec<AgentNews> {
@@ -592,6 +595,7 @@
             name: "agent-1".into(),
             life: 0xa1,
             hall: "hall-1".into(),
+            protocol: 0,
         }),
         AgentNews::Target(Some(target_info(Some(77)))),
         AgentNews::Target(Some(target_info(None))),
@@ -625,6 +629,7 @@
             entries: vec![address(2), six()],
             claims: vec![(run_key(), SIZE)],
             evacuations: halls(),
+            protocol: 0,
         }),
         start_order(Some(Payload::from("a text")), true),
         start_order(Some(packed()), false),
@@ -648,6 +653,8 @@
             config: 9,
             evacuations: 17,
             entries: vec![address(2)],
+            protocol: 0,
+            processor_millis: 0,
         }),
         PeerNews::ConfigVersion(9),
         PeerNews::WantConfig,
@@ -1450,6 +1457,8 @@
                 seed: 1,
                 timings,
                 link_rate: None,
+                processor_share: None,
+                far_factor: None,
             },
             listener,
         );
--- a/lib/tests/test_run_agent/leases.rs
+++ b/lib/tests/test_run_agent/leases.rs
@@ -136,6 +136,7 @@
         entries: Vec::new(),
         claims: Vec::new(),
         evacuations: Arc::default(),
+        protocol: 0,
     };
     let from_second = |orders| {
         let packet = EntryPacket {
@@ -240,6 +241,7 @@
         entries: Vec::new(),
         claims: vec![(key(0), SIZE)],
         evacuations: Arc::default(),
+        protocol: 0,
     };
     agent.handle(ms(11), packet(60_000, vec![Order::Welcome(welcome)]));
     let answer = running(&[key(0)]);
@@ -275,6 +277,7 @@
         entries: Vec::new(),
         claims: vec![(key, SIZE)],
         evacuations: Arc::default(),
+        protocol: 0,
     };
     let orders = vec![Order::Welcome(welcome), Order::Stop(vec![key])];
     let actions = agent.handle(ms(2), packet(60_000, orders));
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -137,6 +137,7 @@
         entries: Vec::new(),
         claims: Vec::new(),
         evacuations: Arc::default(),
+        protocol: 0,
     };
     agent.handle(ms(4), packet(60_000, vec![Order::Welcome(welcome)]));
     agent
--- a/lib/tests/test_run_agent/starts.rs
+++ b/lib/tests/test_run_agent/starts.rs
@@ -37,6 +37,7 @@
         entries: Vec::new(),
         claims: Vec::new(),
         evacuations: Arc::default(),
+        protocol: 0,
     };
     let orders = vec![Order::Welcome(welcome), start(0, 5_000)];
     let actions = agent.handle(ms(1_000), packet(900, orders));
@@ -157,6 +158,7 @@
         entries: Vec::new(),
         claims: Vec::new(),
         evacuations: Arc::default(),
+        protocol: 0,
     };
     agent.handle(ms(10), packet(60_000, vec![Order::Welcome(welcome)]));
     let actions = agent.handle(ms(11), packet(60_000, vec![start_without_payload(3, 500)]));
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -455,6 +455,8 @@
                         .fleet_config
                         .entry_link_mbps
                         .map(|mbps| mbps * 1e6 / 8.0),
+                    processor_share: None,
+                    far_factor: None,
                 };
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntryCore::new(options));
