lib: answer a closed batch as failed only if a task of it is given up

Cause: at the end of a caller's time, a batch was answered as failed as soon as one of its tasks had two crashes, also if it had shared both with other runs. Change: the end of a batch uses the same rule as the end of a run (two crashes with the last one alone, or three). The history keeps whether the task is given up.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -197,10 +197,10 @@
         self.steps.iter().all(|s| s.unfinished == 0)
     }
 
-    /// Returns whether targets crashed at least twice while running one of its tasks.
-    pub fn crashes_targets(&self) -> bool {
+    /// Returns whether one of its tasks is given up because targets crashed during its runs.
+    pub fn is_given_up(&self) -> bool {
         let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
-        tasks.any(|task| task.crashes.must_run_alone())
+        tasks.any(|task| task.crashes.is_given_up())
     }
 
     /// Returns the number of waiting tasks in steps that are ready; 0 unless the batch is open.
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -192,8 +192,8 @@
         let Some(mut history) = self.table.task(key).map(|task| task.crashes) else {
             return;
         };
-        let is_given_up = history.record(alone);
-        let code = if is_given_up {
+        history.record(alone);
+        let code = if history.is_given_up() {
             EventCode::TaskGivenUp
         } else {
             EventCode::TaskSuspected
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -343,7 +343,7 @@
             self.directory.tell_closed(self.now, id);
         }
         if let Some(request) = batch.request {
-            let reply = if batch.crashes_targets() {
+            let reply = if batch.is_given_up() {
                 // The caller must not retry elsewhere: the batch would crash targets there too.
                 Reply::Failed
             } else if batch.was_dispatched {
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -307,7 +307,8 @@
             }
             RunOutcome::Crashed { alone } => {
                 task.avoid = Some(agent.clone());
-                failed = task.crashes.record(alone);
+                task.crashes.record(alone);
+                failed = task.crashes.is_given_up();
             }
             RunOutcome::Retry { superseded: true } => task.run += RUN_NUMBER_JUMP,
             RunOutcome::Retry { superseded: false } => {}
--- a/lib/src/crash_history.rs
+++ b/lib/src/crash_history.rs
@@ -9,19 +9,25 @@
 /// Number of crashes after which a task is given up in any case.
 const CRASH_LIMIT: u32 = 3;
 
-/// Number of target crashes during runs of one task.
+/// Target crashes during runs of one task.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CrashHistory {
     crashes: u32,
+    is_given_up: bool,
 }
 
 impl CrashHistory {
     /// Records a crash of a target that had a run of the task. `alone` tells whether it had no
-    /// other run. Returns whether the task must be given up.
-    pub fn record(&mut self, alone: bool) -> bool {
+    /// other run.
+    pub fn record(&mut self, alone: bool) {
         self.crashes += 1;
         let is_cause = alone && self.crashes >= ALONE_CRASH_LIMIT;
-        is_cause || self.crashes >= CRASH_LIMIT
+        self.is_given_up |= is_cause || self.crashes >= CRASH_LIMIT;
+    }
+
+    /// Returns whether the task must not run again.
+    pub fn is_given_up(self) -> bool {
+        self.is_given_up
     }
 
     /// Returns whether the task should run alone if a target is idle.
