lib: agents and entries tell each other of the crashes that a task caused

Cause: crash histories died with their entry. Change: an agent sends a crash notice to all linked entries but the run's owner, an entry floods each notice once to its neighbours, and both send what they keep to processes that link later; only to protocol 1 or more. The run and its owner identify a crash, so it counts once. A new batch begins with the known crashes and with run numbers after theirs; if they suffice to give up a task, it is answered as failed and nothing starts. A notice about a held batch counts like a crash of an own run. Event 1920 names batches that begin so.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -6,6 +6,7 @@
 
 use crate::batch::{BatchSpec, StepSpec};
 use crate::crash_history::CrashHistory;
+use crate::crash_notices::KnownCrash;
 use crate::ids::{NodeName, Now, RequestId, SessionId};
 use crate::payload::Payload;
 use crate::queue::Queue;
@@ -197,6 +198,19 @@
         self.steps.iter().all(|s| s.unfinished == 0)
     }
 
+    /// Records the crashes of runs that earlier attempts had elsewhere. Run numbers continue after
+    /// theirs, because a crash is identified by its run.
+    pub fn add_known_crashes(&mut self, crashes: &[KnownCrash]) {
+        for crash in crashes {
+            let step = self.steps.get_mut(usize::from(crash.task.step));
+            let task = step.and_then(|s| s.tasks.get_mut(usize::from(crash.task.index)));
+            if let Some(task) = task {
+                task.crashes.record(crash.alone);
+                task.run = task.run.max(crash.run.saturating_add(1));
+            }
+        }
+    }
+
     /// Returns whether one of its tasks is given up because targets crashed during its runs.
     pub fn is_given_up(&self) -> bool {
         let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -11,6 +11,7 @@
 
 mod agents;
 mod callers;
+mod crashes;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -386,6 +387,9 @@
             .note_entries(self.directory.entries_per_target());
         self.announce_entries(effects.entries);
         self.needs_placing |= effects.may_place;
+        for notice in effects.crashes {
+            self.handle_crash_notice(link, notice);
+        }
         if effects.evacuations_changed {
             self.apply_evacuations();
         }
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -141,6 +141,7 @@
                 }
             }
             AgentNews::Ended { key, end, ran_ms } => self.handle_ended(link, key, end, ran_ms),
+            AgentNews::Crashed(notice) => self.handle_crash_notice(link, notice),
             AgentNews::NotStarted { key, reason } => self.handle_not_started(link, key, reason),
             AgentNews::Slow {
                 key,
@@ -167,7 +168,7 @@
         let outcome = match end {
             RunEnd::Done => RunOutcome::Done,
             RunEnd::Failed => RunOutcome::Failed,
-            RunEnd::Crashed { alone } => RunOutcome::Crashed { alone },
+            RunEnd::Crashed { .. } => RunOutcome::Crashed,
             RunEnd::Stopped | RunEnd::Lapsed | RunEnd::Lost => {
                 RunOutcome::Retry { superseded: false }
             }
@@ -181,32 +182,11 @@
             );
         }
         if let RunEnd::Crashed { alone } = end {
-            self.log_crash(link, key, alone);
+            self.note_own_crash(link, key, alone);
         }
         self.handle_run_end(key, outcome);
     }
 
-    /// Logs a crash of the target during a run. Works on a copy of the task's crash history;
-    /// `handle_run_end` updates the task.
-    fn log_crash(&mut self, link: SessionId, key: RunKey, alone: bool) {
-        let Some(mut history) = self.table.task(key).map(|task| task.crashes) else {
-            return;
-        };
-        history.record(alone);
-        let code = if history.is_given_up() {
-            EventCode::TaskGivenUp
-        } else {
-            EventCode::TaskSuspected
-        };
-        let agent = self.targets.get(link).map(|v| v.agent.clone());
-        let agent = agent.as_deref().unwrap_or("-");
-        let crashes = history.crashes();
-        self.log(
-            code,
-            format!("run={key} agent={agent} alone={alone} crashes={crashes}"),
-        );
-    }
-
     pub(super) fn handle_not_started(&mut self, link: SessionId, key: RunKey, reason: NotStarted) {
         let agent = self.targets.get(link).map(|v| v.agent.clone());
         let agent = agent.as_deref().unwrap_or("-");
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -129,8 +129,10 @@
             ),
         );
         let payload = self.packer.pack(&spec.payload);
-        let batch = Batch::new(&spec, payload, queue, request, times);
-        self.table.insert(spec.id, batch);
+        let mut batch = Batch::new(&spec, payload, queue, request, times);
+        if self.add_known_crashes(spec.id, &mut batch, request) {
+            self.table.insert(spec.id, batch);
+        }
         Ok(())
     }
 
--- /dev/null
+++ b/lib/src/batch_entry/crashes.rs
@@ -0,0 +1,104 @@
+//! Target crashes during runs of tasks: those of this entry's runs and those that agents and other
+//! entries tell of.
+
+use super::BatchEntryCore;
+use crate::active_batch::{Batch, BatchState};
+use crate::batch_event::{EntryAction, Reply};
+use crate::crash_history::CrashHistory;
+use crate::crash_notices::CrashNews;
+use crate::events::EventCode;
+use crate::ids::{RequestId, SessionId};
+use crate::run::{BatchId, RunKey};
+use crate::run_message::CrashNotice;
+
+impl BatchEntryCore {
+    /// Records the crash of a target during a run of this entry, and tells the neighbours.
+    pub(super) fn note_own_crash(&mut self, link: SessionId, key: RunKey, alone: bool) {
+        let notice = CrashNotice {
+            key,
+            owner: self.options.incarnation,
+            alone,
+            age_ms: 0,
+        };
+        let counts = match self.directory.note_crash(self.now, notice, None) {
+            CrashNews::New => true,
+            // Another process told of the crash before the run's end was reported.
+            CrashNews::Known => false,
+            // The end of a current run is reported once.
+            CrashNews::Full => self.table.task(key).is_some(),
+        };
+        if !counts {
+            return;
+        }
+        if let Some(history) = self.table.record_crash(key.task, alone) {
+            let agent = self.targets.get(link).map(|v| v.agent.clone());
+            let agent = agent.as_deref().unwrap_or("-");
+            self.log_crash(history, &format!("run={key} agent={agent} alone={alone}"));
+        }
+    }
+
+    /// Handles a notice of an agent or another entry. If the batch is held here, its task's history
+    /// grows as by a crash of an own run, and the batch may fail by it.
+    pub(super) fn handle_crash_notice(&mut self, link: SessionId, notice: CrashNotice) {
+        let news = self.directory.note_crash(self.now, notice, Some(link));
+        if news != CrashNews::New {
+            return;
+        }
+        let CrashNotice {
+            key, owner, alone, ..
+        } = notice;
+        let Some(history) = self.table.record_crash(key.task, alone) else {
+            return;
+        };
+        let age_ms = notice.age_ms;
+        let detail = format!("run={key} owner={owner:x} alone={alone} age_ms={age_ms}");
+        self.log_crash(history, &detail);
+        let id = key.task.batch;
+        let is_open = self
+            .table
+            .get(id)
+            .is_some_and(|b| b.state == BatchState::Open);
+        if is_open && history.is_given_up() {
+            self.fail_batch(id);
+        }
+    }
+
+    fn log_crash(&mut self, history: CrashHistory, detail: &str) {
+        let code = if history.is_given_up() {
+            EventCode::TaskGivenUp
+        } else {
+            EventCode::TaskSuspected
+        };
+        let crashes = history.crashes();
+        self.log(code, format!("{detail} crashes={crashes}"));
+    }
+
+    /// Adds the known crashes of earlier attempts to a new batch. If they suffice to give up one of
+    /// its tasks, answers the batch as failed and returns false.
+    pub(super) fn add_known_crashes(
+        &mut self,
+        id: BatchId,
+        batch: &mut Batch,
+        request: RequestId,
+    ) -> bool {
+        let crashes = self.directory.crashes_of(self.now, id);
+        if crashes.is_empty() {
+            return true;
+        }
+        batch.add_known_crashes(&crashes);
+        let is_given_up = batch.is_given_up();
+        let count = crashes.len();
+        self.log(
+            EventCode::CrashesKnown,
+            format!("job={id:016x} crashes={count} given_up={is_given_up}"),
+        );
+        if is_given_up {
+            let queue = &batch.queue.name;
+            let detail = format!("job={id:016x} queue={queue} answer=Failed took_ms=0");
+            self.log(EventCode::BatchAnswered, detail);
+            self.actions
+                .push(EntryAction::Reply(request, Reply::Failed));
+        }
+        !is_given_up
+    }
+}
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -6,8 +6,9 @@
 use crate::active_batch::{
     Batch, BatchState, BatchTimes, CloseReason, PlacementOrder, Task, TaskState,
 };
+use crate::crash_history::CrashHistory;
 use crate::ids::{NodeName, Now, RequestId, SessionId};
-use crate::run::{BatchId, RunKey, RunNumber};
+use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
 
 /// Additional increment of a task's run number after a target has seen a higher one.
 const RUN_NUMBER_JUMP: RunNumber = 8;
@@ -19,11 +20,8 @@
     Done,
     /// The run failed, which uses up one of the task's attempts.
     Failed,
-    /// The target crashed during the run.
-    Crashed {
-        /// Whether the target had no other run.
-        alone: bool,
-    },
+    /// The target crashed during the run. The crash is recorded with [`BatchTable::record_crash`].
+    Crashed,
     /// The run ended otherwise or never started; the task waits again.
     Retry {
         /// Whether the target has seen a higher run number.
@@ -282,6 +280,19 @@
         keys.map_or(0, |k| k.iter().filter(of_step).count() as u32)
     }
 
+    /// Records a target crash during a run of a task, which need not be its current one. Returns
+    /// the task's history; `None` if the task is not held or done.
+    pub fn record_crash(&mut self, task: TaskKey, alone: bool) -> Option<CrashHistory> {
+        let batch = self.batches.get_mut(&task.batch)?;
+        let step = batch.steps.get_mut(usize::from(task.step))?;
+        let task = step.tasks.get_mut(usize::from(task.index))?;
+        if task.state == TaskState::Done {
+            return None;
+        }
+        task.crashes.record(alone);
+        Some(task.crashes)
+    }
+
     /// Applies the outcome of a run that is proven over.
     pub fn end_run(&mut self, key: RunKey, outcome: RunOutcome) -> BatchChange {
         let id = key.task.batch;
@@ -305,9 +316,8 @@
                 task.avoid = Some(agent.clone());
                 failed = task.failures >= max_attempts;
             }
-            RunOutcome::Crashed { alone } => {
+            RunOutcome::Crashed => {
                 task.avoid = Some(agent.clone());
-                task.crashes.record(alone);
                 failed = task.crashes.is_given_up();
             }
             RunOutcome::Retry { superseded: true } => task.run += RUN_NUMBER_JUMP,
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -14,6 +14,7 @@
 
 use crate::batch_event::{EntryAction, EntryOptions};
 use crate::config_fetch::ConfigFetch;
+use crate::crash_notices::{CrashNews, CrashNotices, KnownCrash};
 use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, OfferOutcome};
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Now, SessionId};
@@ -23,7 +24,8 @@
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
 use crate::run_message::{
-    ClosingBatch, EntryMillis, PROTOCOL_VERSION, Packet, PeerIntro, PeerNews, PeerPacket,
+    CRASH_NOTICE_PROTOCOL, ClosingBatch, CrashNotice, EntryMillis, PROTOCOL_VERSION, Packet,
+    PeerIntro, PeerNews, PeerPacket,
 };
 
 /// Number of entries to which an entry of a large fleet links. On average as many link to it.
@@ -40,6 +42,8 @@
     pub may_place: bool,
     /// Whether the evacuated halls have changed.
     pub evacuations_changed: bool,
+    /// Notices of target crashes.
+    pub crashes: Vec<CrashNotice>,
 }
 
 /// Source of an entry's address.
@@ -65,6 +69,7 @@
     neighbours: PreferredEntries,
     config_fetch: ConfigFetch,
     peer_closings: PeerClosings,
+    crash_notices: CrashNotices,
     /// Batches that this entry is closing.
     own_closings: BTreeSet<BatchId>,
     pending_actions: Vec<EntryAction>,
@@ -84,6 +89,7 @@
             neighbours,
             config_fetch: ConfigFetch::default(),
             peer_closings: PeerClosings::default(),
+            crash_notices: CrashNotices::default(),
             own_closings: BTreeSet::new(),
             pending_actions: Vec::new(),
         }
@@ -253,6 +259,7 @@
                 PeerNews::Closed(closing) => {
                     effects.may_place |= self.note_closed(now, link, closing);
                 }
+                PeerNews::Crashed(notice) => effects.crashes.push(notice),
                 PeerNews::Heartbeat => {}
             }
         }
@@ -273,6 +280,9 @@
             let hello = PeerNews::Hello(self.intro());
             self.peers.tell(now, link, hello);
             self.send_closing_notices(now, link);
+            if intro.protocol >= CRASH_NOTICE_PROTOCOL {
+                self.send_crash_notices(now, link);
+            }
         }
         self.note_config(now, link, intro.config);
         let version = self.config.version();
@@ -319,6 +329,33 @@
         }
     }
 
+    /// Sends a new neighbour all kept crash notices. It may have been started after the crashes, and
+    /// get the batches that their runs belong to.
+    fn send_crash_notices(&mut self, now: Now, link: SessionId) {
+        for notice in self.crash_notices.all(now) {
+            self.peers.tell(now, link, PeerNews::Crashed(notice));
+        }
+    }
+
+    /// Keeps a crash notice. If it is new, forwards it to the neighbours except `from`.
+    pub fn note_crash(
+        &mut self,
+        now: Now,
+        notice: CrashNotice,
+        from: Option<SessionId>,
+    ) -> CrashNews {
+        let news = self.crash_notices.note(now, notice);
+        if news == CrashNews::New {
+            self.peers.tell_crash(now, notice, from);
+        }
+        news
+    }
+
+    /// The known crashes during earlier runs of a batch, the oldest first.
+    pub fn crashes_of(&self, now: Now, id: BatchId) -> Vec<KnownCrash> {
+        self.crash_notices.of_batch(now, id)
+    }
+
     fn note_closing(&mut self, now: Now, link: SessionId, closing: ClosingBatch) {
         let is_own = closing.entry == self.options.incarnation;
         if !is_own
--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -9,7 +9,7 @@
 use crate::capacity_shares::{CapacityShares, Demand, FreeCapacity};
 use crate::ids::{Incarnation, NodeName, Now, SessionId};
 use crate::resources::Resources;
-use crate::run_message::AgentNews;
+use crate::run_message::{AgentNews, ProtocolVersion};
 use crate::timings::Timings;
 
 /// Minimum interval between load reports to an entry with waiting tasks.
@@ -24,6 +24,8 @@
     pub entry: Option<Incarnation>,
     /// The entry's name, once known.
     pub name: Option<NodeName>,
+    /// Version of the messages that the entry understands; 0 until it is known.
+    pub protocol: ProtocolVersion,
     /// News to be sent.
     pub news: Vec<AgentNews>,
     /// Starts received on this link.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -110,6 +110,7 @@
     TaskMoved = 1907, Info, "slow run stopped, to go on elsewhere";
     TaskSuspected = 1908, Warn, "target crashed during a run, its task is suspected";
     TaskGivenUp = 1909, Warn, "task given up, its runs crashed targets";
+    CrashesKnown = 1920, Warn, "new batch whose earlier runs crashed targets, its tasks begin as suspects";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
     TargetLifeOver = 2003, Warn, "target incarnation ended";
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,7 +17,8 @@
 //!   [`run_message`];
 //! - state: [`adaptive_timeout`], [`payload_cache`], [`entry_discovery`], [`run_table`],
 //!   [`target_lease`], [`capacity_shares`], [`wait_forecast`], [`entry_leases`],
-//!   [`preferred_entries`], [`evacuations`], [`link_load`], [`crash_history`], [`batch_table`],
+//!   [`preferred_entries`], [`evacuations`], [`link_load`], [`crash_history`],
+//!   [`crash_notices`], [`batch_table`],
 //!   [`target_registry`], [`peer_table`], [`peer_closings`], [`config_fetch`],
 //!   [`deferred_batches`], [`entry_directory`], [`entry_drain`];
 //! - cores: [`batch_entry`] and [`run_agent`], with their events and actions in [`batch_event`] and
@@ -50,6 +51,7 @@
 pub mod core_timer;
 pub mod counters;
 pub mod crash_history;
+pub mod crash_notices;
 pub mod deferred_batches;
 pub mod entry;
 pub mod entry_daemon;
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -8,7 +8,9 @@
 use crate::evacuations::{EvacuatedHalls, StorePosition};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
-use crate::run_message::{ClosingBatch, PeerIntro, PeerNews};
+use crate::run_message::{
+    CRASH_NOTICE_PROTOCOL, ClosingBatch, CrashNotice, PeerIntro, PeerNews, ProtocolVersion,
+};
 
 /// Interval of heartbeats on an idle link between entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -30,6 +32,8 @@
     pub config: ConfigVersion,
     /// Store position up to which it knows the evacuations or was told of them.
     pub evacuations: StorePosition,
+    /// Version of the messages that it understands.
+    pub protocol: ProtocolVersion,
     /// When its last packet arrived.
     pub heard: Now,
     /// When a packet was last sent to it.
@@ -96,6 +100,7 @@
             name: intro.name.clone(),
             config: intro.config,
             evacuations: intro.evacuations,
+            protocol: intro.protocol,
             heard: now,
             sent: now,
             news: Vec::new(),
@@ -206,6 +211,15 @@
         }
     }
 
+    /// Tells every neighbour but `from` of a crash, if it understands the notice.
+    pub fn tell_crash(&mut self, now: Now, notice: CrashNotice, from: Option<SessionId>) {
+        for (link, peer) in &mut self.links {
+            if Some(*link) != from && peer.protocol >= CRASH_NOTICE_PROTOCOL {
+                peer.add(now, PeerNews::Crashed(notice), FORWARDED_NOTICE_DELAY);
+            }
+        }
+    }
+
     /// Takes the packets that are due.
     pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, Vec<PeerNews>)> {
         let mut due = Vec::new();
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -5,6 +5,7 @@
 //! makes sure that the runs fit the target's resources, and it stops the runs of entries whose
 //! leases have lapsed. docs/design/platform.md derives the timing bounds.
 
+mod crashes;
 mod evacuation;
 mod incarnations;
 mod lists;
@@ -15,6 +16,7 @@
 
 use crate::adaptive_timeout::AdaptiveTimeout;
 use crate::capacity_shares::FreeCapacity;
+use crate::crash_notices::CrashNotices;
 use crate::entry_discovery::EntryDiscovery;
 use crate::entry_leases::EntryLeases;
 use crate::evacuations::{EvacuationWatch, EvacuationsInForce};
@@ -50,6 +52,7 @@
     incarnations: TargetIncarnations,
     lease: TargetLease,
     runs: RunTable,
+    crash_notices: CrashNotices,
     health: TargetHealth,
     /// Timeout of starts, learnt from how long the target takes to answer them.
     start_timeout: AdaptiveTimeout,
@@ -85,6 +88,7 @@
             incarnations: TargetIncarnations::default(),
             lease,
             runs: RunTable::default(),
+            crash_notices: CrashNotices::default(),
             health: TargetHealth::default(),
             start_timeout: AdaptiveTimeout::new(MIN_START_TIMEOUT, MAX_START_TIMEOUT),
             resumed_at: now,
@@ -316,12 +320,16 @@
 
     fn packet_received(&mut self, link: SessionId, packet: EntryPacket) {
         let welcome = packet.orders.iter().find_map(|o| match o {
-            Order::Welcome(welcome) => Some((welcome.life, welcome.name.clone())),
+            Order::Welcome(welcome) => Some((welcome.life, welcome.name.clone(), welcome.protocol)),
             _ => None,
         });
-        if let (Some((entry, name)), Some(found)) = (welcome, self.entry_links.get_mut(link)) {
+        if let (Some((entry, name, protocol)), Some(found)) =
+            (welcome, self.entry_links.get_mut(link))
+        {
             found.entry = Some(entry);
             found.name = Some(name);
+            found.protocol = protocol;
+            self.send_crash_notices(link);
         }
         let lease_until = Duration::from_millis(packet.lease_until);
         self.entry_links
@@ -461,6 +469,9 @@
         if let Some(owner) = run.owner {
             self.entry_links
                 .tell(owner, AgentNews::Ended { key, end, ran_ms });
+            if let RunEnd::Crashed { alone } = end {
+                self.notify_crash(key, owner, alone);
+            }
         }
     }
 
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -150,6 +150,10 @@
         #[serde(rename = "p")]
         percent: u32,
     },
+    /// The target crashed during a run of another entry, or of an earlier attempt. Only for entries
+    /// of protocol 1 or more.
+    #[serde(rename = "C")]
+    Crashed(CrashNotice),
     /// The agent takes no new work on this link. Either it is stopping, and its next incarnation
     /// adopts the remaining runs; or it has enough links and closes this one once no run of the
     /// entry is left.
@@ -157,6 +161,9 @@
     Leaving,
 }
 
+/// Lowest protocol version that has [`CrashNotice`].
+pub const CRASH_NOTICE_PROTOCOL: ProtocolVersion = 1;
+
 /// Identity of an agent, sent in its hello.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentIntro {
@@ -359,6 +366,8 @@
     Closing(ClosingBatch),
     /// A batch that was announced as [`PeerNews::Closing`] and has no open runs any more.
     Closed(ClosingBatch),
+    /// A target crashed during a run. Only for entries of protocol 1 or more.
+    Crashed(CrashNotice),
     /// Sent on an idle link to show that the sender is alive.
     Heartbeat,
 }
@@ -372,6 +381,24 @@
     }
 }
 
+/// A target crash during a run, for entries that may get the run's batch next. The run's key and
+/// its owner identify the crash.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// The run.
+    #[serde(rename = "k")]
+    pub key: RunKey,
+    /// Incarnation of the entry that owned it.
+    #[serde(rename = "o")]
+    pub owner: Incarnation,
+    /// Whether the target had no other run.
+    #[serde(rename = "a")]
+    pub alone: bool,
+    /// Time since the crash was detected, in milliseconds.
+    #[serde(rename = "t")]
+    pub age_ms: u32,
+}
+
 /// A batch that an entry is closing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "(u64, u64)", from = "(u64, u64)")]
--- a/lib/tests/test_fleet_crashing_tasks.rs
+++ b/lib/tests/test_fleet_crashing_tasks.rs
@@ -25,6 +25,8 @@
 const END: Now = ms(18_000);
 /// Total time that callers of crashing batches wait.
 const DEADLINE: Duration = ms(3_400);
+/// Time after a crash at which no entry can know of it: the target's lease has not lapsed yet.
+const BEFORE_PROOF: Duration = ms(900);
 /// Id of the first crashing batch.
 const FIRST_CRASHING: u64 = 1_000;
 
@@ -94,6 +96,64 @@
     check_with_other_faults(None);
 }
 
+#[test]
+fn test_run_until_owners_killed_at_each_crash_do_not_hide_the_crashes() {
+    // Entries have no links to each other, so only the agents can tell them.
+    check_with_killed_owners(false);
+}
+
+#[test]
+fn test_run_until_owners_killed_at_each_crash_of_linked_entries_do_not_hide_the_crashes() {
+    check_with_killed_owners(true);
+}
+
+/// Kills the first two entries that run a crashing batch before either can learn of the crash. The
+/// third entry must not start the batch as if nothing had happened, which would make four crashes.
+fn check_with_killed_owners(entries_meet: bool) {
+    for seed in 0..20 {
+        let fleet_config = FleetConfig {
+            agents: 12,
+            entries_meet,
+            ..FleetConfig::default()
+        };
+        let mut fleet = RunFleet::with_config(seed, fleet_config, testutils::run_fleet::config());
+        fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+        let mut caller = Caller::new(ms(2_000), 1, 40, TASK);
+        caller.crashes = true;
+        fleet.add_caller(FIRST_CRASHING, caller);
+        for owner in 0..2 {
+            prefer_entry(&mut fleet, owner);
+            run_until_crashes(&mut fleet, owner + 1);
+            fleet.inject(
+                fleet.now() + BEFORE_PROOF,
+                FleetFault::Kill(Node::Entry(owner)),
+            );
+        }
+        prefer_entry(&mut fleet, 2);
+        fleet.run_until(END);
+        let violations = fleet.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+        let crashes = fleet.most_crashes();
+        assert!(crashes <= 3, "seed {seed}: {crashes} crashes");
+        let replies = &fleet.callers[&FIRST_CRASHING].replies;
+        let heard = replies.iter().any(|(_, r)| *r == Reply::Failed);
+        assert!(heard, "seed {seed}: {replies:?}");
+    }
+}
+
+fn prefer_entry(fleet: &mut RunFleet, entry: usize) {
+    if let Some(caller) = fleet.callers.get_mut(&FIRST_CRASHING) {
+        caller.entry = Some(entry);
+    }
+}
+
+/// Runs the fleet until its crashing task has crashed this many targets.
+fn run_until_crashes(fleet: &mut RunFleet, crashes: usize) {
+    while fleet.most_crashes() < crashes && fleet.now() < END {
+        fleet.run_until(fleet.now() + ms(10));
+    }
+}
+
 /// Kills entries and agents and crashes targets, which loses the knowledge of crashing tasks.
 fn check_with_other_faults(deadline: Option<Duration>) {
     for seed in 0..100 {
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -68,8 +68,8 @@
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_event::{AgentOptions, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, ClosingBatch, EntryPacket, Order, Packet, PeerIntro,
-    PeerNews, PeerPacket, StartOrder, TargetInfo, Welcome as RunWelcome,
+    AgentIntro, AgentNews, AgentPacket, ClosingBatch, CrashNotice, EntryPacket, Order, Packet,
+    PeerIntro, PeerNews, PeerPacket, StartOrder, TargetInfo, Welcome as RunWelcome,
 };
 use trestleknot_lib::settings::{self, AgentSettings, Checked, EntrySettings};
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
@@ -724,6 +724,28 @@
     insta::assert_snapshot!(page(&encoded_packets()));
 }
 
+#[test]
+fn test_encode_value_crash_notices() {
+    let notice = CrashNotice {
+        key: run_key(),
+        owner: 0xe1,
+        alone: true,
+        age_ms: 250,
+    };
+    let packets = [
+        agent_packet(vec![AgentNews::Crashed(notice)]),
+        peer_packet(PeerNews::Crashed(notice)),
+    ];
+    let encoded: Vec<Encoded> = packets
+        .iter()
+        .map(|p| encoded("crash notice", p.kind(), p))
+        .collect();
+    insta::assert_snapshot!(page(&encoded));
+    for one in &encoded {
+        assert_eq!(again::<Packet>(&one.bytes), one.bytes);
+    }
+}
+
 fn again<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> Vec<u8> {
     let value: T = codec::decode_value(bytes).expect("kept bytes can be read");
     codec::encode_value(&value)
--- a/lib/tests/test_run_agent/crashes.rs
+++ b/lib/tests/test_run_agent/crashes.rs
@@ -168,3 +168,79 @@
     let actions = agent.handle(ms(13), packet(60_000, vec![start_alone(1)]));
     assert_eq!(refusal(&actions), Some(NotStarted::Full));
 }
+
+/// Links an agent to an entry that is not the owner of its runs.
+fn link_entry(
+    agent: &mut RunAgentCore,
+    now: Now,
+    link: SessionId,
+    protocol: u32,
+) -> Vec<AgentAction> {
+    agent.handle(now, AgentEvent::LinkUp(link, address(link as u8)));
+    let welcome = Welcome {
+        name: format!("entry-{link}").into(),
+        life: 100 + link,
+        entries: Vec::new(),
+        claims: Vec::new(),
+        evacuations: Arc::default(),
+        protocol,
+    };
+    let packet = EntryPacket {
+        lease_until: 60_000,
+        store_heard: 0,
+        waiting: 0,
+        orders: vec![Order::Welcome(welcome)],
+    };
+    agent.handle(now, AgentEvent::Packet(link, packet))
+}
+
+/// The crash notices among the actions: the link, the run's task, its owner and whether it was
+/// alone.
+fn notices(actions: &[AgentAction]) -> Vec<(SessionId, u16, u64, bool)> {
+    let mut notices = Vec::new();
+    for action in actions {
+        let AgentAction::Send(link, packet) = action else {
+            continue;
+        };
+        for news in &packet.news {
+            if let AgentNews::Crashed(notice) = news {
+                let index = notice.key.task.index;
+                notices.push((*link, index, notice.owner, notice.alone));
+            }
+        }
+    }
+    notices
+}
+
+/// Ends the target's incarnation by a report and an answer of the next one.
+fn crash_target(agent: &mut RunAgentCore, now: Now) -> Vec<AgentAction> {
+    let actions = agent.handle(now, report("life-2", false, 1));
+    let (number, _) = incarnation_checks(&actions)[0];
+    agent.handle(
+        now + ms(1),
+        incarnation_checked(number, IncarnationAnswer::Alive(None)),
+    )
+}
+
+#[test]
+fn test_handle_crash_is_told_to_entries_that_understand_it() {
+    let mut agent = agent_with_runs(2);
+    link_entry(&mut agent, ms(13), 2, 1);
+    link_entry(&mut agent, ms(13), 3, 0);
+    let actions = crash_target(&mut agent, ms(20));
+    // The owner, entry 9 on link 1, gets the ends of its runs instead.
+    assert_eq!(ends(&actions), [RunEnd::Crashed { alone: false }; 2]);
+    assert_eq!(notices(&actions), [(2, 0, 9, false), (2, 1, 9, false)]);
+}
+
+#[test]
+fn test_handle_entry_that_links_after_a_crash_is_told_of_it() {
+    // The owner's next incarnation may have no neighbour that could tell it.
+    let mut agent = agent_with_runs(1);
+    crash_target(&mut agent, ms(20));
+    agent.handle(ms(21), AgentEvent::LinkDown(LINK));
+    let actions = link_entry(&mut agent, ms(400), 2, 1);
+    assert_eq!(notices(&actions), [(2, 0, 9, true)]);
+    let actions = link_entry(&mut agent, ms(400), 3, 0);
+    assert_eq!(notices(&actions), []);
+}
