--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -129,8 +129,10 @@
             ),
         );
         let payload = self.packer.pack(&spec.payload);
-        let batch = Batch::new(&spec, payload, queue, request, times);
-        self.table.insert(spec.id, batch);
+        let mut batch = Batch::new(&spec, payload, queue, request, times);
+        if self.add_known_crashes(spec.id, &mut batch, request) {
+            self.table.insert(spec.id, batch);
+        }
         Ok(())
     }
 
@@ -343,7 +345,7 @@
             self.directory.tell_closed(self.now, id);
         }
         if let Some(request) = batch.request {
-            let reply = if batch.crashes_targets() {
+            let reply = if batch.is_given_up() {
                 // The caller must not retry elsewhere: the batch would crash targets there too.
                 Reply::Failed
             } else if batch.was_dispatched {
