lib: load of an entry and its reports between entries

Cause: nothing knows how much processor time an entry has left; parts of the work on hard load decide by it. Change: module entry_load keeps the utilization and lag of an entry's event loop with its hysteresis. Neighbours of protocol 1 get PeerNews::Load with packets that are sent anyway, or at once on a change of 15 points, at most every 100 ms. The peer table lists neighbours with a load report younger than 1.5 s, their hall, protocol and processor share. Hellos name the entry's hall. Without limits.cpu-share the load stays unknown and nothing is sent. Result: no driver takes samples yet. test_entry_directory, test_batch_entry and test_outward_names pass; the kept bytes are unchanged.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -27,6 +27,7 @@
 use crate::deferred_batches::DeferredBatches;
 use crate::entry_directory::{EntryDirectory, Source};
 use crate::entry_drain::EntryDrain;
+use crate::entry_load::EntryLoad;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::link_load::LinkLoad;
@@ -76,6 +77,8 @@
     retry_detector: RetryDetector,
     backlog: BacklogMonitor,
     forecast: WaitForecast,
+    /// Load of this process.
+    entry_load: EntryLoad,
     /// Load of this VM's network link.
     link_load: LinkLoad,
     /// When a task last found no target with free capacity.
@@ -105,6 +108,7 @@
             retry_detector: RetryDetector::default(),
             backlog: BacklogMonitor::default(),
             forecast: WaitForecast::default(),
+            entry_load: EntryLoad::new(options.processor_share),
             link_load: LinkLoad::new(options.link_rate),
             capacity_lacked_at: None,
             link_full_until: None,
@@ -222,6 +226,9 @@
             EntryEvent::Packet(link, Packet::FromEntry(_)) => {
                 self.actions.push(EntryAction::Close(link))
             }
+            EntryEvent::LoopLoad(load) => {
+                self.entry_load.record(self.now, load);
+            }
             EntryEvent::Drain => self.begin_drain(),
         }
     }
@@ -432,6 +439,9 @@
         for link in links {
             self.send_orders(link);
         }
+        let usage = self.link_load.usage(self.now);
+        let load = self.entry_load.report(self.now, usage);
+        self.directory.set_own_load(load);
         let shared = self.directory.flush(self.now);
         self.actions.extend(shared);
     }
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::batch::{BatchSpec, Unsupported};
+use crate::entry_load::LoopLoad;
 use crate::evacuations::EvacuatedHalls;
 use crate::events::LogEvent;
 use crate::ids::{HallName, Incarnation, NodeName, RequestId, SessionId};
@@ -96,6 +97,8 @@
     LinkDown(SessionId),
     /// A packet was received.
     Packet(SessionId, Packet),
+    /// A sample of the event loop. It precedes the event during which it was taken.
+    LoopLoad(LoopLoad),
     /// Shut down gracefully.
     Drain,
 }
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -14,11 +14,12 @@
 
 use crate::batch_event::{EntryAction, EntryOptions};
 use crate::config_fetch::ConfigFetch;
+use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, OfferOutcome};
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Now, SessionId};
 use crate::peer_closings::PeerClosings;
-use crate::peer_table::PeerTable;
+use crate::peer_table::{NeighbourLoad, PeerTable};
 use crate::preferred_entries::{FULL_MESH_LIMIT, LinkStep, PREFERRED_COUNT, PreferredEntries};
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
@@ -67,6 +68,8 @@
     peer_closings: PeerClosings,
     /// Batches that this entry is closing.
     own_closings: BTreeSet<BatchId>,
+    /// Load of this entry; `None` if not known.
+    own_load: Option<EntryLoadReport>,
     pending_actions: Vec<EntryAction>,
 }
 
@@ -85,6 +88,7 @@
             config_fetch: ConfigFetch::default(),
             peer_closings: PeerClosings::default(),
             own_closings: BTreeSet::new(),
+            own_load: None,
             pending_actions: Vec::new(),
         }
     }
@@ -117,6 +121,16 @@
         entries
     }
 
+    /// Sets this entry's load, which is reported to the neighbours with the next packets.
+    pub fn set_own_load(&mut self, load: Option<EntryLoadReport>) {
+        self.own_load = load;
+    }
+
+    /// Neighbours whose load is known.
+    pub fn known_loads(&self, now: Now) -> Vec<NeighbourLoad> {
+        self.peers.known_loads(now)
+    }
+
     fn is_large_fleet(&self) -> bool {
         self.peers.known_count() > FULL_MESH_LIMIT
     }
@@ -147,6 +161,9 @@
         if let Some(link) = self.config_fetch.take_due(now, self.config.version()) {
             self.peers.tell(now, link, PeerNews::WantConfig);
         }
+        if let Some(load) = self.own_load {
+            self.peers.tell_load(now, load);
+        }
         for (link, news) in self.peers.take_due(now) {
             self.send(now, link, news);
         }
@@ -179,6 +196,7 @@
             entries: self.peers.known(),
             protocol: PROTOCOL_VERSION,
             processor_millis: self.processor_millis(),
+            hall: self.options.hall.clone(),
         }
     }
 
@@ -254,6 +272,7 @@
                     effects.may_place |= self.note_closed(now, link, closing);
                 }
                 PeerNews::Heartbeat => {}
+                PeerNews::Load(load) => self.peers.note_load(now, link, load),
             }
         }
         effects
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -60,6 +60,7 @@
 mod entry_jobs;
 pub mod entry_leases;
 pub mod entry_links;
+pub mod entry_load;
 pub mod entry_node;
 mod entry_peers;
 pub mod entry_permits;
--- a/lib/src/link_load.rs
+++ b/lib/src/link_load.rs
@@ -70,7 +70,8 @@
         (at > now).then_some(at)
     }
 
-    fn usage(&self, now: Now) -> f64 {
+    /// Average traffic offered to the link, as a multiple of its rate; 0 if the rate is not known.
+    pub fn usage(&self, now: Now) -> f64 {
         let passed = now.saturating_sub(self.averaged_at);
         self.usage * f64::exp(-passed.div_duration_f64(USAGE_TIME_CONSTANT))
     }
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, StorePosition};
-use crate::ids::{NodeName, Now, SessionId};
+use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
-use crate::run_message::{ClosingBatch, PeerIntro, PeerNews};
+use crate::run_message::{ClosingBatch, PeerIntro, PeerNews, ProtocolVersion};
 
 /// Interval of heartbeats on an idle link between entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
@@ -20,6 +21,14 @@
 const FORWARDED_NOTICE_DELAY: Duration = Duration::from_millis(10);
 /// Time without a packet after which a link between entries is closed.
 const LINK_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Lowest protocol version of entries that understand load reports.
+const LOAD_PROTOCOL: ProtocolVersion = 1;
+/// Age from which a neighbour's report says nothing about its present load.
+const REPORT_TTL: Duration = Duration::from_millis(1_500);
+/// Change of the processor's utilization that is reported in a packet of its own, in percent.
+const REPORTED_CHANGE_PERCENT: u16 = 15;
+/// Shortest interval between two such packets.
+const REPORT_INTERVAL: Duration = Duration::from_millis(100);
 
 /// A link to another entry.
 #[derive(Debug)]
@@ -38,9 +47,51 @@
     pub news: Vec<PeerNews>,
     /// When the waiting news must be sent.
     news_due: Now,
+    /// Version of the messages that it understands.
+    pub protocol: ProtocolVersion,
+    /// Share of a core that its process may use, in thousandths; 0 if not known.
+    pub processor_millis: u32,
+    /// Data hall of its VM; empty if not known.
+    pub hall: HallName,
+    /// Its last load report and when that arrived.
+    load: Option<(Now, EntryLoadReport)>,
+    /// The last load that was reported to it, and when.
+    told_load: Option<(Now, EntryLoadReport)>,
+}
+
+/// A neighbour with a known load.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NeighbourLoad {
+    /// Link to it.
+    pub link: SessionId,
+    /// Its name.
+    pub name: NodeName,
+    /// Data hall of its VM; empty if not known.
+    pub hall: HallName,
+    /// Version of the messages that it understands.
+    pub protocol: ProtocolVersion,
+    /// Share of a core that its process may use, in thousandths; 0 if not known.
+    pub processor_millis: u32,
+    /// Its last report.
+    pub load: EntryLoadReport,
+    /// Time since the report arrived.
+    pub age: Duration,
 }
 
 impl Peer {
+    /// Whether a change of this entry's load must be reported to it now.
+    fn needs_report(&self, now: Now, load: EntryLoadReport) -> bool {
+        let Some((at, told)) = self.told_load else {
+            return true;
+        };
+        let change = told.processor_percent.abs_diff(load.processor_percent);
+        change >= REPORTED_CHANGE_PERCENT && at + REPORT_INTERVAL <= now
+    }
+
+    fn understands_load(&self) -> bool {
+        self.protocol >= LOAD_PROTOCOL
+    }
+
     fn due_at(&self) -> Now {
         if self.news.is_empty() {
             self.sent + HEARTBEAT_INTERVAL
@@ -100,6 +151,11 @@
             sent: now,
             news: Vec::new(),
             news_due: Now::ZERO,
+            protocol: intro.protocol,
+            processor_millis: intro.processor_millis,
+            hall: intro.hall.clone(),
+            load: None,
+            told_load: None,
         };
         self.links.insert(link, peer);
         true
@@ -206,6 +262,51 @@
         }
     }
 
+    /// Records the load that an entry reported.
+    pub fn note_load(&mut self, now: Now, link: SessionId, load: EntryLoadReport) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.load = Some((now, load));
+        }
+    }
+
+    /// Neighbours whose load is known, each once.
+    pub fn known_loads(&self, now: Now) -> Vec<NeighbourLoad> {
+        let mut loads: BTreeMap<&NodeName, NeighbourLoad> = BTreeMap::new();
+        for (link, peer) in &self.links {
+            let Some((at, load)) = peer.load.filter(|(at, _)| *at + REPORT_TTL > now) else {
+                continue;
+            };
+            let neighbour = NeighbourLoad {
+                link: *link,
+                name: peer.name.clone(),
+                hall: peer.hall.clone(),
+                protocol: peer.protocol,
+                processor_millis: peer.processor_millis,
+                load,
+                age: now.saturating_sub(at),
+            };
+            // Two entries may have two links; the fresher report counts.
+            match loads.get_mut(&peer.name) {
+                Some(known) if known.age <= neighbour.age => {}
+                Some(known) => *known = neighbour,
+                None => {
+                    loads.insert(&peer.name, neighbour);
+                }
+            }
+        }
+        loads.into_values().collect()
+    }
+
+    /// Adds this entry's load to the packets that are due. A large change is due by itself.
+    pub fn tell_load(&mut self, now: Now, load: EntryLoadReport) {
+        for peer in self.links.values_mut().filter(|p| p.understands_load()) {
+            if peer.due_at() <= now || peer.needs_report(now, load) {
+                peer.add(now, PeerNews::Load(load), Duration::ZERO);
+                peer.told_load = Some((now, load));
+            }
+        }
+    }
+
     /// Takes the packets that are due.
     pub fn take_due(&mut self, now: Now) -> Vec<(SessionId, Vec<PeerNews>)> {
         let mut due = Vec::new();
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, StorePosition};
 use crate::ids::{HallName, Incarnation, NodeName};
 use crate::payload::Payload;
@@ -361,6 +362,8 @@
     Closed(ClosingBatch),
     /// Sent on an idle link to show that the sender is alive.
     Heartbeat,
+    /// The sender's load. Sent to processes of protocol 1 and later.
+    Load(EntryLoadReport),
 }
 
 impl PeerNews {
@@ -415,4 +418,7 @@
     /// Share of a core that its process may use, in thousandths; 0 if not known.
     #[serde(default, skip_serializing_if = "is_default")]
     pub processor_millis: u32,
+    /// Data hall of its VM; empty if not known.
+    #[serde(default, skip_serializing_if = "is_default")]
+    pub hall: HallName,
 }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -335,6 +335,7 @@
         entries: Vec::new(),
         protocol: 0,
         processor_millis: 0,
+        hall: "".into(),
     };
     let from_peer = |news| {
         let packet = PeerPacket {
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -655,6 +655,7 @@
             entries: vec![address(2)],
             protocol: 0,
             processor_millis: 0,
+            hall: "".into(),
         }),
         PeerNews::ConfigVersion(9),
         PeerNews::WantConfig,
