lib: sample an entry's event loop, and decide nothing on input that is read late

Cause: an entry with a small share of a core read packets up to 0.6 s late, and meanwhile refused waiting batches as if targets were full and closed links as if agents were silent. Change: entry_node samples utilization and lag of its event loop on events that arrive anyway (loop_sampler). While the lag of the last 500 ms exceeds 50 ms, a due batch gets one extension of 50 ms, waiting batches are not refused by the forecast, silent links get the lag on top of their timeout, and wakes are 20 ms apart. Levels loop_busy_percent and loop_lag_ms, events 1006 and 1007. The virtual fleet models entries' processors: a cost per event, a share, and pauses in which the system withholds the processor. All of it needs limits.cpu-share.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -11,6 +11,7 @@
 
 mod agents;
 mod callers;
+mod starvation;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -124,6 +125,10 @@
         if self.exited {
             return Vec::new();
         }
+        // Deadlines depend on whether the entry reads its input late.
+        if let EntryEvent::LoopLoad(load) = event {
+            self.note_loop_load(load);
+        }
         // Deadlines come first: after a suspension, the process must not act on expired state.
         self.handle_batch_deadlines();
         self.retry_lost_runs();
@@ -167,7 +172,7 @@
             self.link_full_until,
         ];
         let soonest = times.into_iter().flatten().min()?;
-        Some(soonest.max(self.now + Duration::from_millis(1)))
+        Some(soonest.max(self.now + self.min_wake_pause()))
     }
 
     /// Returns whether the load balancer should send new connections to this entry.
@@ -189,6 +194,8 @@
             targets: self.targets.usable(self.now) as u64,
             config_version: self.directory.config().version(),
             evacuated_halls: self.directory.evacuations().halls.len() as u64,
+            loop_busy_percent: self.loop_busy_percent(),
+            loop_lag_ms: self.entry_load.recent_lag(self.now).as_millis() as u64,
         }
     }
 
@@ -226,9 +233,7 @@
             EntryEvent::Packet(link, Packet::FromEntry(_)) => {
                 self.actions.push(EntryAction::Close(link))
             }
-            EntryEvent::LoopLoad(load) => {
-                self.entry_load.record(self.now, load);
-            }
+            EntryEvent::LoopLoad(_) => {}
             EntryEvent::Drain => self.begin_drain(),
         }
     }
@@ -241,8 +246,11 @@
     fn wake(&mut self) {
         let seeds = self.options.seeds.clone();
         self.learn_entries(seeds);
-        self.directory.close_silent(self.now);
-        let before = self.now.saturating_sub(self.options.timings.link_timeout);
+        // Packets may wait unread for as long as the entry is late.
+        let lag = self.entry_load.recent_lag(self.now);
+        self.directory.close_silent(self.now, lag);
+        let silence = self.options.timings.link_timeout + lag;
+        let before = self.now.saturating_sub(silence);
         for link in self.targets.silent(before) {
             self.actions.push(EntryAction::Close(link));
             self.handle_link_down(link);
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -6,6 +6,7 @@
 use rand::Rng as _;
 
 use super::BatchEntryCore;
+use super::starvation::UNREAD_INPUT_EXTENSION;
 use crate::active_batch::{Batch, BatchState, BatchTimes, CloseReason, PlacementOrder};
 use crate::batch::{BatchSpec, Unsupported};
 use crate::batch_event::{BatchQuery, EntryAction, Refusal, Reply, Submission};
@@ -171,7 +172,7 @@
     /// Refuses batches that are neither dispatched nor overdue and whose tasks can't all be placed
     /// in time any more, even if they came next. They would be late and delay others.
     pub(super) fn refuse_unplaceable_batches(&mut self) {
-        if self.forecast.wait_for(self.now, 1).is_none() {
+        if self.entry_load.reads_late(self.now) || self.forecast.wait_for(self.now, 1).is_none() {
             return;
         }
         let mut unplaceable = Vec::new();
@@ -408,7 +409,9 @@
                 );
                 self.close(id, CloseReason::Deadline);
             } else if batch.placement_deadline <= self.now && !batch.was_dispatched {
-                if self.link_full_until.is_some() && !self.lacks_capacity() {
+                if self.may_wait_for_unread_input(batch) {
+                    self.table.postpone(id, self.now + UNREAD_INPUT_EXTENSION);
+                } else if self.link_full_until.is_some() && !self.lacks_capacity() {
                     self.table.postpone(id, self.now + LINK_WAIT_EXTENSION);
                 } else {
                     self.close(id, CloseReason::Deadline);
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -197,4 +197,8 @@
     pub config_version: u64,
     /// Number of evacuated data halls.
     pub evacuated_halls: u64,
+    /// Utilization of the event loop in percent, if known.
+    pub loop_busy_percent: Option<u64>,
+    /// Largest recent delay of the timer in milliseconds.
+    pub loop_lag_ms: u64,
 }
--- a/lib/src/core_timer.rs
+++ b/lib/src/core_timer.rs
@@ -20,6 +20,8 @@
     /// End of the current sleep; none if it has no end, zero while awake.
     sleeps_until: Cell<Option<Now>>,
     rescheduled: Notify,
+    /// The largest delay of a wake since it was last taken.
+    lag: Cell<Duration>,
 }
 
 impl CoreTimer {
@@ -30,6 +32,7 @@
             wake_at: Cell::new(None),
             sleeps_until: Cell::new(Some(Now::ZERO)),
             rescheduled: Notify::new(),
+            lag: Cell::new(Duration::ZERO),
         })
     }
 
@@ -38,6 +41,17 @@
         self.origin.elapsed()
     }
 
+    /// Takes the largest delay of a wake since the last call. A wake that is overdue counts: other
+    /// events may be handled before it.
+    pub fn take_lag(&self) -> Duration {
+        let overdue = self.wake_at.get().map(|at| self.now().saturating_sub(at));
+        self.lag.take().max(overdue.unwrap_or_default())
+    }
+
+    fn note_lag(&self, lag: Duration) {
+        self.lag.set(self.lag.get().max(lag));
+    }
+
     /// Sets the time of the next wake. The current sleep is interrupted only if it would end too
     /// late; after an early end the timer sleeps again.
     pub fn set(&self, at: Option<Now>) {
@@ -56,6 +70,7 @@
             let now = self.now();
             match self.wake_at.get() {
                 Some(at) if at <= now => {
+                    self.note_lag(now - at);
                     self.wake_at.set(None);
                     wake();
                 }
@@ -63,7 +78,9 @@
                     let until = at.min(now + MAX_SLEEP);
                     self.sleeps_until.set(Some(until));
                     tokio::select! {
-                        () = tokio::time::sleep(until - now) => {}
+                        () = tokio::time::sleep(until - now) => {
+                            self.note_lag(self.now().saturating_sub(until));
+                        }
                         () = self.rescheduled.notified() => {}
                     }
                     self.sleeps_until.set(Some(Now::ZERO));
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -235,9 +235,9 @@
         }
     }
 
-    /// Closes links that have been silent for too long.
-    pub fn close_silent(&mut self, now: Now) {
-        for link in self.peers.silent(now) {
+    /// Closes links that have been silent for too long; packets may be unread for up to `lag`.
+    pub fn close_silent(&mut self, now: Now, lag: Duration) {
+        for link in self.peers.silent(now.saturating_sub(lag)) {
             self.pending_actions.push(EntryAction::Close(link));
             self.link_down(now, link);
         }
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -17,9 +17,11 @@
 use crate::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
 use crate::clock::BootInstant;
 use crate::core_timer::CoreTimer;
+use crate::entry_load::LoopLoad;
 use crate::evacuations::EvacuationReader;
 use crate::events::{EventCode, LogEvent};
-use crate::ids::{RequestId, SessionId};
+use crate::ids::{Now, RequestId, SessionId};
+use crate::loop_sampler::LoopSampler;
 use crate::node_links::{LinkSink, NodeLinks};
 use crate::node_metrics::NodeMetrics;
 use crate::platform_ports::{EntryRegistry, OperatorFeed, PortResult};
@@ -40,6 +42,8 @@
     replies: RefCell<HashMap<RequestId, oneshot::Sender<Reply>>>,
     next_request: Cell<RequestId>,
     figures: NodeMetrics,
+    /// Samples the event loop; `None` if the process's share of a core is not limited.
+    sampler: Option<RefCell<LoopSampler>>,
     ended: Notify,
 }
 
@@ -47,6 +51,7 @@
     /// Starts an entry that listens for links. Must be called on the thread that runs the entry.
     pub fn start(options: EntryOptions, links_listener: TcpListener) -> Rc<Self> {
         let timer = CoreTimer::new(BootInstant::now());
+        let sampler = options.processor_share.map(|_| RefCell::default());
         let node = Rc::new_cyclic(|me: &Weak<Self>| Self {
             me: me.clone(),
             core: RefCell::new(BatchEntryCore::new(options)),
@@ -55,6 +60,7 @@
             replies: RefCell::default(),
             next_request: Cell::new(1),
             figures: NodeMetrics::new(),
+            sampler,
             ended: Notify::new(),
         });
         let sink: Rc<dyn LinkSink> = node.clone();
@@ -67,9 +73,30 @@
 
     /// Passes an event to the core and executes the resulting actions.
     pub fn tell(&self, event: EntryEvent) {
+        let now = self.timer.now();
+        if let Some(load) = self.sample_loop(now) {
+            self.handle(now, EntryEvent::LoopLoad(load));
+        }
+        self.handle(now, event);
+    }
+
+    /// Takes a sample of the event loop if one is due. Samples are taken on events that arrive
+    /// anyway, so an idle entry is not woken for them.
+    fn sample_loop(&self, now: Now) -> Option<LoopLoad> {
+        let mut sampler = self.sampler.as_ref()?.borrow_mut();
+        if !sampler.is_due(now) {
+            return None;
+        }
+        let metrics = tokio::runtime::Handle::try_current().ok()?.metrics();
+        sampler.note_lag(self.timer.take_lag());
+        // The entry's runtime has one thread.
+        sampler.sample(now, metrics.worker_total_busy_duration(0))
+    }
+
+    fn handle(&self, now: Now, event: EntryEvent) {
         let actions = {
             let mut core = self.core.borrow_mut();
-            let actions = core.handle(self.timer.now(), event);
+            let actions = core.handle(now, event);
             self.timer.set(core.next_wake());
             actions
         };
@@ -155,6 +182,10 @@
             .set_gauge("config_version", gauges.config_version);
         self.figures
             .set_gauge("evacuated_halls", gauges.evacuated_halls);
+        if let Some(percent) = gauges.loop_busy_percent {
+            self.figures.set_gauge("loop_busy_percent", percent);
+            self.figures.set_gauge("loop_lag_ms", gauges.loop_lag_ms);
+        }
         let received = self.links.bytes_received();
         self.figures.set_gauge("link_bytes_received", received);
         self.figures.link_bytes(&self.links.bytes_sent());
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -64,6 +64,8 @@
     Drained = 1003, Info, "drain ended";
     DrainCut = 1004, Warn, "drain reached its limit";
     Resumed = 1005, Warn, "VM resumed after a suspension";
+    EntryStarved = 1006, Warn, "entry lacks processor time";
+    EntryRecovered = 1007, Info, "entry has enough processor time again";
     ConfigInForce = 1101, Info, "configuration in force";
     ConfigLost = 1102, Info, "configuration change lost to a concurrent change";
     ConfigBehind = 1103, Warn, "a newer configuration is known than the held one";
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -85,6 +85,7 @@
 pub mod log_line;
 pub mod log_summary;
 pub mod log_writer;
+pub mod loop_sampler;
 pub mod memory_platform;
 pub mod memory_target;
 pub mod message;
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -9,6 +9,7 @@
 use trestleknot_lib::batch_event::{
     EntryAction, EntryEvent, EntryOptions, Refusal, Reply, Submission,
 };
+use trestleknot_lib::entry_load::{EntryLoadReport, LoopLoad};
 use trestleknot_lib::evacuations::EvacuatedHalls;
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
@@ -33,7 +34,16 @@
 
 /// An entry whose link carries `link_rate` bytes a second.
 fn entry_with_link(link_rate: Option<f64>) -> BatchEntryCore {
-    BatchEntryCore::new(EntryOptions {
+    BatchEntryCore::new(options(link_rate, None))
+}
+
+/// An entry with a small share of a core.
+fn entry_with_share() -> BatchEntryCore {
+    BatchEntryCore::new(options(None, Some(0.12)))
+}
+
+fn options(link_rate: Option<f64>, processor_share: Option<f64>) -> EntryOptions {
+    EntryOptions {
         name: "entry".into(),
         incarnation: 1,
         hall: "hall".into(),
@@ -42,9 +52,9 @@
         seed: 1,
         timings: Timings::default(),
         link_rate,
-        processor_share: None,
+        processor_share,
         far_factor: None,
-    })
+    }
 }
 
 fn config() -> EntryEvent {
@@ -370,6 +380,125 @@
     assert!(is_forwarded, "{actions:?}");
 }
 
+fn loop_load(busy_share: f64, lag_ms: u64) -> EntryEvent {
+    EntryEvent::LoopLoad(LoopLoad {
+        busy_share,
+        lag: ms(lag_ms),
+    })
+}
+
+fn closes_a_link(actions: &[EntryAction]) -> bool {
+    actions.iter().any(|a| matches!(a, EntryAction::Close(_)))
+}
+
+#[test]
+fn test_handle_link_is_not_closed_as_silent_while_its_packets_may_be_unread() {
+    let mut entry = entry_with_share();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    let silent_at = ms(4) + Timings::default().link_timeout;
+    entry.handle(silent_at, loop_load(1.0, 300));
+    let actions = entry.handle(silent_at, EntryEvent::Wake);
+    assert!(!closes_a_link(&actions), "{actions:?}");
+    // The link stays silent, and the lag is over.
+    let actions = entry.handle(silent_at + ms(500), EntryEvent::Wake);
+    assert!(closes_a_link(&actions), "{actions:?}");
+}
+
+/// An entry with one full target and a batch that waits for it, 300 ms after the entry should have
+/// read its input.
+fn late_entry_with_waiting_batch() -> BatchEntryCore {
+    let mut entry = entry_with_share();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    assert_eq!(starts(&entry.handle(ms(5), batch_of_tasks(5, 8))).len(), 1);
+    entry.handle(ms(6), batch_of_tasks(6, 1));
+    entry.handle(ms(400), loop_load(1.0, 300));
+    entry
+}
+
+#[test]
+fn test_handle_batch_is_not_refused_before_late_input_is_read() {
+    let mut entry = late_entry_with_waiting_batch();
+    let answered = replies(&entry.handle(ms(401), EntryEvent::Wake));
+    assert_eq!(answered, [], "the deadline passed while the entry was late");
+    let packet = AgentPacket {
+        clock: 20,
+        free: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        starts_seen: 8,
+        health: HealthReport::default(),
+        news: Vec::new(),
+    };
+    let event = EntryEvent::Packet(1, Packet::FromAgent(packet));
+    let actions = entry.handle(ms(405), event);
+    assert_eq!(starts(&actions).len(), 1, "{actions:?}");
+}
+
+#[test]
+fn test_handle_batch_is_refused_if_late_input_shows_no_capacity() {
+    let mut entry = late_entry_with_waiting_batch();
+    entry.handle(ms(401), EntryEvent::Wake);
+    let answered = replies(&entry.handle(ms(460), EntryEvent::Wake));
+    assert_eq!(answered.len(), 1);
+    assert!(is_refused(&answered[0].1, Refusal::Busy), "{answered:?}");
+}
+
+/// Load reports that an entry of a given protocol gets from a starved one.
+fn reports_to(protocol: u32) -> Vec<EntryLoadReport> {
+    let mut entry = entry_with_share();
+    let intro = PeerIntro {
+        name: "other".into(),
+        life: 2,
+        address: "10.0.0.2:7720".parse().expect("an address"),
+        config: 0,
+        evacuations: 0,
+        entries: Vec::new(),
+        protocol,
+        processor_millis: 500,
+        hall: "maadi".into(),
+    };
+    let packet = PeerPacket {
+        clock: 0,
+        news: vec![PeerNews::Hello(intro)],
+    };
+    entry.handle(ms(1), EntryEvent::LinkUp(9, None));
+    entry.handle(ms(1), EntryEvent::Packet(9, Packet::BetweenEntries(packet)));
+    let mut actions = entry.handle(ms(200), loop_load(0.5, 0));
+    actions.extend(entry.handle(ms(250), loop_load(0.9, 0)));
+    actions.extend(entry.handle(ms(300), loop_load(0.6, 0)));
+    actions.extend(entry.handle(ms(400), loop_load(0.65, 0)));
+    let mut reports = Vec::new();
+    for action in actions {
+        if let EntryAction::Send(9, Packet::BetweenEntries(packet)) = action {
+            reports.extend(packet.news.iter().filter_map(|news| match news {
+                PeerNews::Load(load) => Some(*load),
+                _ => None,
+            }));
+        }
+    }
+    reports
+}
+
+#[test]
+fn test_handle_load_is_reported_on_large_changes_at_most_every_100_ms() {
+    let report = |processor_percent| EntryLoadReport {
+        processor_percent,
+        link_percent: 0,
+    };
+    // The change at 250 ms comes too soon and is over at 300 ms; that at 400 ms is exactly 15.
+    assert_eq!(reports_to(1), [report(50), report(65)]);
+}
+
+#[test]
+fn test_handle_load_is_not_reported_to_entries_of_an_older_build() {
+    // Such an entry can't decode the report and would close the link.
+    assert_eq!(reports_to(0), []);
+}
+
 /// A batch of tasks of two cores each, with a payload that is too short to compress.
 fn batch_of_tasks(request: RequestId, tasks: u32) -> EntryEvent {
     match submission(request) {
--- a/lib/tests/test_entry_directory.rs
+++ b/lib/tests/test_entry_directory.rs
@@ -112,7 +112,7 @@
         match event {
             Event::Wake(entry, at) if self.wake_at[entry] == Some(at) => {
                 self.wake_at[entry] = None;
-                self.entries[entry].close_silent(now);
+                self.entries[entry].close_silent(now, Duration::ZERO);
                 self.flush(entry);
             }
             Event::Wake(..) => {}
--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -167,3 +167,10 @@
     let results = replay("crashing_tasks", 0, 8_000);
     assert_eq!(results.all().given_up, 0, "innocents: {results:?}");
 }
+
+#[test]
+fn test_figures_entry_that_reads_late_refuses_no_batch() {
+    let results = replay("starved_entry", 0, 6_000);
+    // An entry that trusts its late input refuses eleven batches, although targets have room.
+    assert_eq!(results.all().refused, 0, "{results:?}");
+}
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -16,7 +16,9 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
 
-use crate::run_fleet::{Caller, FleetConfig, FleetFault, Node, POWER_OFF, RunFleet, Traffic};
+use crate::run_fleet::{
+    Caller, FleetConfig, FleetFault, Node, POWER_OFF, ProcessorModel, RunFleet, Traffic,
+};
 use crate::run_target::{SERVICE, TargetImpairment};
 
 /// Start of the load, when all processes have connected.
@@ -96,6 +98,41 @@
     pub for_ms: u64,
 }
 
+/// Processors of the entries in a pattern.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PatternProcessor {
+    /// Time that an event takes on a whole core, in microseconds.
+    pub event_us: u64,
+    /// Share of a core that an entry has.
+    pub share: f64,
+    /// Number of entries, from the first, that have a smaller share.
+    #[serde(default)]
+    pub narrow_entries: usize,
+    /// Their share.
+    #[serde(default)]
+    pub narrow_share: f64,
+    /// Time for which the system withholds their processor.
+    #[serde(default)]
+    pub narrow_pause_ms: u64,
+    /// Interval between the beginnings of such pauses.
+    #[serde(default)]
+    pub pause_interval_ms: u64,
+}
+
+impl From<PatternProcessor> for ProcessorModel {
+    fn from(processor: PatternProcessor) -> Self {
+        Self {
+            event_cost: Duration::from_micros(processor.event_us),
+            share: processor.share,
+            narrow_entries: processor.narrow_entries,
+            narrow_share: processor.narrow_share,
+            narrow_pause: Duration::from_millis(processor.narrow_pause_ms),
+            pause_interval: Duration::from_millis(processor.pause_interval_ms),
+        }
+    }
+}
+
 /// How callers are spread over the entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -121,6 +158,12 @@
     /// Bandwidth of an entry's link in each direction; unlimited if none.
     #[serde(default)]
     pub entry_link_mbps: Option<f64>,
+    /// Processors of the entries; unlimited if none.
+    #[serde(default)]
+    pub entry_processor: Option<PatternProcessor>,
+    /// Whether entries connect to each other.
+    #[serde(default)]
+    pub entries_meet: bool,
     /// Length of the load.
     pub load_ms: u64,
     /// How callers are spread over the entries.
@@ -228,6 +271,8 @@
             },
             one_way: Duration::from_secs_f64(self.one_way_ms / 1_000.0),
             entry_link_mbps: self.entry_link_mbps,
+            entries_meet: self.entries_meet,
+            processor: self.entry_processor.map(ProcessorModel::from),
             ..FleetConfig::default()
         };
         let mut fleet = RunFleet::with_config(seed, fleet_config, self.config());
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -12,6 +12,7 @@
 mod links;
 mod operators;
 mod process;
+mod processor;
 mod targets;
 
 pub use callers::Caller;
@@ -19,6 +20,7 @@
 pub use fault::FleetFault;
 pub use fault_injection::POWER_OFF;
 pub use fleet_config::{FleetConfig, Node};
+pub use processor::ProcessorModel;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -47,6 +49,7 @@
 use links::Links;
 use operators::Operators;
 use process::Process;
+use processor::Processor;
 
 /// Default number of entries.
 pub const ENTRIES: usize = 3;
@@ -98,6 +101,8 @@
     Cancel(BatchId),
     /// An entry notices that a caller closed its connection.
     CallerGone(usize, u64, RequestId),
+    /// An entry's processor has processed the event with this number.
+    Processed(usize, u64),
     Start(Node),
     Fault(FleetFault),
     EndFault(targets::TimedFault),
@@ -134,6 +139,7 @@
     rng: ChaCha8Rng,
     entries: Vec<Process<BatchEntryCore>>,
     agents: Vec<Process<RunAgentCore>>,
+    processors: Vec<Processor>,
     links: Links,
     targets: Vec<targets::SimulatedTarget>,
     /// Callers by batch.
@@ -186,6 +192,9 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             entries: (0..fleet_config.entries).map(|_| Process::new()).collect(),
             agents: (0..fleet_config.agents).map(|_| Process::new()).collect(),
+            processors: (0..fleet_config.entries)
+                .map(|_| Processor::default())
+                .collect(),
             links: Links::default(),
             targets: Vec::new(),
             callers: BTreeMap::new(),
@@ -346,6 +355,7 @@
             Event::CallerGone(i, ..)
             | Event::StoreAnswer(i, ..)
             | Event::Configured(i, _)
+            | Event::Processed(i, _)
             | Event::RequestArrived(i, ..) => Some(Node::Entry(*i)),
             _ => None,
         };
@@ -368,7 +378,14 @@
                 return;
             }
         }
-        self.handle_event(event);
+        let event = match (node, event) {
+            (_, event @ Event::Processed(..)) => Some(event),
+            (Some(Node::Entry(i)), event) => self.queue_at_processor(i, event),
+            (_, event) => Some(event),
+        };
+        if let Some(event) = event {
+            self.handle_event(event);
+        }
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -424,6 +441,7 @@
                     self.tell_entry(i, EntryEvent::CallerGone(request));
                 }
             }
+            Event::Processed(entry, number) => self.processed(entry, number),
             Event::Start(node) => self.start(node),
             Event::Fault(fault) => self.apply_fault(fault),
             Event::EndFault(fault) => self.end_fault(fault),
@@ -455,9 +473,10 @@
                         .fleet_config
                         .entry_link_mbps
                         .map(|mbps| mbps * 1e6 / 8.0),
-                    processor_share: None,
+                    processor_share: self.fleet_config.processor.map(|p| p.share_of(i)),
                     far_factor: None,
                 };
+                self.processors[i].reset();
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntryCore::new(options));
                 process.incarnation = incarnation;
--- a/lib/testutils/src/run_fleet/entry_traffic.rs
+++ b/lib/testutils/src/run_fleet/entry_traffic.rs
@@ -93,7 +93,11 @@
         let incarnation = self.entries[entry].incarnation;
         let bytes = submission.spec.payload.len() + REQUEST_OVERHEAD_BYTES;
         if self.traffic.bytes_per_second.is_none() {
-            return self.request_arrived(entry, incarnation, submission);
+            let event = Event::RequestArrived(entry, incarnation, submission);
+            if let Some(event) = self.queue_at_processor(entry, event) {
+                self.handle_event(event);
+            }
+            return;
         }
         self.traffic.count("request", bytes);
         let at = self.traffic.transmit(self.now, entry, Direction::In, bytes);
--- a/lib/testutils/src/run_fleet/fleet_config.rs
+++ b/lib/testutils/src/run_fleet/fleet_config.rs
@@ -5,7 +5,7 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
 
-use super::{AGENTS, CAPACITY, ENTRIES, links};
+use super::{AGENTS, CAPACITY, ENTRIES, ProcessorModel, links};
 
 /// A process of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -39,6 +39,8 @@
     pub counts_suspension: bool,
     /// Number of entries, from the first, that processes know as seeds at start; all if none.
     pub seeds: Option<usize>,
+    /// Processors of the entries; unlimited if none.
+    pub processor: Option<ProcessorModel>,
 }
 
 impl Default for FleetConfig {
@@ -55,6 +57,7 @@
             entry_link_mbps: None,
             counts_suspension: true,
             seeds: None,
+            processor: None,
         }
     }
 }
