--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -133,9 +133,7 @@
 impl EventCode {
     /// Returns the code's entry in the catalogue.
     pub fn info(self) -> &'static EventInfo {
-        CATALOGUE
-            .iter()
-            .find(|info| info.code == self)
-            .expect("the macro lists every code")
+        // The macro lists the codes and the catalogue in the same order.
+        &CATALOGUE[self as usize]
     }
 }
--- a/lib/src/retry_detector.rs
+++ b/lib/src/retry_detector.rs
@@ -57,6 +57,6 @@
         return None;
     }
     let mut sorted: Vec<Duration> = samples.iter().copied().collect();
-    sorted.sort_unstable();
-    sorted.get(sorted.len() / 2).copied()
+    let middle = sorted.len() / 2;
+    Some(*sorted.select_nth_unstable(middle).1)
 }
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -8,6 +8,7 @@
 //! the task's estimate, plus extra costs in the same unit. An ejected target fails too often or is
 //! far slower than the fastest one. It gets only probes: single starts that test it.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
@@ -77,6 +78,8 @@
     starts_sent: u64,
     /// Sizes of the starts that the agent has not confirmed yet, oldest first.
     unconfirmed_starts: VecDeque<Resources>,
+    /// `free` minus the unconfirmed starts.
+    free_capacity: Resources,
     health: HealthReport,
     /// When the target may get work again after a start was refused.
     paused_until: Now,
@@ -136,6 +139,7 @@
             free: Resources::NONE,
             starts_sent: 0,
             unconfirmed_starts: VecDeque::new(),
+            free_capacity: Resources::NONE,
             health: HealthReport::default(),
             paused_until: Now::ZERO,
             probe_at: Now::ZERO,
@@ -144,8 +148,12 @@
 
     /// The reported free capacity minus the starts that the agent has not confirmed yet.
     fn free_capacity(&self) -> Resources {
+        self.free_capacity
+    }
+
+    fn update_free_capacity(&mut self) {
         let unconfirmed = self.unconfirmed_starts.iter();
-        unconfirmed.fold(self.free, |free, size| free.minus(*size))
+        self.free_capacity = unconfirmed.fold(self.free, |free, size| free.minus(*size));
     }
 
     /// A lower bound of the agent's clock: the transit time of its packet is not known.
@@ -243,6 +251,9 @@
     /// [`PROBE_INTERVAL`], or longer if many entries share a target.
     probe_interval: Duration,
     evacuated: Arc<EvacuatedHalls>,
+    /// Result of [`Self::least_slowdown`] and its time, until a target changes. Every task of a
+    /// placement round needs it.
+    least_slowdown: Cell<Option<(Now, f64)>>,
 }
 
 impl Default for TargetRegistry {
@@ -251,6 +262,7 @@
             views: BTreeMap::new(),
             probe_interval: PROBE_INTERVAL,
             evacuated: Arc::default(),
+            least_slowdown: Cell::new(None),
         }
     }
 }
@@ -260,12 +272,14 @@
     pub fn join(&mut self, now: Now, link: SessionId, agent: NodeName, hall: HallName) {
         let mut view = TargetView::new(now, agent, hall);
         view.is_evacuated = self.evacuated.contains(&view.hall);
+        self.least_slowdown.set(None);
         self.views.insert(link, view);
     }
 
     /// Applies a change of the evacuated halls to all targets.
     pub fn note_evacuations(&mut self, evacuated: &Arc<EvacuatedHalls>) {
         self.evacuated = evacuated.clone();
+        self.least_slowdown.set(None);
         for view in self.views.values_mut() {
             view.is_evacuated = evacuated.contains(&view.hall);
         }
@@ -284,11 +298,13 @@
 
     /// Removes the target of a closed link.
     pub fn leave(&mut self, link: SessionId) -> Option<TargetView> {
+        self.least_slowdown.set(None);
         self.views.remove(&link)
     }
 
     /// The target behind a link, to be modified.
     pub fn get_mut(&mut self, link: SessionId) -> Option<&mut TargetView> {
+        self.least_slowdown.set(None);
         self.views.get_mut(&link)
     }
 
@@ -336,6 +352,7 @@
             starts_seen,
             health,
         } = report;
+        self.least_slowdown.set(None);
         let Some(view) = self.views.get_mut(&link) else {
             return EjectionChange::Unchanged;
         };
@@ -346,6 +363,7 @@
         while view.unconfirmed_starts.len() > still_unconfirmed {
             view.unconfirmed_starts.pop_front();
         }
+        view.update_free_capacity();
         let was_ejected = view.health.fails_too_often();
         view.health = health;
         match (was_ejected, health.fails_too_often()) {
@@ -366,6 +384,7 @@
         if let Some(view) = self.views.get_mut(&link) {
             view.starts_sent += 1;
             view.unconfirmed_starts.push_back(size);
+            view.update_free_capacity();
             if view.is_ejected(least_slowdown) {
                 view.probe_at = now + self.probe_interval;
             }
@@ -414,6 +433,17 @@
     /// left out: compared with one that is idle, all others might count as too slow and get only
     /// probes.
     fn least_slowdown(&self, now: Now) -> f64 {
+        if let Some((at, known)) = self.least_slowdown.get()
+            && at == now
+        {
+            return known;
+        }
+        let found = self.find_least_slowdown(now);
+        self.least_slowdown.set(Some((now, found)));
+        found
+    }
+
+    fn find_least_slowdown(&self, now: Now) -> f64 {
         let compared = |v: &&TargetView| !v.is_evacuated && v.is_available(now);
         let slowdowns = self
             .views
