--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -12,6 +12,7 @@
 mod agents;
 mod callers;
 mod crashes;
+mod starvation;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -28,6 +29,7 @@
 use crate::deferred_batches::DeferredBatches;
 use crate::entry_directory::{EntryDirectory, Source};
 use crate::entry_drain::EntryDrain;
+use crate::entry_load::EntryLoad;
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::link_load::LinkLoad;
@@ -77,6 +79,8 @@
     retry_detector: RetryDetector,
     backlog: BacklogMonitor,
     forecast: WaitForecast,
+    /// Load of this process.
+    entry_load: EntryLoad,
     /// Load of this VM's network link.
     link_load: LinkLoad,
     /// When a task last found no target with free capacity.
@@ -106,6 +110,7 @@
             retry_detector: RetryDetector::default(),
             backlog: BacklogMonitor::default(),
             forecast: WaitForecast::default(),
+            entry_load: EntryLoad::new(options.processor_share),
             link_load: LinkLoad::new(options.link_rate),
             capacity_lacked_at: None,
             link_full_until: None,
@@ -121,6 +126,10 @@
         if self.exited {
             return Vec::new();
         }
+        // Deadlines depend on whether the entry reads its input late.
+        if let EntryEvent::LoopLoad(load) = event {
+            self.note_loop_load(load);
+        }
         // Deadlines come first: after a suspension, the process must not act on expired state.
         self.handle_batch_deadlines();
         self.retry_lost_runs();
@@ -164,7 +173,7 @@
             self.link_full_until,
         ];
         let soonest = times.into_iter().flatten().min()?;
-        Some(soonest.max(self.now + Duration::from_millis(1)))
+        Some(soonest.max(self.now + self.min_wake_pause()))
     }
 
     /// Returns whether the load balancer should send new connections to this entry.
@@ -186,6 +195,8 @@
             targets: self.targets.usable(self.now) as u64,
             config_version: self.directory.config().version(),
             evacuated_halls: self.directory.evacuations().halls.len() as u64,
+            loop_busy_percent: self.loop_busy_percent(),
+            loop_lag_ms: self.entry_load.recent_lag(self.now).as_millis() as u64,
         }
     }
 
@@ -223,6 +234,7 @@
             EntryEvent::Packet(link, Packet::FromEntry(_)) => {
                 self.actions.push(EntryAction::Close(link))
             }
+            EntryEvent::LoopLoad(_) => {}
             EntryEvent::Drain => self.begin_drain(),
         }
     }
@@ -235,8 +247,11 @@
     fn wake(&mut self) {
         let seeds = self.options.seeds.clone();
         self.learn_entries(seeds);
-        self.directory.close_silent(self.now);
-        let before = self.now.saturating_sub(self.options.timings.link_timeout);
+        // Packets may wait unread for as long as the entry is late.
+        let lag = self.entry_load.recent_lag(self.now);
+        self.directory.close_silent(self.now, lag);
+        let silence = self.options.timings.link_timeout + lag;
+        let before = self.now.saturating_sub(silence);
         for link in self.targets.silent(before) {
             self.actions.push(EntryAction::Close(link));
             self.handle_link_down(link);
@@ -436,6 +451,9 @@
         for link in links {
             self.send_orders(link);
         }
+        let usage = self.link_load.usage(self.now);
+        let load = self.entry_load.report(self.now, usage);
+        self.directory.set_own_load(load);
         let shared = self.directory.flush(self.now);
         self.actions.extend(shared);
     }
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -15,11 +15,12 @@
 use crate::batch_event::{EntryAction, EntryOptions};
 use crate::config_fetch::ConfigFetch;
 use crate::crash_notices::{CrashNews, CrashNotices, KnownCrash};
+use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, OfferOutcome};
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Now, SessionId};
 use crate::peer_closings::PeerClosings;
-use crate::peer_table::PeerTable;
+use crate::peer_table::{NeighbourLoad, PeerTable};
 use crate::preferred_entries::{FULL_MESH_LIMIT, LinkStep, PREFERRED_COUNT, PreferredEntries};
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
@@ -72,6 +73,8 @@
     crash_notices: CrashNotices,
     /// Batches that this entry is closing.
     own_closings: BTreeSet<BatchId>,
+    /// Load of this entry; `None` if not known.
+    own_load: Option<EntryLoadReport>,
     pending_actions: Vec<EntryAction>,
 }
 
@@ -91,6 +94,7 @@
             peer_closings: PeerClosings::default(),
             crash_notices: CrashNotices::default(),
             own_closings: BTreeSet::new(),
+            own_load: None,
             pending_actions: Vec::new(),
         }
     }
@@ -123,6 +127,16 @@
         entries
     }
 
+    /// Sets this entry's load, which is reported to the neighbours with the next packets.
+    pub fn set_own_load(&mut self, load: Option<EntryLoadReport>) {
+        self.own_load = load;
+    }
+
+    /// Neighbours whose load is known.
+    pub fn known_loads(&self, now: Now) -> Vec<NeighbourLoad> {
+        self.peers.known_loads(now)
+    }
+
     fn is_large_fleet(&self) -> bool {
         self.peers.known_count() > FULL_MESH_LIMIT
     }
@@ -153,6 +167,9 @@
         if let Some(link) = self.config_fetch.take_due(now, self.config.version()) {
             self.peers.tell(now, link, PeerNews::WantConfig);
         }
+        if let Some(load) = self.own_load {
+            self.peers.tell_load(now, load);
+        }
         for (link, news) in self.peers.take_due(now) {
             self.send(now, link, news);
         }
@@ -185,6 +202,7 @@
             entries: self.peers.known(),
             protocol: PROTOCOL_VERSION,
             processor_millis: self.processor_millis(),
+            hall: self.options.hall.clone(),
         }
     }
 
@@ -223,9 +241,9 @@
         }
     }
 
-    /// Closes links that have been silent for too long.
-    pub fn close_silent(&mut self, now: Now) {
-        for link in self.peers.silent(now) {
+    /// Closes links that have been silent for too long; packets may be unread for up to `lag`.
+    pub fn close_silent(&mut self, now: Now, lag: Duration) {
+        for link in self.peers.silent(now.saturating_sub(lag)) {
             self.pending_actions.push(EntryAction::Close(link));
             self.link_down(now, link);
         }
@@ -261,6 +279,7 @@
                 }
                 PeerNews::Crashed(notice) => effects.crashes.push(notice),
                 PeerNews::Heartbeat => {}
+                PeerNews::Load(load) => self.peers.note_load(now, link, load),
             }
         }
         effects
--- a/lib/tests/test_entry_crashes.rs
+++ b/lib/tests/test_entry_crashes.rs
@@ -144,6 +144,7 @@
         entries: Vec::new(),
         protocol,
         processor_millis: 0,
+        hall: "".into(),
     };
     entry.handle(now, EntryEvent::LinkUp(link, None));
     entry.handle(now, from_neighbour(link, PeerNews::Hello(intro)))
--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -178,3 +178,10 @@
     let given_up: Vec<usize> = results.map(|r| r.all().given_up as usize).collect();
     assert!(given_up.iter().sum::<usize>() <= 1, "by seed: {given_up:?}");
 }
+
+#[test]
+fn test_figures_entry_that_reads_late_refuses_no_batch() {
+    let results = replay("starved_entry", 0, 6_000);
+    // An entry that trusts its late input refuses eleven batches, although targets have room.
+    assert_eq!(results.all().refused, 0, "{results:?}");
+}
