testutils: targets of different speed, size and rack in load replays

The replays knew only equal targets in one rack. Patterns now give speeds and capacity factors that targets take in turn, racks, the factor on runs outside the preferred rack, and the racks that a kind prefers. Defaults draw no additional random numbers and multiply and divide by 1.0, so existing patterns keep their results.

--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -45,6 +45,13 @@
     /// them out.
     #[serde(default)]
     pub crash_share: f64,
+    /// Number of racks that its batches prefer, from the first; 0 if they prefer none. The
+    /// preference falls with the square root of the rack's number.
+    #[serde(default)]
+    pub prefers_rack: usize,
+    /// Share of its batches that prefer the first rack, instead of that rack's usual share.
+    #[serde(default)]
+    pub hot_rack_share: Option<f64>,
     /// Mean size of the payload in bytes; each batch has 0.4 to 1.6 times as much.
     #[serde(default)]
     pub payload_bytes: usize,
@@ -116,6 +123,18 @@
     pub targets: usize,
     /// Capacity of each target in thousandths of a core.
     pub target_cpu_millis: u64,
+    /// Factors on the capacity that targets take in turn.
+    #[serde(default = "no_factors")]
+    pub capacity_factors: Vec<f64>,
+    /// Speeds that targets take in turn: work done per unit of time.
+    #[serde(default = "no_factors")]
+    pub speeds: Vec<f64>,
+    /// Number of consecutive targets in a rack; all are in the same one if none.
+    #[serde(default)]
+    pub rack_size: Option<usize>,
+    /// Factor on the time of runs outside the preferred rack, also in the entries' settings.
+    #[serde(default)]
+    pub far_factor: Option<f64>,
     /// One-way latency between two processes in milliseconds, including processing time.
     pub one_way_ms: f64,
     /// Bandwidth of an entry's link in each direction; unlimited if none.
@@ -134,6 +153,10 @@
     pub troubles: Vec<PatternFault>,
 }
 
+fn no_factors() -> Vec<f64> {
+    vec![1.0]
+}
+
 /// Results of the batches of one kind.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct KindResults {
@@ -221,17 +244,15 @@
             entries: self.entries,
             agents: self.targets,
             bounds: PlatformBounds::default(),
-            capacity: Resources {
-                cpu_millis: self.target_cpu_millis,
-                memory_mib: 32_768,
-                accelerators: 0,
-            },
+            capacity: self.capacity_of(0),
             one_way: Duration::from_secs_f64(self.one_way_ms / 1_000.0),
             entry_link_mbps: self.entry_link_mbps,
+            far_factor: self.far_factor,
             ..FleetConfig::default()
         };
         let mut fleet = RunFleet::with_config(seed, fleet_config, self.config());
         fleet.keeps_log = false;
+        self.reshape_targets(&mut fleet);
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let groups = self.groups(&mut rng);
         for index in 0..self.kinds.len() {
@@ -261,7 +282,8 @@
             }
         }
         let core_seconds_in_time: f64 = kinds.iter().map(|(_, k)| k.core_seconds_in_time).sum();
-        let cores = self.targets as f64 * self.target_cpu_millis as f64 / 1_000.0;
+        let cpu_millis = |index| self.capacity_of(index).cpu_millis as f64;
+        let cores = (0..self.targets).map(cpu_millis).sum::<f64>() / 1_000.0;
         ReplayResults {
             kinds,
             orders: fleet.orders,
@@ -272,6 +294,48 @@
         }
     }
 
+    fn capacity_of(&self, target: usize) -> Resources {
+        let factor = self.capacity_factors[target % self.capacity_factors.len()];
+        Resources {
+            cpu_millis: (self.target_cpu_millis as f64 * factor).round() as u64,
+            memory_mib: 32_768,
+            accelerators: 0,
+        }
+    }
+
+    fn rack_name(&self, rack: usize) -> String {
+        format!("rack-{}", rack + 1)
+    }
+
+    fn reshape_targets(&self, fleet: &mut RunFleet) {
+        fleet.reshape_targets(|index, target| {
+            let mut target = target.with_capacity(self.capacity_of(index));
+            target.speed = self.speeds[index % self.speeds.len()];
+            target.rack = self.rack_name(self.rack_size.map_or(0, |size| index / size));
+            target.far_factor = self.far_factor.unwrap_or(1.0);
+            target
+        });
+    }
+
+    /// Draws the rack that a batch of a kind prefers.
+    fn draw_rack(&self, kind: &BatchKind, rng: &mut ChaCha8Rng) -> usize {
+        if kind.hot_rack_share.is_some_and(|share| rng.random_bool(share)) {
+            return 0;
+        }
+        // With a hot rack, the others share the rest of the batches.
+        let first = usize::from(kind.hot_rack_share.is_some());
+        let weight = |rack: usize| 1.0 / ((rack + 1) as f64).sqrt();
+        let total: f64 = (first..kind.prefers_rack).map(weight).sum();
+        let mut left = rng.random_range(0.0..total);
+        for rack in first..kind.prefers_rack {
+            left -= weight(rack);
+            if left < 0.0 {
+                return rack;
+            }
+        }
+        kind.prefers_rack - 1
+    }
+
     fn load_until(&self) -> Now {
         LOAD_FROM + Duration::from_millis(self.load_ms)
     }
@@ -324,6 +388,9 @@
             caller.queue = index;
             caller.guess = Some(rng.random_range(0.6..1.4));
             caller.entry = groups[rng.random_range(0..groups.len())];
+            if kind.prefers_rack > 0 {
+                caller.rack = Some(self.rack_name(self.draw_rack(kind, rng)));
+            }
             caller.crashes = kind.crash_share > 0.0 && rng.random_bool(kind.crash_share);
             if kind.payload_bytes > 0 {
                 let payload_letters = kind.payload_bytes as f64 * rng.random_range(0.4..1.6);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -234,6 +234,14 @@
         }
     }
 
+    /// Replaces the targets of a new fleet, before its first event.
+    pub fn reshape_targets(&mut self, reshape: impl Fn(usize, RunTarget) -> RunTarget) {
+        let targets = std::mem::take(&mut self.targets).into_iter().enumerate();
+        self.targets = targets
+            .map(|(index, old)| targets::SimulatedTarget::new(reshape(index, old.target)))
+            .collect();
+    }
+
     /// Schedules a batch.
     pub fn add_caller(&mut self, id: BatchId, caller: Caller) {
         self.schedule_at(caller.sent, Event::Submit(id));
@@ -456,7 +464,7 @@
                         .entry_link_mbps
                         .map(|mbps| mbps * 1e6 / 8.0),
                     processor_share: None,
-                    far_factor: None,
+                    far_factor: self.fleet_config.far_factor,
                 };
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntryCore::new(options));
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -11,7 +11,7 @@
 use trestleknot_lib::run::BatchId;
 
 use super::{Event, Node, RunFleet};
-use crate::run_target::CRASHES;
+use crate::run_target::{CRASHES, PREFERRED_RACK};
 
 /// Longest time that a caller waits for the reply to one request.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -27,6 +27,8 @@
     pub size: Resources,
     /// Number of random letters in the payload after the work time.
     pub payload_letters: usize,
+    /// Rack that it prefers.
+    pub rack: Option<String>,
     /// Whether the batch's first task crashes every target that starts it.
     pub crashes: bool,
     /// Longest time that it waits over all its requests; unlimited if none.
@@ -61,6 +63,7 @@
             work_ms,
             size,
             payload_letters: 0,
+            rack: None,
             crashes: false,
             deadline: None,
             guess: None,
@@ -84,6 +87,11 @@
         payload.push(' ');
         payload.push_str(CRASHES);
     }
+    if let Some(rack) = &caller.rack {
+        payload.push(' ');
+        payload.push_str(PREFERRED_RACK);
+        payload.push_str(rack);
+    }
     if caller.payload_letters > 0 {
         let mut rng = ChaCha8Rng::seed_from_u64(id);
         let letters = (0..caller.payload_letters).map(|_| rng.random_range(b'a'..=b'p') as char);
@@ -133,7 +141,7 @@
                 estimate: Duration::from_millis(estimate as u64),
                 after: Vec::new(),
                 required_label: None,
-                preferred_rack: None,
+                preferred_rack: caller.rack.clone(),
                 most_per_target: None,
             }],
             unsupported: None,
--- a/lib/testutils/src/run_fleet/fleet_config.rs
+++ b/lib/testutils/src/run_fleet/fleet_config.rs
@@ -37,6 +37,9 @@
     pub entry_link_mbps: Option<f64>,
     /// Whether processes' clocks advance while their VMs are suspended.
     pub counts_suspension: bool,
+    /// Factor on the time of a run outside its preferred rack, as the entries' settings give it;
+    /// none if they don't.
+    pub far_factor: Option<f64>,
     /// Number of entries, from the first, that processes know as seeds at start; all if none.
     pub seeds: Option<usize>,
 }
@@ -54,6 +57,7 @@
             evacuation_bound: None,
             entry_link_mbps: None,
             counts_suspension: true,
+            far_factor: None,
             seeds: None,
         }
     }
--- a/lib/testutils/src/run_fleet/invariants.rs
+++ b/lib/testutils/src/run_fleet/invariants.rs
@@ -67,8 +67,8 @@
             let caller = self.callers.get(&key.task.batch);
             caller.map_or(0, |c| c.size.cpu_millis as i64)
         };
-        let full = self.fleet_config.capacity.cpu_millis as i64;
         for target in self.targets() {
+            let full = target.usual_capacity.cpu_millis as i64;
             let mut changes: Vec<(Now, i64, i64)> = Vec::new();
             for record in &target.records {
                 let cpu = cpu(&record.key);
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -394,7 +394,10 @@
             TimedFault::Impairment(i) => {
                 self.targets[i].target.trouble = TargetImpairment::default()
             }
-            TimedFault::Resize(i) => self.targets[i].target.capacity = self.fleet_config.capacity,
+            TimedFault::Resize(i) => {
+                let target = &mut self.targets[i].target;
+                target.capacity = target.usual_capacity;
+            }
             TimedFault::LateOrders(i) => self.targets[i].loses_orders = false,
             TimedFault::LateReports(i) => self.targets[i].delays_reports = false,
             TimedFault::ForeignReports(i) => self.targets[i].has_foreign_reports = false,
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -51,6 +51,8 @@
 
 /// Word in a payload, after the work time, that makes task 0 of each step crash its target.
 pub const CRASHES: &str = "crashes";
+/// Start of a word in a payload, after the work time; the preferred rack follows.
+pub const PREFERRED_RACK: &str = "rack=";
 /// Time from the start of such a task to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 
@@ -116,6 +118,14 @@
     /// Start of its current incarnation, which it reports.
     born: Now,
     pub capacity: Resources,
+    /// Its capacity when no fault changes it.
+    pub usual_capacity: Resources,
+    /// Its speed: work done per unit of time.
+    pub speed: f64,
+    /// Its rack, which it reports as a label.
+    pub rack: String,
+    /// Factor on the time of a run whose payload prefers another rack.
+    pub far_factor: f64,
     /// Capacities that its agent received in reports, and when.
     reported_capacities: Vec<(Now, Resources)>,
     /// Sequence number of the last of these reports.
@@ -153,6 +163,10 @@
             names_used: 1,
             born: Now::ZERO,
             capacity,
+            usual_capacity: capacity,
+            speed: 1.0,
+            rack: "rack-1".to_owned(),
+            far_factor: 1.0,
             reported_capacities: vec![(Now::ZERO, capacity)],
             reported_sequence: 0,
             capacity_grace: Duration::ZERO,
@@ -180,6 +194,14 @@
         self
     }
 
+    /// Sets its usual capacity.
+    pub fn with_capacity(mut self, capacity: Resources) -> Self {
+        self.capacity = capacity;
+        self.usual_capacity = capacity;
+        self.reported_capacities = vec![(Now::ZERO, capacity)];
+        self
+    }
+
     /// Sets how long an order may be in transit, and so rely on an outdated capacity.
     pub fn with_room_grace(mut self, grace: Duration) -> Self {
         self.capacity_grace = grace;
@@ -210,7 +232,7 @@
             life: self.life(),
             service: SERVICE.into(),
             capacity: self.capacity,
-            labels: vec!["rack-1".to_owned()],
+            labels: vec![self.rack.clone()],
             leaving: self.is_leaving,
         };
         (info, self.sequence)
@@ -418,7 +440,15 @@
         if crashes {
             self.crash_at.get_or_insert(now + CRASH_AFTER);
         }
-        let slowdown = self.trouble.slowdown;
+        let rack = request
+            .payload
+            .split(' ')
+            .find_map(|word| word.strip_prefix(PREFERRED_RACK));
+        let distance = match rack {
+            Some(rack) if rack != self.rack => self.far_factor,
+            _ => 1.0,
+        };
+        let slowdown = self.trouble.slowdown * distance / self.speed;
         let ends_at = slowdown.is_finite().then(|| now + work.mul_f64(slowdown));
         self.records.push(RunRecord {
             key: request.key,
