lib: choice of targets by predicted run time where speeds differ

Cause: at nearly full load on targets of speeds 0.7 and 1.7, sound slow targets exceeded MAX_SLOWDOWN_RATIO by the error of estimates and got only probes, and runs outside the preferred rack counted as slowness of their target. Callers were late or refused while capacity was idle.

Distance counts with bounds.far-x in the cost, in the order's estimate and in the check for wrong estimates. A task that would be late on a free target waits while a much faster one can still serve it in time. While capacity is scarce, tasks that are in time on slow targets leave the fast ones to others. A target that has not run anything is expected to be as slow as the median of targets with the same labels and capacity.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -40,6 +40,9 @@
 /// A placement round ends after this many batches with a task that found no target.
 const MAX_PLACEMENT_MISSES: u32 = 6;
 
+/// A placement round ends after this many batches with a task that waits for a faster target.
+const MAX_PLACEMENT_DECLINES: u32 = 16;
+
 /// How long capacity counts as scarce after a task found none. Later rounds may not show it,
 /// because a round ends when the VM's network link is full.
 const CAPACITY_SHORTAGE_TTL: Duration = Duration::from_millis(100);
@@ -96,7 +99,7 @@
             actions: Vec::new(),
             directory: EntryDirectory::new(options.clone(), options.timings.lost_agent_bound),
             table: BatchTable::default(),
-            targets: TargetRegistry::default(),
+            targets: TargetRegistry::with_far_factor(options.far_factor),
             outboxes: BTreeMap::new(),
             lost_agents: BTreeMap::new(),
             needs_placing: false,
@@ -254,6 +257,7 @@
         }
         self.needs_placing = false;
         self.refuse_unplaceable_batches();
+        self.targets.compare_speeds(self.now);
         let ids: Vec<BatchId> = self.table.in_placement_order().collect();
         let directory = &self.directory;
         let mut round = PlacementRound {
@@ -265,17 +269,19 @@
             rng: &mut self.rng,
             placed: Vec::new(),
             lacked_capacity: false,
+            has_declined: false,
         };
-        let mut misses = 0;
+        let (mut misses, mut declines) = (0, 0);
         for id in ids {
             if round.link_load.full_until(self.now).is_some() {
                 break;
             }
             let is_blocked = directory.is_closing_at_peer(self.now, id);
             if !is_blocked && !round.place(id) {
-                misses += 1;
+                misses += u32::from(!round.has_declined);
+                declines += u32::from(round.has_declined);
             }
-            if misses >= MAX_PLACEMENT_MISSES {
+            if misses >= MAX_PLACEMENT_MISSES || declines >= MAX_PLACEMENT_DECLINES {
                 break;
             }
         }
@@ -303,6 +309,9 @@
             return;
         };
         let spec = &batch.steps[step].spec;
+        let distance = self
+            .targets
+            .distance_factor(link, spec.preferred_rack.as_deref());
         let start_window = self.options.timings.start_window.as_millis() as AgentMillis;
         let start_by = view.agent_clock(self.now) + start_window;
         self.forecast.note_placed(self.now, runs.len() as u32);
@@ -312,7 +321,7 @@
             service: batch.queue.service.clone(),
             payload: needs_payload.then(|| batch.payload.clone()),
             size: spec.size,
-            estimate_ms: spec.estimate.as_millis() as u32,
+            estimate_ms: spec.estimate.mul_f64(distance).as_millis() as u32,
             start_by,
             alone,
             runs,
@@ -321,7 +330,7 @@
         let heard_ms = self.now.saturating_sub(view.heard).as_millis();
         let detail = format!(
             "job={id:016x} step={step} agent={} runs={:?} alone={alone} age_ms={age_ms} heard_ms_ago={heard_ms} \
-             pace={:.2}",
+             pace={:.2} distance={distance:.1}",
             view.agent,
             order.runs,
             view.slowdown(),
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -136,9 +136,7 @@
         match news {
             AgentNews::Hello(_) => {}
             AgentNews::Target(info) => {
-                if let Some(view) = self.targets.get_mut(link) {
-                    view.info = info;
-                }
+                self.targets.note_target(link, info);
             }
             AgentNews::Ended { key, end, ran_ms } => self.handle_ended(link, key, end, ran_ms),
             AgentNews::NotStarted { key, reason } => self.handle_not_started(link, key, reason),
@@ -271,7 +269,9 @@
             return;
         }
         let step = &mut batch.steps[usize::from(key.task.step)];
-        let is_estimate_wrong = step.record_slow_task(&agent, projected);
+        let rack = step.spec.preferred_rack.as_deref();
+        let distance = self.targets.distance_factor(link, rack);
+        let is_estimate_wrong = step.record_slow_task(&agent, projected.div_f64(distance));
         if is_estimate_wrong && !self.targets.is_ejected(self.now, link) {
             return;
         }
@@ -301,13 +301,14 @@
             payload_sent_to: &batch.payload_sent_to,
             payload_cost: 0.0,
             is_idle: false,
+            time_left: f64::INFINITY,
         };
         let is_current = |view: &crate::target_registry::TargetView| view.agent == *agent;
         let hall = &self.options.hall;
         let chosen = self
             .targets
             .choose(self.now, &need, hall, is_current, &mut self.rng);
-        chosen.is_some()
+        chosen.link.is_some()
     }
 
     pub(super) fn order_stop(&mut self, key: RunKey, agent: &str) {
--- a/lib/src/batch_placing.rs
+++ b/lib/src/batch_placing.rs
@@ -72,6 +72,8 @@
     pub placed: Vec<StartGroup>,
     /// Whether a task found no target with free capacity.
     pub lacked_capacity: bool,
+    /// Whether a task of the last batch waits although a target has free capacity.
+    pub has_declined: bool,
 }
 
 impl PlacementRound<'_> {
@@ -82,6 +84,7 @@
             return true;
         };
         let steps = batch.steps.len();
+        self.has_declined = false;
         let mut all_placed = true;
         for step in 0..steps {
             if self.table.get(id).is_some_and(|b| b.is_ready(step)) {
@@ -219,6 +222,10 @@
             payload_sent_to: &batch.payload_sent_to,
             payload_cost: self.payload_cost(batch, spec),
             is_idle: needs_idle_target,
+            time_left: batch
+                .due
+                .saturating_sub(self.now)
+                .div_duration_f64(spec.estimate.max(MIN_RUN_TIME)),
         };
         let table = &*self.table;
         let is_excluded = |view: &TargetView| {
@@ -227,7 +234,10 @@
                 .is_some_and(|limit| table.step_runs_at(&view.agent, id, step as u16) >= limit);
             is_at_limit || (task.crashes.is_suspect() && table.has_suspect_at(&view.agent))
         };
-        self.targets
-            .choose(self.now, &need, self.hall, is_excluded, self.rng)
+        let choice = self
+            .targets
+            .choose(self.now, &need, self.hall, is_excluded, self.rng);
+        self.has_declined |= choice.link.is_none() && choice.has_declined;
+        choice.link
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -121,6 +121,7 @@
 pub mod target_incarnations;
 pub mod target_lease;
 pub mod target_registry;
+pub mod target_speeds;
 pub mod target_table;
 pub mod telemetry;
 pub mod timings;
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -21,6 +21,7 @@
 use crate::resources::Resources;
 use crate::run_message::{AgentMillis, TargetInfo};
 use crate::target_health::{HealthReport, MAX_SLOWDOWN_RATIO};
+use crate::target_speeds::{self, SpeedComparison};
 
 /// An agent that has been silent for this long gets no work. Exceeds two heartbeat intervals.
 const AGENT_SILENCE_LIMIT: Duration = Duration::from_millis(650);
@@ -78,6 +79,10 @@
     /// Sizes of the starts that the agent has not confirmed yet, oldest first.
     unconfirmed_starts: VecDeque<Resources>,
     health: HealthReport,
+    /// Slowdown that is assumed until the target's first run has ended.
+    expected_slowdown: f64,
+    /// Whether the agent has learnt a slowdown.
+    has_run: bool,
     /// When the target may get work again after a start was refused.
     paused_until: Now,
     /// When the target may get its next probe if it is ejected.
@@ -108,6 +113,8 @@
     pub required_label: Option<&'a str>,
     /// Rack in which the task runs faster.
     pub preferred_rack: Option<&'a str>,
+    /// Time until the batch is due, as a multiple of the task's estimate.
+    pub time_left: f64,
     /// Agent whose target costs more, because an earlier run of the task failed, crashed or was
     /// stopped there.
     pub avoid: Option<&'a str>,
@@ -119,8 +126,10 @@
     pub is_idle: bool,
 }
 
-/// Extra cost of a target outside the preferred rack, as a share of the run time.
-const OTHER_RACK_COST: f64 = 0.5;
+/// Factor on the run time outside the preferred rack if the platform states none.
+const DEFAULT_FAR_FACTOR: f64 = 1.5;
+/// Interval at which the speeds of all targets are compared.
+const COMPARE_INTERVAL: Duration = Duration::from_millis(50);
 
 impl TargetView {
     fn new(now: Now, agent: NodeName, hall: HallName) -> Self {
@@ -137,6 +146,8 @@
             starts_sent: 0,
             unconfirmed_starts: VecDeque::new(),
             health: HealthReport::default(),
+            expected_slowdown: 1.0,
+            has_run: false,
             paused_until: Now::ZERO,
             probe_at: Now::ZERO,
         }
@@ -188,7 +199,15 @@
         !self.is_leaving && !info.leaving && self.heard + AGENT_SILENCE_LIMIT > now
     }
 
-    fn cost(&self, need: &TaskRequirements<'_>, hall: &HallName) -> f64 {
+    /// Whether a task that prefers this rack would run outside it.
+    pub fn is_far(&self, preferred_rack: Option<&str>) -> bool {
+        let Some(info) = &self.info else {
+            return false;
+        };
+        preferred_rack.is_some_and(|rack| info.labels.iter().all(|have| have != rack))
+    }
+
+    fn cost(&self, need: &TaskRequirements<'_>, hall: &HallName, distance: f64) -> f64 {
         let Some(info) = &self.info else {
             return f64::MAX;
         };
@@ -203,12 +222,7 @@
         if self.hall != *hall {
             cost += OTHER_HALL_COST;
         }
-        let is_other_rack = need
-            .preferred_rack
-            .is_some_and(|rack| info.labels.iter().all(|have| have != rack));
-        if is_other_rack {
-            cost += OTHER_RACK_COST * slowdown;
-        }
+        cost += (distance - 1.0) * slowdown;
         if need.avoid == Some(&*self.agent) {
             cost += slowdown;
         }
@@ -216,6 +230,16 @@
     }
 }
 
+/// The target chosen for a task.
+#[derive(Debug, Clone, Copy)]
+pub struct TargetChoice {
+    /// The link to it, if any target can take the task.
+    pub link: Option<SessionId>,
+    /// Whether a target with free capacity was left out because the task would be late there and
+    /// can still be in time elsewhere.
+    pub has_declined: bool,
+}
+
 /// Why a start was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartRefusal {
@@ -243,6 +267,11 @@
     /// [`PROBE_INTERVAL`], or longer if many entries share a target.
     probe_interval: Duration,
     evacuated: Arc<EvacuatedHalls>,
+    /// Factor on the run time outside the preferred rack, if the platform states it.
+    far_factor: Option<f64>,
+    /// Comparison of all targets, at most [`COMPARE_INTERVAL`] old in a placement round.
+    speeds: SpeedComparison,
+    compared_at: Option<Now>,
 }
 
 impl Default for TargetRegistry {
@@ -251,11 +280,79 @@
             views: BTreeMap::new(),
             probe_interval: PROBE_INTERVAL,
             evacuated: Arc::default(),
+            far_factor: None,
+            speeds: SpeedComparison::default(),
+            compared_at: None,
         }
     }
 }
 
 impl TargetRegistry {
+    /// A registry with the platform's factor on the run time outside the preferred rack.
+    pub fn with_far_factor(far_factor: Option<f64>) -> Self {
+        Self {
+            far_factor,
+            ..Self::default()
+        }
+    }
+
+    /// Factor on the run time of a task on a target, by the distance from its preferred rack. 1 if
+    /// the platform states none.
+    pub fn distance_factor(&self, link: SessionId, preferred_rack: Option<&str>) -> f64 {
+        match (self.far_factor, self.views.get(&link)) {
+            (Some(factor), Some(view)) if view.is_far(preferred_rack) => factor,
+            _ => 1.0,
+        }
+    }
+
+    /// Records the target that an agent announced. Until it has run a task, its slowdown is assumed
+    /// to be the median of targets with the same labels and capacity.
+    pub fn note_target(&mut self, link: SessionId, info: Option<TargetInfo>) {
+        let alike = info
+            .as_ref()
+            .map(|info| self.slowdowns_of_alike(link, info));
+        if let Some(view) = self.views.get_mut(&link) {
+            if let Some(alike) = alike {
+                view.expected_slowdown = target_speeds::expected_slowdown(alike);
+            }
+            view.info = info;
+        }
+    }
+
+    fn slowdowns_of_alike(&self, link: SessionId, info: &TargetInfo) -> Vec<f64> {
+        let is_alike = |view: &TargetView| {
+            view.has_run
+                && view
+                    .info
+                    .as_ref()
+                    .is_some_and(|i| i.capacity == info.capacity && i.labels == info.labels)
+        };
+        let others = self.views.iter().filter(|(l, _)| **l != link);
+        let alike = others.filter(|(_, view)| is_alike(view));
+        alike.map(|(_, view)| view.health.slowdown()).collect()
+    }
+
+    /// Compares the speeds of all targets if that was not done recently.
+    pub fn compare_speeds(&mut self, now: Now) {
+        if self
+            .compared_at
+            .is_some_and(|at| at + COMPARE_INTERVAL > now)
+        {
+            return;
+        }
+        self.compared_at = Some(now);
+        let compared = |v: &&TargetView| !v.is_evacuated && v.is_available(now);
+        let (mut free, mut capacity) = (0, 0);
+        let mut slowdowns = Vec::with_capacity(self.views.len());
+        for view in self.views.values().filter(compared) {
+            slowdowns.push(view.slowdown());
+            free += view.free_capacity().cpu_millis;
+            capacity += view.info.as_ref().map_or(0, |i| i.capacity.cpu_millis);
+        }
+        let free_share = free as f64 / capacity.max(1) as f64;
+        self.speeds = SpeedComparison::of(slowdowns, free_share);
+    }
+
     /// Adds an agent that has said hello.
     pub fn join(&mut self, now: Now, link: SessionId, agent: NodeName, hall: HallName) {
         let mut view = TargetView::new(now, agent, hall);
@@ -346,6 +443,8 @@
         while view.unconfirmed_starts.len() > still_unconfirmed {
             view.unconfirmed_starts.pop_front();
         }
+        let default_pace = HealthReport::default().pace_percent;
+        view.has_run |= health.pace_percent != default_pace;
         let was_ejected = view.health.fails_too_often();
         view.health = health;
         match (was_ejected, health.fails_too_often()) {
@@ -366,7 +465,7 @@
         if let Some(view) = self.views.get_mut(&link) {
             view.starts_sent += 1;
             view.unconfirmed_starts.push_back(size);
-            if view.is_ejected(least_slowdown) {
+            if view.is_ejected(least_slowdown, &self.speeds) {
                 view.probe_at = now + self.probe_interval;
             }
         }
@@ -385,21 +484,35 @@
         hall: &HallName,
         is_excluded: impl Fn(&TargetView) -> bool,
         rng: &mut ChaCha8Rng,
-    ) -> Option<SessionId> {
+    ) -> TargetChoice {
         let mut best: Option<(f64, SessionId)> = None;
         let least_slowdown = self.least_slowdown(now);
+        let far_factor = self.far_factor.unwrap_or(DEFAULT_FAR_FACTOR);
+        let is_bound = self.far_factor.is_some() && need.preferred_rack.is_some();
+        let fit = self
+            .speeds
+            .for_task(is_bound, need.time_left, least_slowdown);
+        let mut has_declined = false;
         for (link, view) in &self.views {
             let is_open = view.may_get_work(now)
                 && view.can_run(need)
                 && need.size.fits_in(view.free_capacity())
                 && !is_excluded(view);
-            if !is_open || (view.is_ejected(least_slowdown) && view.probe_at > now) {
+            if !is_open || (view.is_ejected(least_slowdown, &self.speeds) && view.probe_at > now) {
+                continue;
+            }
+            let is_far = view.is_far(need.preferred_rack);
+            let distance = self.far_factor.filter(|_| is_far).unwrap_or(1.0);
+            let cost_factor = if is_far { far_factor } else { 1.0 };
+            if fit.should_wait(view.slowdown(), distance) {
+                has_declined = true;
                 continue;
             }
             // Jitter keeps entries from all choosing the same target.
             let jitter = rng.random_range(0.97..1.03);
             let staleness_cost = view.staleness(now) * rng.random_range(0.0..MAX_STALENESS_COST);
-            let mut cost = view.cost(need, hall) * jitter + staleness_cost;
+            let mut cost = view.cost(need, hall, cost_factor) * jitter + staleness_cost;
+            cost -= fit.cost_reduction(view.slowdown(), is_far);
             if !need.payload_sent_to.contains(link) {
                 cost += need.payload_cost;
             }
@@ -407,7 +520,10 @@
                 best = Some((cost, *link));
             }
         }
-        best.map(|(_, link)| link)
+        TargetChoice {
+            link: best.map(|(_, link)| link),
+            has_declined,
+        }
     }
 
     /// The slowdown of the fastest available target, paused ones included. Evacuated targets are
@@ -439,19 +555,24 @@
         let least_slowdown = self.least_slowdown(now);
         self.views
             .get(&link)
-            .is_some_and(|view| view.is_ejected(least_slowdown))
+            .is_some_and(|view| view.is_ejected(least_slowdown, &self.speeds))
     }
 }
 
 impl TargetView {
     /// Whether the target gets only probes because it fails too often or is much slower than the
     /// fastest target.
-    fn is_ejected(&self, least_slowdown: f64) -> bool {
-        self.health.fails_too_often() || self.slowdown() > MAX_SLOWDOWN_RATIO * least_slowdown
+    fn is_ejected(&self, least_slowdown: f64, speeds: &SpeedComparison) -> bool {
+        let slowdown = self.slowdown();
+        self.health.fails_too_often()
+            || (slowdown > MAX_SLOWDOWN_RATIO * least_slowdown && speeds.is_unusual(slowdown))
     }
 
     /// Average ratio of run time to estimate.
     pub fn slowdown(&self) -> f64 {
+        if !self.has_run {
+            return self.expected_slowdown;
+        }
         self.health.slowdown()
     }
 }
--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -167,3 +167,45 @@
     let results = replay("crashing_tasks", 0, 8_000);
     assert_eq!(results.all().given_up, 0, "innocents: {results:?}");
 }
+
+/// Results of a pattern shortened to `to`, of the batches sent from `from` on, in milliseconds.
+fn replay_until(name: &str, from: u64, to: u64) -> ReplayResults {
+    let mut uneven = pattern(name);
+    uneven.load_ms = to;
+    uneven.figures(1, ms(from)..ms(to))
+}
+
+#[test]
+fn test_figures_uneven_targets_at_nearly_full_load_serve_all_queues() {
+    // Fails if sound slow targets are ejected, or if distance counts as slowness of a target.
+    let results = replay_until("uneven_full", 500, 2_000);
+    for kind in 0..3 {
+        assert!(in_time(&results, kind) > 0.93, "{results:?}");
+    }
+}
+
+#[test]
+fn test_figures_hot_rack_spills_over() {
+    let results = replay_until("uneven_hot_rack", 500, 2_000);
+    for kind in 0..3 {
+        assert!(in_time(&results, kind) > 0.98, "{results:?}");
+    }
+}
+
+#[test]
+fn test_figures_uneven_targets_that_turn_slow_leave_most_in_time() {
+    // Fails if targets that turn slow keep their work, or sound ones lose it.
+    let results = replay_until("uneven_slow", 500, 3_000);
+    for kind in 0..3 {
+        assert!(in_time(&results, kind) > 0.8, "{results:?}");
+    }
+}
+
+#[test]
+fn test_figures_uneven_targets_that_join_are_used() {
+    // A joining target of unknown speed must not make tasks late.
+    let results = replay_until("uneven_join", 1_500, 3_000);
+    for kind in 0..3 {
+        assert!(in_time(&results, kind) > 0.98, "{results:?}");
+    }
+}
--- a/lib/tests/test_target_registry.rs
+++ b/lib/tests/test_target_registry.rs
@@ -108,8 +108,9 @@
             payload_sent_to: &BTreeSet::new(),
             payload_cost: 0.0,
             is_idle: false,
+            time_left: f64::INFINITY,
         };
-        if let Some(link) = registry.choose(now, &need, &hall, |_| false, &mut rng) {
+        if let Some(link) = registry.choose(now, &need, &hall, |_| false, &mut rng).link {
             assert_eq!(link, FAILING);
             registry.sent_start(now, link, TASK);
             probes += 1;
@@ -186,8 +187,11 @@
             payload_sent_to: &BTreeSet::new(),
             payload_cost: 0.0,
             is_idle: false,
+            time_left: f64::INFINITY,
         };
-        let chosen = registry.choose(ms(11), &need, &hall, |_| false, &mut rng);
+        let chosen = registry
+            .choose(ms(11), &need, &hall, |_| false, &mut rng)
+            .link;
         assert!(matches!(chosen, Some(FAILING | HEALTHY)), "{chosen:?}");
     }
 }
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -319,7 +319,10 @@
 
     /// Draws the rack that a batch of a kind prefers.
     fn draw_rack(&self, kind: &BatchKind, rng: &mut ChaCha8Rng) -> usize {
-        if kind.hot_rack_share.is_some_and(|share| rng.random_bool(share)) {
+        if kind
+            .hot_rack_share
+            .is_some_and(|share| rng.random_bool(share))
+        {
             return 0;
         }
         // With a hot rack, the others share the rest of the batches.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -29,7 +29,8 @@
             }
             FleetFault::Suspend(node, length) => self.suspend(node, length),
             FleetFault::Resize(i, percent, length) => {
-                self.targets[i].target.capacity = percent_of(self.targets[i].target.usual_capacity, percent);
+                self.targets[i].target.capacity =
+                    percent_of(self.targets[i].target.usual_capacity, percent);
                 self.schedule_after(length, Event::EndFault(targets::TimedFault::Resize(i)));
             }
             FleetFault::Cut(node, length) => self.cut(node, length),
