--- a/lib/src/target_speeds.rs
+++ b/lib/src/target_speeds.rs
@@ -8,10 +8,10 @@
 /// Bound of the median in that rule, as a multiple of the least slowdown. Otherwise targets would
 /// not be ejected if most of them turned slow.
 const MAX_MEDIAN_RATIO: f64 = 2.8;
-/// Share of the targets at either end that are left out when speeds are compared.
+/// Share of the targets, from the fastest, that is left out when speeds are compared.
 const TAIL_SHARE: f64 = 0.15;
-/// Ratio of the slowdowns of slow and fast targets above which speeds count as uneven. The error of
-/// estimates alone causes about 1.2.
+/// Ratio of the median slowdown to that of fast targets above which speeds count as uneven. The
+/// median keeps a fault that slows a minority of equal targets from counting.
 const UNEVEN_RATIO: f64 = 1.4;
 /// Share of free capacity below which capacity counts as scarce.
 const SCARCE_SHARE: f64 = 0.5;
@@ -47,7 +47,7 @@
         let at = |share: f64| slowdowns[(last * share).round() as usize];
         Self {
             highest_usual: MAX_RATIO_TO_MEDIAN * median.min(MAX_MEDIAN_RATIO * slowdowns[0]),
-            are_uneven: at(1.0 - TAIL_SHARE) > UNEVEN_RATIO * at(TAIL_SHARE),
+            are_uneven: median > UNEVEN_RATIO * at(TAIL_SHARE),
             is_scarce: free_share < SCARCE_SHARE,
         }
     }
--- a/lib/tests/test_target_speeds.rs
+++ b/lib/tests/test_target_speeds.rs
@@ -214,3 +214,20 @@
     assert_eq!(expected_slowdown(vec![9.0, 8.0]), 2.0);
     assert_eq!(expected_slowdown(vec![0.1]), 0.5);
 }
+
+#[test]
+fn test_choose_fault_of_a_minority_does_not_count_as_uneven() {
+    let mut registry = TargetRegistry::default();
+    for link in 0..8 {
+        join(&mut registry, link, info(SMALL, "rack-1"));
+        let (pace, free) = if link < 2 {
+            (210, cpu(SMALL))
+        } else {
+            (100, Resources::NONE)
+        };
+        hear(&mut registry, link, if link < 6 { pace } else { 98 }, free);
+    }
+    registry.compare_speeds(NOW);
+    let choice = choose(&registry, None, 1.5);
+    assert!(choice.link.is_some() && !choice.has_declined, "{choice:?}");
+}
