--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -243,6 +243,14 @@
         }
     }
 
+    /// Replaces the targets of a new fleet, before its first event.
+    pub fn reshape_targets(&mut self, reshape: impl Fn(usize, RunTarget) -> RunTarget) {
+        let targets = std::mem::take(&mut self.targets).into_iter().enumerate();
+        self.targets = targets
+            .map(|(index, old)| targets::SimulatedTarget::new(reshape(index, old.target)))
+            .collect();
+    }
+
     /// Schedules a batch.
     pub fn add_caller(&mut self, id: BatchId, caller: Caller) {
         self.schedule_at(caller.sent, Event::Submit(id));
@@ -474,7 +482,7 @@
                         .entry_link_mbps
                         .map(|mbps| mbps * 1e6 / 8.0),
                     processor_share: self.fleet_config.processor.map(|p| p.share_of(i)),
-                    far_factor: None,
+                    far_factor: self.fleet_config.far_factor,
                 };
                 self.processors[i].reset();
                 let process = &mut self.entries[i];
