lib: guarantors of runs at agents

Cause: a batch that one entry hands over to another must stop when either dies. At-most-once must not depend on the receiver learning that the giver is gone. Change: a start order may name a guarantor, the incarnation of the entry that holds the caller's connection. The agent starts and keeps such a run only while both leases are valid; otherwise the run is an orphan with the same stop bound and lapse of the target's lease as before. It refuses a start whose guarantor has no link and lease (NoGuarantor). Claims in welcomes name guarantors in a list of their own, so older builds still decode them. The lease of an adopted run is not renewed before its guarantor is known, and the run is stopped if that takes longer than the claim grace. A lost start is resent only while the leases are valid. New fields are left out while unset; the kept bytes are unchanged, four new packets are appended to them. Nothing names a guarantor yet.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -315,6 +315,7 @@
             estimate_ms: spec.estimate.as_millis() as u32,
             start_by,
             alone,
+            guarantor: None,
             runs,
         };
         let age_ms = self.now.saturating_sub(batch.arrived).as_millis();
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -118,6 +118,7 @@
             life: self.options.incarnation,
             entries: self.directory.entries(),
             claims,
+            guarantors: Vec::new(),
             evacuations: self.directory.evacuations().clone(),
             protocol: PROTOCOL_VERSION,
         };
--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -131,6 +131,17 @@
         self.until.get(&entry).copied().unwrap_or_default()
     }
 
+    /// Whether an entry has sent packets here. Entries are forgotten a while after their lease.
+    pub fn knows(&self, entry: Incarnation) -> bool {
+        self.until.contains_key(&entry)
+    }
+
+    /// Whether an entry has an open link and a valid lease.
+    pub fn is_present(&self, now: Now, entry: Incarnation) -> bool {
+        let has_link = self.links.values().any(|l| l.entry == Some(entry));
+        has_link && self.has_valid_lease(now, entry)
+    }
+
     /// Forgets entries whose lease lapsed before this time.
     pub fn forget_before(&mut self, before: Now) {
         self.until.retain(|_, until| *until >= before);
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -110,6 +110,10 @@
     TaskMoved = 1907, Info, "slow run stopped, to go on elsewhere";
     TaskSuspected = 1908, Warn, "target crashed during a run, its task is suspected";
     TaskGivenUp = 1909, Warn, "task given up, its runs crashed targets";
+    HandedOver = 1910, Info, "batch handed over to another entry";
+    TakenOver = 1911, Info, "batch taken over from another entry";
+    HandOverDeclined = 1912, Info, "offer of a batch declined, nothing of it runs";
+    HandOverReleased = 1913, Info, "batch that was handed over released, its runs are stopped";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
     TargetLifeOver = 2003, Warn, "target incarnation ended";
@@ -126,6 +130,7 @@
     RunOrphaned = 2105, Info, "orphaned run stopped";
     StartUnanswered = 2106, Warn, "start not answered, a new fencing token invalidates it";
     TargetCallFailed = 2107, Info, "call to the target got no answer";
+    RunReleased = 2108, Info, "run stopped, its guarantor released the batch";
 }
 
 impl EventCode {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -102,6 +102,7 @@
 pub mod preferred_entries;
 pub mod queue;
 pub mod quota;
+pub mod released_batches;
 pub mod request_timeline;
 pub mod resources;
 pub mod retry_detector;
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -161,4 +161,7 @@
     WrongService,
     /// The order had no payload, and the agent no longer has it cached.
     NoPayload,
+    /// The order names a guarantor that has no link and valid lease at the agent or has released
+    /// the batch.
+    NoGuarantor,
 }
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -6,6 +6,7 @@
 //! leases have lapsed. docs/design/platform.md derives the timing bounds.
 
 mod evacuation;
+mod guarantors;
 mod incarnations;
 mod lists;
 mod starts;
@@ -23,13 +24,14 @@
 use crate::payload::PayloadUnpacker;
 use crate::payload_cache::PayloadCache;
 use crate::preferred_entries::{LinkStep, PREFERRED_COUNT, PreferredEntries};
+use crate::released_batches::ReleasedBatches;
 use crate::resources::Resources;
 use crate::run::{RunEnd, RunKey};
 use crate::run_event::{AgentAction, AgentEvent, AgentGauges, AgentOptions};
 use crate::run_message::{
     AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Welcome,
 };
-use crate::run_table::{Run, RunTable, Stopping};
+use crate::run_table::{Claim, Run, RunTable, Stopping};
 use crate::target_health::TargetHealth;
 use crate::target_incarnations::TargetIncarnations;
 use crate::target_lease::TargetLease;
@@ -59,9 +61,11 @@
     /// read, and no connection for a start has been refused since.
     knows_runs: bool,
     /// Claims received before the lists were read.
-    early_claims: Vec<(Incarnation, RunKey, Resources)>,
+    early_claims: Vec<(RunKey, Claim)>,
     /// Stops received before the lists were read, each with the incarnation of its entry.
     early_stops: Vec<(Incarnation, RunKey)>,
+    /// Batches whose guarantors have released them.
+    released: ReleasedBatches,
     preferred: PreferredEntries,
     discovery: EntryDiscovery,
     unpacker: PayloadUnpacker,
@@ -91,6 +95,7 @@
             knows_runs: false,
             early_claims: Vec::new(),
             early_stops: Vec::new(),
+            released: ReleasedBatches::default(),
             preferred: PreferredEntries::new(
                 &options.name,
                 PREFERRED_COUNT,
@@ -171,10 +176,9 @@
     }
 
     fn run_wake(&self, run: &Run) -> Now {
-        let next_check = match (&run.stopping, run.owner) {
-            (Some(stopping), _) => stopping.resend_at,
-            (None, Some(owner)) => self.entry_links.lease_until(owner),
-            (None, None) => run.since + self.options.timings.claim_grace,
+        let next_check = match &run.stopping {
+            Some(stopping) => stopping.resend_at,
+            None => self.run_owned_until(run),
         };
         let answer_deadline = self.answer_deadline(run);
         answer_deadline.map_or(next_check, |by| by.min(next_check))
@@ -281,7 +285,8 @@
         let (links, runs) = (&self.entry_links, &self.runs);
         let is_needed = |link| {
             let entry = links.get(link).and_then(|l| l.entry);
-            entry.is_some() && runs.iter().any(|(_, run)| run.owner == entry)
+            let is_bound_to = |run: &Run| run.owner == entry || run.guarantor == entry;
+            entry.is_some() && runs.iter().any(|(_, run)| is_bound_to(run))
         };
         for step in self.preferred.steps(self.now, is_needed) {
             match step {
@@ -334,6 +339,7 @@
                 Order::Stop(keys) => self.stop_ordered(link, keys),
                 Order::Entries(entries) => self.preferred.learn(self.now, entries),
                 Order::Evacuations(state) => self.offer_evacuations(&state, "entry"),
+                Order::Release(batch) => self.release_ordered(link, batch),
             }
         }
         self.evacuation_watch.confirmed(store_heard);
@@ -345,6 +351,7 @@
             life: entry,
             entries,
             claims,
+            guarantors,
             evacuations,
             protocol: _,
         } = welcome;
@@ -357,10 +364,16 @@
         self.offer_evacuations(&evacuations, "entry");
         self.stop_unclaimed(entry, &claims);
         for (key, size) in claims {
+            let named = guarantors.iter().find(|(run, _)| *run == key);
+            let claim = Claim {
+                owner: entry,
+                guarantor: named.map(|(_, guarantor)| *guarantor),
+                size,
+            };
             if self.knows_runs {
-                self.answer_claim(entry, key, size);
+                self.answer_claim(key, &claim);
             } else {
-                self.early_claims.push((entry, key, size));
+                self.early_claims.push((key, claim));
             }
         }
     }
@@ -379,8 +392,10 @@
     }
 
     /// Makes the entry the owner of a run, or tells it that the run is over.
-    fn answer_claim(&mut self, entry: Incarnation, key: RunKey, size: Resources) {
-        if self.runs.claim(key, entry, size) {
+    fn answer_claim(&mut self, key: RunKey, claim: &Claim) {
+        let entry = claim.owner;
+        if self.runs.claim(key, claim) {
+            self.stop_if_released(key);
             return;
         }
         let end = self.runs.end_of(key).unwrap_or(RunEnd::Lost);
@@ -483,10 +498,7 @@
         let now = self.now;
         let mut orphans = Vec::new();
         for (key, run) in self.runs.iter() {
-            let owned_until = match run.owner {
-                Some(owner) => self.entry_links.lease_until(owner),
-                None => run.since + self.options.timings.claim_grace,
-            };
+            let owned_until = self.run_owned_until(run);
             if owned_until <= now && run.stopping.is_none_or(|s| s.orphaned_since.is_none()) {
                 orphans.push((key, owned_until));
             }
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -62,15 +62,17 @@
     }
 
     /// Whether the lease may be renewed: not while the stop of an orphaned run is past its bound,
-    /// and not while a run has no owner. The entry that ordered such a run may rely on the lease
-    /// lapsing a certain time after its last packet to an earlier incarnation of this agent.
+    /// and not while a run has no owner or its guarantor is unknown. The entries that ordered and
+    /// guarantee such a run may rely on the lease lapsing a certain time after their last packet to
+    /// an earlier incarnation of this agent.
     pub(super) fn may_renew(&self) -> bool {
         let now = self.now;
         let stop_bound = self.options.timings.stop_bound;
         self.runs.iter().all(|(_, run)| {
             let orphaned_since = run.stopping.and_then(|s| s.orphaned_since);
             let stop_may_succeed = orphaned_since.is_none_or(|since| since + stop_bound > now);
-            run.owner.is_some() && stop_may_succeed
+            let knows_guarantor = run.guarantor.is_none_or(|g| self.entry_links.knows(g));
+            run.owner.is_some() && knows_guarantor && stop_may_succeed
         })
     }
 
@@ -157,8 +159,8 @@
 
     /// Answers claims and stops that entries sent before the lists were read.
     pub(super) fn answer_early_orders(&mut self) {
-        for (entry, key, size) in std::mem::take(&mut self.early_claims) {
-            self.answer_claim(entry, key, size);
+        for (key, claim) in std::mem::take(&mut self.early_claims) {
+            self.answer_claim(key, &claim);
         }
         for (entry, key) in std::mem::take(&mut self.early_stops) {
             self.stop_or_report_end(entry, key);
@@ -181,6 +183,8 @@
         self.log(EventCode::RunAdopted, format!("run={key}"));
         let run = Run {
             owner: None,
+            guarantor: None,
+            is_adopted: true,
             size: None,
             payload: Arc::from(""),
             estimate: Duration::ZERO,
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -94,6 +94,9 @@
         if start_by <= self.now || !self.entry_links.has_valid_lease(self.now, entry) {
             return Err(NotStarted::Late);
         }
+        if !self.is_guaranteed(order) {
+            return Err(NotStarted::NoGuarantor);
+        }
         let target = self.incarnations.current().cloned();
         let target = target.ok_or(NotStarted::Unreachable)?;
         if self.incarnations.may_be_leaving() {
@@ -128,6 +131,8 @@
         }
         let run = Run {
             owner: Some(entry),
+            guarantor: order.guarantor,
+            is_adopted: false,
             size: Some(size),
             payload: payload.clone(),
             estimate: Duration::from_millis(u64::from(order.estimate_ms)),
@@ -252,7 +257,8 @@
         let may_retry = self
             .runs
             .get(key)
-            .is_some_and(|r| r.start_by > self.now && r.stopping.is_none());
+            .is_some_and(|r| r.start_by > self.now && r.stopping.is_none())
+            && self.owned_until(key).is_some_and(|until| until > self.now);
         let target_name = self.incarnations.current_name();
         let Some(target_name) = target_name.filter(|_| may_retry) else {
             self.not_started(key, reason);
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -234,6 +234,10 @@
     /// The evacuated halls have changed.
     #[serde(rename = "V")]
     Evacuations(Arc<EvacuatedHalls>),
+    /// The sender no longer guarantees the runs of a batch that it had handed over: they are
+    /// stopped, and no others start. Only for agents of protocol 1 or later.
+    #[serde(rename = "R")]
+    Release(BatchId),
 }
 
 impl Order {
@@ -245,7 +249,7 @@
                 let named = welcome.claims.len() + welcome.entries.len();
                 SMALL_ITEM_BYTES * (1 + named)
             }
-            Self::Entries(_) | Self::Evacuations(_) => SMALL_ITEM_BYTES,
+            Self::Entries(_) | Self::Evacuations(_) | Self::Release(_) => SMALL_ITEM_BYTES,
         }
     }
 }
@@ -261,6 +265,9 @@
     pub entries: Vec<SocketAddr>,
     /// Runs at this agent that the entry waits for, with the resources of each.
     pub claims: Vec<(RunKey, Resources)>,
+    /// Guarantors of those claimed runs that have one.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub guarantors: Vec<(RunKey, Incarnation)>,
     /// The evacuated halls.
     pub evacuations: Arc<EvacuatedHalls>,
     /// Version of the messages that the entry understands.
@@ -296,6 +303,10 @@
     /// crashing targets.
     #[serde(rename = "x", default, skip_serializing_if = "std::ops::Not::not")]
     pub alone: bool,
+    /// Incarnation of the entry that handed the batch over to the sender. The tasks start, and the
+    /// runs go on, only while its lease at the agent is valid too.
+    #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
+    pub guarantor: Option<Incarnation>,
     /// Position of each task in the step, with the number of its run.
     #[serde(rename = "k")]
     pub runs: Vec<(u16, RunNumber)>,
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -57,6 +57,11 @@
 pub struct Run {
     /// Incarnation of the entry that owns it; none if it was adopted and not claimed yet.
     pub owner: Option<Incarnation>,
+    /// Incarnation of the entry that handed its batch over to the owner; none if nobody did, or if
+    /// the run was adopted and not claimed yet. The run must stop once either lease has lapsed.
+    pub guarantor: Option<Incarnation>,
+    /// Whether an earlier incarnation of the agent started it.
+    pub is_adopted: bool,
     /// Resources that it takes; none while unknown.
     pub size: Option<Resources>,
     /// Payload of the task; empty for an adopted run, whose start is never resent.
@@ -81,6 +86,17 @@
     pub end_if_unlisted: RunEnd,
 }
 
+/// An entry's claim that a run is its own.
+#[derive(Debug, Clone, Copy)]
+pub struct Claim {
+    /// Incarnation of the entry.
+    pub owner: Incarnation,
+    /// Incarnation of the entry that handed the run's batch over, if any.
+    pub guarantor: Option<Incarnation>,
+    /// Resources that the run takes.
+    pub size: Resources,
+}
+
 /// The runs of one target and their recent ends.
 #[derive(Debug, Default)]
 pub struct RunTable {
@@ -116,17 +132,18 @@
         Some(run)
     }
 
-    /// Sets the owner of a run, and its size if that is unknown. Returns false if the run is not in
-    /// the table.
-    pub fn claim(&mut self, key: RunKey, owner: Incarnation, size: Resources) -> bool {
+    /// Sets the owner of a run, and its guarantor and size if they are unknown. Returns false if
+    /// the run is not in the table.
+    pub fn claim(&mut self, key: RunKey, claim: &Claim) -> bool {
         let Some(run) = self.runs.get_mut(&key) else {
             return false;
         };
-        run.owner = Some(owner);
+        run.owner = Some(claim.owner);
+        run.guarantor = run.guarantor.or(claim.guarantor);
         if run.size.is_none() {
-            run.size = Some(size);
+            run.size = Some(claim.size);
             self.unsized_runs -= 1;
-            self.reserved = self.reserved.plus(size);
+            self.reserved = self.reserved.plus(claim.size);
         }
         true
     }
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -556,6 +556,7 @@
         estimate_ms: 250,
         start_by: 5_000,
         alone,
+        guarantor: None,
         runs: vec![(0, 1), (2, 4)],
     })
 }
@@ -628,6 +629,7 @@
             life: 0xe1,
             entries: vec![address(2), six()],
             claims: vec![(run_key(), SIZE)],
+            guarantors: Vec::new(),
             evacuations: halls(),
             protocol: 0,
         }),
@@ -673,6 +675,32 @@
     all.push(entry_packet(Vec::new()));
     all.extend(orders().into_iter().map(|o| entry_packet(vec![o])));
     all.extend(peer_news().into_iter().map(peer_packet));
+    all.extend(hand_over_packets());
+    all
+}
+
+/// Packets of protocol version 1.
+fn hand_over_packets() -> Vec<Packet> {
+    let mut order = start_order(None, false);
+    if let Order::Start(order) = &mut order {
+        order.guarantor = Some(0xe2);
+    }
+    let welcome = Order::Welcome(RunWelcome {
+        name: "entry-1".into(),
+        life: 0xe1,
+        entries: Vec::new(),
+        claims: vec![(run_key(), SIZE)],
+        guarantors: vec![(run_key(), 0xe2)],
+        evacuations: halls(),
+        protocol: 1,
+    });
+    let not_started = AgentNews::NotStarted {
+        key: run_key(),
+        reason: NotStarted::NoGuarantor,
+    };
+    let mut all = vec![agent_packet(vec![not_started])];
+    let orders = [welcome, order, Order::Release(0xaa01)];
+    all.extend(orders.map(|order| entry_packet(vec![order])));
     all
 }
 
--- a/lib/tests/test_run_agent/leases.rs
+++ b/lib/tests/test_run_agent/leases.rs
@@ -135,6 +135,7 @@
         life: 10,
         entries: Vec::new(),
         claims: Vec::new(),
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
@@ -240,6 +241,7 @@
         life: 9,
         entries: Vec::new(),
         claims: vec![(key(0), SIZE)],
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
@@ -276,6 +278,7 @@
         life: 9,
         entries: Vec::new(),
         claims: vec![(key, SIZE)],
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -2,6 +2,7 @@
 
 mod crashes;
 mod evacuation;
+mod guarantors;
 mod incarnations;
 mod leases;
 mod room;
@@ -136,6 +137,7 @@
         life: 9,
         entries: Vec::new(),
         claims: Vec::new(),
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
@@ -163,6 +165,8 @@
         estimate_ms: 60,
         start_by,
         alone: false,
+
+        guarantor: None,
         runs: vec![(index, 1)],
     })
 }
--- a/lib/tests/test_run_agent/starts.rs
+++ b/lib/tests/test_run_agent/starts.rs
@@ -36,6 +36,7 @@
         life: 10,
         entries: Vec::new(),
         claims: Vec::new(),
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
@@ -157,6 +158,7 @@
         life: 9,
         entries: Vec::new(),
         claims: Vec::new(),
+        guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol: 0,
     };
