lib: hand batches of a starved entry over to others

Cause: one entry runs out of processor time or link while others are idle, and a batch can't move to another entry. Change: a loaded entry (limits.cpu-share set) offers the share of its new batches that brings its utilization to 0.7 to one of two random neighbours below 0.6. It keeps the caller's request and relays the answer; the receiver owns the runs and names the giver as guarantor in start orders and claims. Offers bear a latest time on the receiver's clock. An ended request releases the batch at all agents, which is repeated to agents that reconnect, and blocks the batch here and, by a closing notice, elsewhere until the receiver confirms that no run is left. Each side ends the batches of a lost one: the giver after 0.65 s of silence, the receiver after 0.8 s; heartbeats on such links come every 200 ms. Declined batches are taken by the giver. State is in handover_giver, handover_receiver and handover_share; batch_entry/handover routes. The virtual fleet can give entries fixed loads, cut the connection of two processes and break callers' connections. New packets are appended to the kept bytes, none is changed.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -99,6 +99,8 @@
     Draining,
     /// Every target that could serve it is in an evacuated data hall.
     Evacuated,
+    /// The entry that had handed it over waits for no answer any more.
+    GiverEnded,
 }
 
 /// A batch that an entry holds.
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -11,6 +11,7 @@
 
 mod agents;
 mod callers;
+mod handover;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -29,6 +30,9 @@
 use crate::entry_drain::EntryDrain;
 use crate::entry_load::EntryLoad;
 use crate::events::{EventCode, LogEvent};
+use crate::handover_giver::HandoverGiver;
+use crate::handover_receiver::HandoverReceiver;
+use crate::handover_share::{HandoverShare, UnreportedWork};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::link_load::LinkLoad;
 use crate::payload::PayloadPacker;
@@ -56,6 +60,8 @@
     /// Newly discovered entries, sent only with the next packet: many entries may start together,
     /// and each would cause a packet.
     entries: Vec<SocketAddr>,
+    /// Whether the agent understands guarantors and releases.
+    knows_guarantors: bool,
 }
 
 /// Core of an entry, with all of its state.
@@ -79,6 +85,14 @@
     forecast: WaitForecast,
     /// Load of this process.
     entry_load: EntryLoad,
+    handover_share: HandoverShare,
+    unreported_work: UnreportedWork,
+    giver: HandoverGiver,
+    receiver: HandoverReceiver,
+    /// Batch that a receiver declined and that this entry takes itself.
+    declined: Option<BatchId>,
+    /// Until when silence proves nothing, because packets that arrived during a stall may be unread.
+    resumed_until: Now,
     /// Load of this VM's network link.
     link_load: LinkLoad,
     /// When a task last found no target with free capacity.
@@ -109,6 +123,12 @@
             backlog: BacklogMonitor::default(),
             forecast: WaitForecast::default(),
             entry_load: EntryLoad::new(options.processor_share),
+            handover_share: HandoverShare::default(),
+            unreported_work: UnreportedWork::default(),
+            giver: HandoverGiver::default(),
+            receiver: HandoverReceiver::default(),
+            declined: None,
+            resumed_until: Now::ZERO,
             link_load: LinkLoad::new(options.link_rate),
             capacity_lacked_at: None,
             link_full_until: None,
@@ -120,6 +140,7 @@
 
     /// Handles an event and returns the resulting actions in order.
     pub fn handle(&mut self, now: Now, event: EntryEvent) -> Vec<EntryAction> {
+        self.note_stall(now);
         self.now = self.now.max(now);
         if self.exited {
             return Vec::new();
@@ -127,7 +148,10 @@
         // Deadlines come first: after a suspension, the process must not act on expired state.
         self.handle_batch_deadlines();
         self.retry_lost_runs();
+        self.check_hand_overs();
         self.dispatch_event(event);
+        self.relay_answers();
+        self.check_hand_overs();
         self.settle_deferred();
         if self.link_full_until.is_some_and(|until| until <= self.now) {
             self.link_full_until = None;
@@ -165,6 +189,7 @@
             self.drain.next_wake(self.now),
             self.deferred.next_wake(),
             self.link_full_until,
+            self.next_hand_over_check(),
         ];
         let soonest = times.into_iter().flatten().min()?;
         Some(soonest.max(self.now + Duration::from_millis(1)))
@@ -189,6 +214,8 @@
             targets: self.targets.usable(self.now) as u64,
             config_version: self.directory.config().version(),
             evacuated_halls: self.directory.evacuations().halls.len() as u64,
+            handed_over: self.giver.len() as u64,
+            taken_over: self.receiver.len() as u64,
         }
     }
 
@@ -263,7 +290,10 @@
         self.refuse_unplaceable_batches();
         let ids: Vec<BatchId> = self.table.in_placement_order().collect();
         let directory = &self.directory;
+        let receiver = &self.receiver;
+        let giver = &self.giver;
         let mut round = PlacementRound {
+            receiver,
             now: self.now,
             hall: &self.options.hall,
             table: &mut self.table,
@@ -278,7 +308,9 @@
             if round.link_load.full_until(self.now).is_some() {
                 break;
             }
-            let is_blocked = directory.is_closing_at_peer(self.now, id);
+            let is_blocked = directory.is_closing_at_peer(self.now, id)
+                || giver.has_ended(id)
+                || receiver.has_runs_left(id);
             if !is_blocked && !round.place(id) {
                 misses += 1;
             }
@@ -322,7 +354,7 @@
             estimate_ms: spec.estimate.as_millis() as u32,
             start_by,
             alone,
-            guarantor: None,
+            guarantor: self.receiver.guarantor(id),
             runs,
         };
         let age_ms = self.now.saturating_sub(batch.arrived).as_millis();
@@ -397,6 +429,9 @@
         if effects.evacuations_changed {
             self.apply_evacuations();
         }
+        for message in effects.hand_overs {
+            self.handle_hand_over(link, message);
+        }
     }
 
     /// Applies changed evacuations, and sends them to the agents.
@@ -418,10 +453,11 @@
     }
 
     fn check_drain(&mut self) {
-        if !self.drain.is_over(self.now, self.table.is_empty()) {
+        let holds_nothing = self.table.is_empty() && self.giver.is_empty();
+        if !self.drain.is_over(self.now, holds_nothing) {
             return;
         }
-        let held = self.table.len();
+        let held = self.table.len() + self.giver.len();
         let code = if held == 0 {
             EventCode::Drained
         } else {
@@ -435,6 +471,8 @@
     }
 
     fn flush(&mut self) {
+        self.relay_answers();
+        self.confirm_closed();
         let with_orders = self.outboxes.iter().filter(|(_, o)| !o.orders.is_empty());
         let links: Vec<SessionId> = with_orders.map(|(link, _)| *link).collect();
         for link in links {
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -12,7 +12,8 @@
 use crate::resources::Resources;
 use crate::run::{NotStarted, RunEnd, RunKey};
 use crate::run_message::{
-    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Packet, Welcome,
+    AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Packet,
+    ProtocolVersion, Welcome,
 };
 use crate::target_health::HealthReport;
 use crate::target_registry::{EjectionChange, LoadReport, StartRefusal, TaskRequirements};
@@ -21,6 +22,8 @@
 const MOVE_THRESHOLD: f64 = 0.7;
 /// Assumed overhead of a move: the stop, its report and a new start order.
 const MOVE_COST: Duration = Duration::from_millis(25);
+/// Lowest protocol version of agents that understand guarantors and releases.
+const GUARANTOR_PROTOCOL: ProtocolVersion = 1;
 const MAX_REPORTED_WAITING: u32 = 1_000;
 
 impl BatchEntryCore {
@@ -89,8 +92,23 @@
             self.outboxes.remove(&old);
         }
         let keys = self.table.runs_at(&intro.name);
-        let stopping = keys.iter().copied();
-        let stopping: Vec<RunKey> = stopping.filter(|k| self.table.is_stopping(*k)).collect();
+        let knows_guarantors = intro.protocol >= GUARANTOR_PROTOCOL;
+        self.receiver.note_agent(&intro.name, knows_guarantors);
+        let mut guarantors = Vec::new();
+        for key in &keys {
+            let guarantor = self.receiver.guarantor_of_runs(key.task.batch);
+            guarantors.extend(guarantor.map(|guarantor| (*key, guarantor)));
+        }
+        let mut stopping = keys.clone();
+        // An agent of an older build may have replaced the one that started these runs. It would
+        // keep them without the guarantor.
+        let lacks_guarantor = |key: &RunKey| {
+            !knows_guarantors && guarantors.iter().any(|(guaranteed, _)| guaranteed == key)
+        };
+        stopping.retain(|key| self.table.is_stopping(*key) || lacks_guarantor(key));
+        if !knows_guarantors {
+            guarantors.clear();
+        }
         let claims: Vec<(RunKey, Resources)> = keys
             .into_iter()
             .filter_map(|key| {
@@ -118,18 +136,23 @@
             life: self.options.incarnation,
             entries: self.directory.entries(),
             claims,
-            guarantors: Vec::new(),
+            guarantors,
             evacuations: self.directory.evacuations().clone(),
             protocol: PROTOCOL_VERSION,
         };
         let mut outbox = Outbox {
             orders: vec![Order::Welcome(welcome)],
             entries: Vec::new(),
+            knows_guarantors,
         };
         // A stop order may have been lost with the previous link.
         if !stopping.is_empty() {
             outbox.orders.push(Order::Stop(stopping));
         }
+        // A release may have been lost with the previous link.
+        if knows_guarantors {
+            outbox.orders.extend(self.giver.ended().map(Order::Release));
+        }
         self.outboxes.insert(link, outbox);
     }
 
@@ -222,6 +245,7 @@
             }
             NotStarted::Full => self.forecast.note_rejected(),
             NotStarted::NoPayload => self.table.forget_payload(key.task.batch, link),
+            NotStarted::NoGuarantor => self.note_guarantor_lacking(key.task.batch, agent),
             NotStarted::Doubtful => self.targets.refused(self.now, link, StartRefusal::Doubtful),
             _ => {}
         }
@@ -303,7 +327,10 @@
             payload_cost: 0.0,
             is_idle: false,
         };
-        let is_current = |view: &crate::target_registry::TargetView| view.agent == *agent;
+        let id = key.task.batch;
+        let is_current = |view: &crate::target_registry::TargetView| {
+            view.agent == *agent || self.receiver.excludes(id, &view.agent)
+        };
         let hall = &self.options.hall;
         let chosen = self
             .targets
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -10,6 +10,7 @@
 use crate::batch::{BatchSpec, Unsupported};
 use crate::batch_event::{BatchQuery, EntryAction, Refusal, Reply, Submission};
 use crate::events::EventCode;
+use crate::handover_receiver::is_giver;
 use crate::ids::RequestId;
 use crate::queue::Queue;
 use crate::run::BatchId;
@@ -112,6 +113,18 @@
         if self.table.get(spec.id).is_some() {
             return self.resubmit(&spec, request, times, &caller_request);
         }
+        let submission = Submission {
+            request,
+            host,
+            path,
+            spec,
+            caller_timeout,
+            caller_request,
+        };
+        let Some(kept) = self.keep_or_hand_over(submission, &queue, is_retry) else {
+            return Ok(());
+        };
+        let (spec, caller_request) = (kept.spec, kept.caller_request);
         self.refuse_if_unplaceable(&spec, times)?;
         let tasks: u32 = spec.steps.iter().map(|s| s.count).sum();
         let due_ms = (times.due - times.arrived).as_millis();
@@ -135,7 +148,11 @@
     }
 
     /// Refuses a batch if it would still wait for capacity at its latest useful start.
-    fn refuse_if_unplaceable(&mut self, spec: &BatchSpec, times: BatchTimes) -> Result<(), Reply> {
+    pub(super) fn refuse_if_unplaceable(
+        &mut self,
+        spec: &BatchSpec,
+        times: BatchTimes,
+    ) -> Result<(), Reply> {
         let order = PlacementOrder {
             is_overdue: times.is_overdue,
             due: times.due,
@@ -270,6 +287,7 @@
             return;
         }
         let Some(id) = self.table.find_by_request(request) else {
+            self.handle_handed_caller_gone(request);
             return;
         };
         self.table.take_request(id);
@@ -297,6 +315,8 @@
 
     pub(super) fn batch_state_reply(&self, id: BatchId) -> Reply {
         match self.table.get(id) {
+            // The receiver may have started its tasks.
+            None if self.giver.is_handed(id) => Reply::Running,
             None => Reply::NoBatch,
             Some(batch) if batch.was_dispatched => Reply::Running,
             Some(_) => Reply::Waiting,
@@ -304,6 +324,9 @@
     }
 
     pub(super) fn cancel(&mut self, query: &BatchQuery) {
+        if self.cancel_handed(query) {
+            return;
+        }
         let id = query.batch.filter(|id| self.table.get(*id).is_some());
         let Some(id) = id else {
             self.actions
@@ -363,14 +386,15 @@
         let queue = &batch.queue.name;
         let usable = self.targets.usable(self.now);
         self.log(
-            EventCode::BatchAnswered,
+            answer_event(request),
             format!(
                 "job={id:016x} queue={queue} answer={reply:?} took_ms={took_ms} \
                  objective_ms={objective} tried={} targets={usable}",
                 batch.was_dispatched
             ),
         );
-        if reply == Reply::Succeeded {
+        // The giver measures a batch that was taken over.
+        if reply == Reply::Succeeded && !is_giver(request) {
             self.actions.push(EntryAction::Measured(took_ms, objective));
         }
         self.actions.push(EntryAction::Reply(request, reply));
@@ -383,7 +407,7 @@
             let took_ms = self.now.saturating_sub(batch.arrived).as_millis();
             let queue = batch.queue.name.clone();
             self.log(
-                EventCode::BatchAnswered,
+                answer_event(request),
                 format!("job={id:016x} queue={queue} answer=Failed took_ms={took_ms}"),
             );
             self.actions
@@ -425,6 +449,7 @@
         for submission in self.deferred.take_all() {
             self.admit_or_refuse(submission);
         }
+        self.give_up_handed();
         for id in self.table.ids() {
             if let Some(request) = self.table.take_request(id) {
                 self.actions
@@ -434,7 +459,16 @@
     }
 }
 
-fn refusal(why: Refusal) -> Reply {
+/// The event to log for the answer to a request.
+fn answer_event(request: RequestId) -> EventCode {
+    if is_giver(request) {
+        EventCode::HandOverAnswered
+    } else {
+        EventCode::BatchAnswered
+    }
+}
+
+pub(super) fn refusal(why: Refusal) -> Reply {
     let retry_after = match why {
         Refusal::Unsupported(_) => None,
         Refusal::NoConfig | Refusal::Busy => Some(DEFAULT_RETRY_AFTER),
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -197,4 +197,8 @@
     pub config_version: u64,
     /// Number of evacuated data halls.
     pub evacuated_halls: u64,
+    /// Number of batches handed over to other entries and not answered.
+    pub handed_over: u64,
+    /// Number of batches taken over from other entries and not answered.
+    pub taken_over: u64,
 }
--- a/lib/src/batch_placing.rs
+++ b/lib/src/batch_placing.rs
@@ -14,6 +14,7 @@
 use crate::batch::StepSpec;
 use crate::batch_table::BatchTable;
 use crate::crash_history::CrashHistory;
+use crate::handover_receiver::HandoverReceiver;
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::link_load::LinkLoad;
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
@@ -64,6 +65,8 @@
     pub table: &'a mut BatchTable,
     /// All targets known to the entry.
     pub targets: &'a mut TargetRegistry,
+    /// The batches that were taken over from other entries.
+    pub receiver: &'a HandoverReceiver,
     /// Load of the entry's own network link.
     pub link_load: &'a mut LinkLoad,
     /// Random number generator.
@@ -225,7 +228,9 @@
             let limit = spec.most_per_target;
             let is_at_limit = limit
                 .is_some_and(|limit| table.step_runs_at(&view.agent, id, step as u16) >= limit);
-            is_at_limit || (task.crashes.is_suspect() && table.has_suspect_at(&view.agent))
+            is_at_limit
+                || self.receiver.excludes(id, &view.agent)
+                || (task.crashes.is_suspect() && table.has_suspect_at(&view.agent))
         };
         self.targets
             .choose(self.now, &need, self.hall, is_excluded, self.rng)
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -17,9 +17,9 @@
 use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, OfferOutcome};
 use crate::events::{EventCode, LogEvent};
-use crate::ids::{Now, SessionId};
+use crate::ids::{Incarnation, Now, SessionId};
 use crate::peer_closings::PeerClosings;
-use crate::peer_table::{NeighbourLoad, PeerTable};
+use crate::peer_table::{NeighbourLoad, Peer, PeerTable};
 use crate::preferred_entries::{FULL_MESH_LIMIT, LinkStep, PREFERRED_COUNT, PreferredEntries};
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
@@ -41,6 +41,8 @@
     pub may_place: bool,
     /// Whether the evacuated halls have changed.
     pub evacuations_changed: bool,
+    /// Messages on batches that are handed over, in order.
+    pub hand_overs: Vec<PeerNews>,
 }
 
 /// Source of an entry's address.
@@ -131,7 +133,28 @@
         self.peers.known_loads(now)
     }
 
-    fn is_large_fleet(&self) -> bool {
+    /// The entry behind a link.
+    pub fn peer(&self, link: SessionId) -> Option<&Peer> {
+        self.peers.get(link)
+    }
+
+    /// A link to this incarnation of an entry.
+    pub fn link_to(&self, life: Incarnation) -> Option<SessionId> {
+        self.peers.link_to(life)
+    }
+
+    /// Sends news to one neighbour with the next packets.
+    pub fn tell(&mut self, now: Now, link: SessionId, news: PeerNews) {
+        self.peers.tell(now, link, news);
+    }
+
+    /// Same as [`PeerTable::set_carries_batches`].
+    pub fn set_carries_batches(&mut self, link: SessionId, carries_batches: bool) {
+        self.peers.set_carries_batches(link, carries_batches);
+    }
+
+    /// Whether entries have links to only some of the others, and agents to only some entries.
+    pub fn is_large_fleet(&self) -> bool {
         self.peers.known_count() > FULL_MESH_LIMIT
     }
 
@@ -245,7 +268,7 @@
 
     /// Handles another entry's packet.
     pub fn packet(&mut self, now: Now, link: SessionId, packet: PeerPacket) -> PeerEffects {
-        self.peers.heard(now, link);
+        self.peers.heard(now, link, packet.clock);
         let mut effects = PeerEffects::default();
         for news in packet.news {
             match news {
@@ -273,6 +296,10 @@
                 }
                 PeerNews::Heartbeat => {}
                 PeerNews::Load(load) => self.peers.note_load(now, link, load),
+                PeerNews::HandOver(_)
+                | PeerNews::HandOverReply(_)
+                | PeerNews::HandOverEnd(_)
+                | PeerNews::HandOverClosed(_) => effects.hand_overs.push(news),
             }
         }
         effects
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -155,6 +155,8 @@
             .set_gauge("config_version", gauges.config_version);
         self.figures
             .set_gauge("evacuated_halls", gauges.evacuated_halls);
+        self.figures.set_gauge("handed_over", gauges.handed_over);
+        self.figures.set_gauge("taken_over", gauges.taken_over);
         let received = self.links.bytes_received();
         self.figures.set_gauge("link_bytes_received", received);
         self.figures.link_bytes(&self.links.bytes_sent());
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -114,6 +114,7 @@
     TakenOver = 1911, Info, "batch taken over from another entry";
     HandOverDeclined = 1912, Info, "offer of a batch declined, nothing of it runs";
     HandOverReleased = 1913, Info, "batch that was handed over released, its runs are stopped";
+    HandOverAnswered = 1914, Info, "answer of a batch taken over sent to its giver";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
     TargetLifeOver = 2003, Warn, "target incarnation ended";
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -7,12 +7,14 @@
 
 use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, StorePosition};
-use crate::ids::{HallName, NodeName, Now, SessionId};
+use crate::ids::{HallName, Incarnation, NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
-use crate::run_message::{ClosingBatch, PeerIntro, PeerNews, ProtocolVersion};
+use crate::run_message::{ClosingBatch, EntryMillis, PeerIntro, PeerNews, ProtocolVersion};
 
 /// Interval of heartbeats on an idle link between entries.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Interval of heartbeats on a link while batches are handed over on it.
+const BUSY_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 /// How long an entry collects news that are not urgent before it sends them. If a closing batch is
 /// closed within this time, its notices are dropped unsent.
 const NEWS_DELAY: Duration = Duration::from_millis(60);
@@ -47,6 +49,12 @@
     pub news: Vec<PeerNews>,
     /// When the waiting news must be sent.
     news_due: Now,
+    /// Incarnation of the entry.
+    pub life: Incarnation,
+    /// The entry's clock in its last packet; 0 if it states none.
+    clock: EntryMillis,
+    /// Whether batches are handed over on this link in either direction.
+    carries_batches: bool,
     /// Version of the messages that it understands.
     pub protocol: ProtocolVersion,
     /// Share of a core that its process may use, in thousandths; 0 if not known.
@@ -92,8 +100,17 @@
         self.protocol >= LOAD_PROTOCOL
     }
 
+    /// A lower bound of the entry's clock, because the transit time of its packet is not known;
+    /// `None` if it states no clock.
+    pub fn clock_at(&self, now: Now) -> Option<EntryMillis> {
+        let since = now.saturating_sub(self.heard).as_millis() as EntryMillis;
+        (self.clock > 0).then_some(self.clock + since)
+    }
+
     fn due_at(&self) -> Now {
-        if self.news.is_empty() {
+        if self.news.is_empty() && self.carries_batches {
+            self.sent + BUSY_HEARTBEAT_INTERVAL
+        } else if self.news.is_empty() {
             self.sent + HEARTBEAT_INTERVAL
         } else {
             self.news_due
@@ -151,6 +168,9 @@
             sent: now,
             news: Vec::new(),
             news_due: Now::ZERO,
+            life: intro.life,
+            clock: 0,
+            carries_batches: false,
             protocol: intro.protocol,
             processor_millis: intro.processor_millis,
             hall: intro.hall.clone(),
@@ -166,16 +186,36 @@
         self.links.remove(&link)
     }
 
+    /// The entry behind a link.
+    pub fn get(&self, link: SessionId) -> Option<&Peer> {
+        self.links.get(&link)
+    }
+
+    /// A link to this incarnation of an entry.
+    pub fn link_to(&self, life: Incarnation) -> Option<SessionId> {
+        let mut links = self.links.iter();
+        links.find(|(_, p)| p.life == life).map(|(link, _)| *link)
+    }
+
+    /// Sets whether batches are handed over on a link. Its heartbeats are more frequent then, so
+    /// that each side notices sooner that the other one is gone.
+    pub fn set_carries_batches(&mut self, link: SessionId, carries_batches: bool) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            peer.carries_batches = carries_batches;
+        }
+    }
+
     /// Number of linked entries; one with two links counts once.
     pub fn linked(&self) -> usize {
         let names: BTreeSet<&NodeName> = self.links.values().map(|p| &p.name).collect();
         names.len()
     }
 
-    /// Records the arrival of a packet.
-    pub fn heard(&mut self, now: Now, link: SessionId) {
+    /// Records the arrival of a packet with the sender's clock.
+    pub fn heard(&mut self, now: Now, link: SessionId, clock: EntryMillis) {
         if let Some(peer) = self.links.get_mut(&link) {
             peer.heard = now;
+            peer.clock = peer.clock.max(clock);
         }
     }
 
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -9,6 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::StepSpec;
 use crate::entry_load::EntryLoadReport;
 use crate::evacuations::{EvacuatedHalls, StorePosition};
 use crate::ids::{HallName, Incarnation, NodeName};
@@ -57,6 +58,8 @@
 const SMALL_ITEM_BYTES: usize = 40;
 /// Approximate size of a start order without its payload, including its packet, in bytes.
 pub const START_ORDER_BYTES: usize = 170;
+/// Approximate size of an offer of a batch without its payload, in bytes.
+const HAND_OVER_BYTES: usize = 250;
 /// Approximate size of one queue in a configuration, in bytes.
 const QUEUE_BYTES: usize = 180;
 
@@ -375,12 +378,113 @@
     Heartbeat,
     /// The sender's load. Sent to processes of protocol 1 and later.
     Load(EntryLoadReport),
+    /// Offers a batch to the receiver. This and the following are sent only to processes of
+    /// protocol 1 and later.
+    HandOver(Box<HandOver>),
+    /// The receiver's answer to an offer.
+    HandOverReply(HandOverReply),
+    /// The giver waits for no answer to its offer of this number any more: the receiver starts no
+    /// task of the batch and stops its runs.
+    HandOverEnd(HandOverNumber),
+    /// No run is left of the ended batch of this number, and none will start.
+    HandOverClosed(HandOverNumber),
+}
+
+/// Number of an offer, unique for one incarnation of the giver.
+pub type HandOverNumber = u64;
+
+/// A new batch that its entry, the giver, offers to another entry, the receiver.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HandOver {
+    /// Number of the offer.
+    #[serde(rename = "n")]
+    pub number: HandOverNumber,
+    /// Id of the batch.
+    #[serde(rename = "b")]
+    pub batch: BatchId,
+    /// Host named in the request.
+    #[serde(rename = "h")]
+    pub host: String,
+    /// Path named in the request.
+    #[serde(rename = "q")]
+    pub path: String,
+    /// Steps of the batch.
+    #[serde(rename = "s")]
+    pub steps: Vec<StepSpec>,
+    /// Payload of every task.
+    #[serde(rename = "p")]
+    pub payload: Payload,
+    /// How long the caller still waits, in milliseconds.
+    #[serde(rename = "w")]
+    pub timeout_ms: u32,
+    /// How long ago the caller sent the batch for the first time, in milliseconds, as far as the
+    /// giver knows.
+    #[serde(rename = "a")]
+    pub age_ms: u32,
+    /// The caller's id of its request, for the log.
+    #[serde(rename = "r")]
+    pub request: Arc<str>,
+    /// Latest time for taking the batch, on the receiver's clock.
+    #[serde(rename = "u")]
+    pub start_by: EntryMillis,
+}
+
+/// A receiver's answer to an offer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandOverReply {
+    /// Number of the offer.
+    #[serde(rename = "n")]
+    pub number: HandOverNumber,
+    /// What became of the batch.
+    #[serde(rename = "o")]
+    pub outcome: HandOverOutcome,
+    /// Whether runs of the batch are still being stopped. [`PeerNews::HandOverClosed`] follows.
+    #[serde(rename = "l", default, skip_serializing_if = "is_default")]
+    pub has_runs: bool,
+}
+
+/// What became of a batch that was offered to another entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HandOverOutcome {
+    /// The receiver does not take the batch. Nothing of it ran or will run there.
+    Declined(HandOverDecline),
+    /// Every task succeeded.
+    Succeeded,
+    /// A task used up its attempts.
+    Failed,
+    /// A query at the receiver cancelled the batch.
+    Cancelled,
+    /// The batch was refused for lack of capacity and has not run; the caller may retry after this
+    /// time in milliseconds.
+    Busy(u32),
+    /// The batch was refused because all its targets are evacuated.
+    Evacuated,
+    /// The batch ran out of time.
+    GaveUp,
+}
+
+/// Why a receiver declines an offer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HandOverDecline {
+    /// It was read after its latest time.
+    Late,
+    /// The receiver is loaded, or its load is not known.
+    Load,
+    /// The receiver is shutting down.
+    Draining,
+    /// The receiver holds the batch, or an earlier run of it may not be over.
+    Known,
+    /// The receiver has no such queue.
+    NoQueue,
+    /// The receiver has no target that may get work.
+    NoTarget,
 }
 
 impl PeerNews {
     fn approximate_bytes(&self) -> usize {
         match self {
             Self::Config(table) => SMALL_ITEM_BYTES + table.queues.len() * QUEUE_BYTES,
+            Self::HandOver(offer) => HAND_OVER_BYTES + offer.payload.len(),
             _ => SMALL_ITEM_BYTES,
         }
     }
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -68,8 +68,9 @@
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_event::{AgentOptions, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, ClosingBatch, EntryPacket, Order, Packet, PeerIntro,
-    PeerNews, PeerPacket, StartOrder, TargetInfo, Welcome as RunWelcome,
+    AgentIntro, AgentNews, AgentPacket, ClosingBatch, EntryPacket, HandOver, HandOverDecline,
+    HandOverOutcome, HandOverReply, Order, Packet, PeerIntro, PeerNews, PeerPacket, StartOrder,
+    TargetInfo, Welcome as RunWelcome,
 };
 use trestleknot_lib::settings::{self, AgentSettings, Checked, EntrySettings};
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
@@ -702,6 +703,61 @@
     let mut all = vec![agent_packet(vec![not_started])];
     let orders = [welcome, order, Order::Release(0xaa01)];
     all.extend(orders.map(|order| entry_packet(vec![order])));
+    all.extend(hand_over_news().into_iter().map(peer_packet));
+    all
+}
+
+fn hand_over_news() -> Vec<PeerNews> {
+    let offer = HandOver {
+        number: 5,
+        batch: 0xaa01,
+        host: "host-1".to_owned(),
+        path: "/jobs/1".to_owned(),
+        steps: vec![StepSpec {
+            count: 2,
+            size: SIZE,
+            estimate: Duration::from_millis(250),
+            after: vec![0],
+            required_label: Some("label-1".to_owned()),
+            preferred_rack: None,
+            most_per_target: Some(3),
+        }],
+        payload: packed(),
+        timeout_ms: 1_500,
+        age_ms: 20,
+        request: "request-1".into(),
+        start_by: 7_300,
+    };
+    let declines = [
+        HandOverDecline::Late,
+        HandOverDecline::Load,
+        HandOverDecline::Draining,
+        HandOverDecline::Known,
+        HandOverDecline::NoQueue,
+        HandOverDecline::NoTarget,
+    ];
+    let mut outcomes: Vec<HandOverOutcome> = declines
+        .map(HandOverOutcome::Declined)
+        .into_iter()
+        .collect();
+    outcomes.extend([
+        HandOverOutcome::Succeeded,
+        HandOverOutcome::Failed,
+        HandOverOutcome::Cancelled,
+        HandOverOutcome::Busy(500),
+        HandOverOutcome::Evacuated,
+        HandOverOutcome::GaveUp,
+    ]);
+    let mut all = vec![PeerNews::HandOver(Box::new(offer))];
+    all.extend(outcomes.into_iter().map(|outcome| {
+        let has_runs = outcome == HandOverOutcome::Failed;
+        PeerNews::HandOverReply(HandOverReply {
+            number: 5,
+            outcome,
+            has_runs,
+        })
+    }));
+    all.extend([PeerNews::HandOverEnd(5), PeerNews::HandOverClosed(5)]);
     all
 }
 
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -162,6 +162,7 @@
         FleetFault::PowerOffFor(n, t) => FleetFault::PowerOffFor(pick(n), t),
         FleetFault::Freeze(n, t) => FleetFault::Freeze(pick(n), t),
         FleetFault::Cut(n, t) => FleetFault::Cut(pick(n), t),
+        FleetFault::CutBetween(a, b, t) => FleetFault::CutBetween(pick(a), pick(b), t),
         FleetFault::Reset(n) => FleetFault::Reset(pick(n)),
         FleetFault::Drain(n) => FleetFault::Drain(pick(n)),
         FleetFault::Crash(_) => FleetFault::Crash(index),
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -8,6 +8,7 @@
 mod fault;
 mod fault_injection;
 mod fleet_config;
+mod forced_load;
 pub mod invariants;
 mod links;
 mod operators;
@@ -91,6 +92,8 @@
     Report(usize, bool),
     LateReport(usize, TargetReport),
     Submit(BatchId),
+    /// A caller's connection breaks.
+    Disconnect(BatchId),
     /// A caller's request reached an entry.
     RequestArrived(usize, u64, Submission),
     /// An entry's reply reached the caller.
@@ -245,6 +248,11 @@
         self.schedule_at(at, Event::Cancel(id));
     }
 
+    /// Schedules the break of a caller's connection; the caller retries afterwards.
+    pub fn add_disconnect(&mut self, at: Now, id: BatchId) {
+        self.schedule_at(at, Event::Disconnect(id));
+    }
+
     /// Removes a process that has just started, and starts it again at `at`.
     pub fn start_later(&mut self, node: Node, at: Now) {
         self.reset_links(node);
@@ -414,6 +422,7 @@
                 self.tell_agent(i, AgentEvent::Report(report));
             }
             Event::Submit(id) => self.submit(id),
+            Event::Disconnect(id) => self.disconnect_caller(id),
             Event::RequestArrived(entry, incarnation, submission) => {
                 self.request_arrived(entry, incarnation, submission)
             }
@@ -455,7 +464,7 @@
                         .fleet_config
                         .entry_link_mbps
                         .map(|mbps| mbps * 1e6 / 8.0),
-                    processor_share: None,
+                    processor_share: self.forced_share(i),
                     far_factor: None,
                 };
                 let process = &mut self.entries[i];
@@ -508,12 +517,17 @@
     }
 
     fn tell_entry(&mut self, i: usize, event: EntryEvent) {
+        let sample = self.forced_load(i);
         let process = &mut self.entries[i];
         let local = process.clock(self.now);
         let Some(core) = &mut process.core else {
             return;
         };
-        let actions = core.handle(local, event);
+        let mut actions = Vec::new();
+        if let Some(load) = sample {
+            actions = core.handle(local, EntryEvent::LoopLoad(load));
+        }
+        actions.extend(core.handle(local, event));
         let incarnation = process.incarnation;
         if let Some(at) = process.plan_sooner_wake() {
             self.schedule_at(at, Event::Wake(Node::Entry(i), incarnation));
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -51,6 +51,8 @@
     pub cancelled: Option<Now>,
     /// The open request: the entry, its incarnation and the request.
     pub(super) open_request: Option<(usize, u64, RequestId)>,
+    /// Whether the entry of its last request lost power, which it has not noticed.
+    pub(super) is_cut_off: bool,
 }
 
 impl Caller {
@@ -73,6 +75,7 @@
             refused: None,
             cancelled: None,
             open_request: None,
+            is_cut_off: false,
         }
     }
 }
@@ -207,6 +210,23 @@
         }
     }
 
+    /// Closes the connection of a caller, which the entry notices. The caller retries.
+    pub(super) fn disconnect_caller(&mut self, id: BatchId) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        let is_cut_off = std::mem::take(&mut caller.is_cut_off);
+        let open_request = caller.open_request.take();
+        if caller.requests.len() >= 3 || (open_request.is_none() && !is_cut_off) {
+            return;
+        }
+        if let Some((entry, incarnation, request)) = open_request {
+            let delay = Duration::from_millis(2);
+            self.schedule_after(delay, Event::CallerGone(entry, incarnation, request));
+        }
+        self.schedule_after(self.timings.caller_retry_interval, Event::Submit(id));
+    }
+
     /// Closes the connections of all callers at an entry; the entry notices if `notify_entry` is
     /// set.
     pub(super) fn disconnect_callers(&mut self, entry: usize, notify_entry: bool) {
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -20,6 +20,8 @@
     Suspend(Node, Duration),
     /// A process is partitioned from all others.
     Cut(Node, Duration),
+    /// Two processes are partitioned from each other.
+    CutBetween(Node, Node, Duration),
     /// All connections of a process are reset, including its callers'.
     Reset(Node),
     /// A process drains and exits, then restarts.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -33,6 +33,7 @@
                 self.schedule_after(length, Event::EndFault(targets::TimedFault::Resize(i)));
             }
             FleetFault::Cut(node, length) => self.cut(node, length),
+            FleetFault::CutBetween(a, b, length) => self.links.cut(a, b, self.now + length),
             FleetFault::Reset(node) => {
                 self.reset_links(node);
                 if let Node::Entry(i) = node {
@@ -117,6 +118,7 @@
                     .is_some_and(|(e, l, _)| e == i && l == incarnation)
                 {
                     caller.open_request = None;
+                    caller.is_cut_off = true;
                 }
             }
         }
--- a/lib/testutils/src/run_fleet/fleet_config.rs
+++ b/lib/testutils/src/run_fleet/fleet_config.rs
@@ -39,6 +39,8 @@
     pub counts_suspension: bool,
     /// Number of entries, from the first, that processes know as seeds at start; all if none.
     pub seeds: Option<usize>,
+    /// Whether the first entry reports that it is starved, and the others that they are idle.
+    pub first_entry_starved: bool,
 }
 
 impl Default for FleetConfig {
@@ -55,6 +57,7 @@
             entry_link_mbps: None,
             counts_suspension: true,
             seeds: None,
+            first_entry_starved: false,
         }
     }
 }
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use trestleknot_lib::batch_event::EntryEvent;
-use trestleknot_lib::ids::SessionId;
+use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::run::NotStarted;
 use trestleknot_lib::run_event::AgentEvent;
 use trestleknot_lib::run_message::{AgentNews, Order, Packet};
@@ -53,9 +53,22 @@
     /// The newest link from each dialling process to each entry.
     newest: BTreeMap<(Node, usize), SessionId>,
     next: SessionId,
+    /// Pairs of processes that are partitioned from each other, and until when.
+    cuts: BTreeMap<(Node, Node), Now>,
 }
 
 impl Links {
+    /// Partitions two processes from each other.
+    pub(super) fn cut(&mut self, a: Node, b: Node, until: Now) {
+        self.cuts.insert((a.min(b), a.max(b)), until);
+    }
+
+    /// When the partition between two processes ends or has ended.
+    fn cut_until(&self, a: Node, b: Node) -> Now {
+        let until = self.cuts.get(&(a.min(b), a.max(b)));
+        until.copied().unwrap_or_default()
+    }
+
     /// Closes a process's side of its links without notifying the other side, as a power loss does.
     pub(super) fn lose_power(&mut self, node: Node) {
         for link in self.links.values_mut().filter(|l| l.connects(node)) {
@@ -111,7 +124,8 @@
         let is_linked = newest.is_some_and(|l| l.dialler_open);
         let can_reach = self.entries[entry].core.is_some()
             && !self.is_cut(Node::Entry(entry))
-            && !self.is_cut(dialler);
+            && !self.is_cut(dialler)
+            && self.links.cut_until(dialler, Node::Entry(entry)) <= self.now;
         if is_linked || !can_reach {
             return;
         }
@@ -143,7 +157,10 @@
         self.packets += 1;
         count_orders(&packet, &mut self.orders, &mut self.full);
         // TCP delivers packets in order once a partition ends, here at `connected_at`.
-        let connected_at = self.cut_until(from).max(self.cut_until(to));
+        let connected_at = self
+            .cut_until(from)
+            .max(self.cut_until(to))
+            .max(self.links.cut_until(from, to));
         let transmitted_at = self.traffic.packet(self.now, from, to, &packet);
         let at = connected_at.max(transmitted_at) + self.fleet_config.one_way;
         self.schedule_at(at, Event::Deliver(to, id, packet));
@@ -174,7 +191,8 @@
         };
         *link.open_side(by) = false;
         let other = link.other(by);
-        if !self.is_cut(by) && !self.is_cut(other) {
+        let is_cut = self.links.cut_until(by, other) > self.now;
+        if !self.is_cut(by) && !self.is_cut(other) && !is_cut {
             self.schedule_after(self.fleet_config.one_way, Event::LinkDown(other, id));
         }
     }
@@ -194,12 +212,15 @@
         }
     }
 
-    /// Closes all links of a process and notifies both sides.
+    /// Closes all links of a process and notifies both sides, except a side that is partitioned from
+    /// just this process.
     pub(super) fn reset_links(&mut self, node: Node) {
         let links = self.links.links.iter().filter(|(_, l)| l.connects(node));
         let ids: Vec<(SessionId, Node)> = links.map(|(id, l)| (*id, l.other(node))).collect();
         for (id, other) in ids {
-            self.schedule_after(self.fleet_config.one_way, Event::LinkDown(other, id));
+            if self.links.cut_until(node, other) <= self.now {
+                self.schedule_after(self.fleet_config.one_way, Event::LinkDown(other, id));
+            }
             self.schedule_after(self.fleet_config.one_way, Event::LinkDown(node, id));
         }
     }
--- a/lib/testutils/src/run_fleet/process.rs
+++ b/lib/testutils/src/run_fleet/process.rs
@@ -22,6 +22,8 @@
     /// Suspended time that its clock does not count.
     pub(super) uncounted: Duration,
     pub(super) cut_until: Now,
+    /// When its load was last sampled.
+    pub(super) sampled: Now,
 }
 
 impl<C> Process<C> {
@@ -36,6 +38,7 @@
             unreported_suspension: Duration::ZERO,
             uncounted: Duration::ZERO,
             cut_until: Now::ZERO,
+            sampled: Now::ZERO,
         }
     }
 }
