--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -201,4 +201,8 @@
     pub handed_over: u64,
     /// Number of batches taken over from other entries and not answered.
     pub taken_over: u64,
+    /// Utilization of the event loop in percent, if known.
+    pub loop_busy_percent: Option<u64>,
+    /// Largest recent delay of the timer in milliseconds.
+    pub loop_lag_ms: u64,
 }
--- a/lib/src/log_summary.rs
+++ b/lib/src/log_summary.rs
@@ -89,7 +89,8 @@
             return;
         };
         match event {
-            "batch admitted" => self.admitted(text),
+            "batch admitted" | "batch handed over to another entry" => self.admitted(text),
+            "offer of a batch declined, nothing of it runs" => self.declined(text),
             "batch answered" => self.answered(text),
             "batch refused, nothing of it runs" => {
                 *self.refused_on_arrival.entry(reason(text)).or_default() += 1;
@@ -117,6 +118,14 @@
         }
     }
 
+    /// The giver of a declined batch admits it once more. The receiver's line names no queue.
+    fn declined(&mut self, text: &str) {
+        if value(text, "queue").is_some() {
+            let queue = self.queue(text);
+            queue.admitted = queue.admitted.saturating_sub(1);
+        }
+    }
+
     fn answered(&mut self, text: &str) {
         let is_in_time = number(text, "took_ms") <= number(text, "objective_ms");
         let queue = self.queue(text);
--- a/lib/tests/test_log_summary.rs
+++ b/lib/tests/test_log_summary.rs
@@ -27,3 +27,25 @@
 fn test_quantile_without_values() {
     assert_eq!(LogSummary::default().waited.quantile(0.5), 0);
 }
+
+#[test]
+fn test_of_batches_that_were_handed_over_counts_each_once() {
+    // The second one was declined, and its giver took it itself.
+    let giver = "\
+t=10.000 level=INFO batch handed over to another entry: job=bb01 queue=q tasks=1 to=entry-2 number=1
+t=10.300 level=INFO batch answered: job=bb01 queue=q answer=Succeeded took_ms=300 objective_ms=400 handed_over=entry-2
+t=10.400 level=INFO batch handed over to another entry: job=bb02 queue=q tasks=1 to=entry-2 number=2
+t=10.402 level=INFO offer of a batch declined, nothing of it runs: job=bb02 queue=q by=entry-2 why=Load
+t=10.402 level=INFO batch admitted: job=bb02 request=r8 queue=q tasks=1
+t=10.700 level=INFO batch answered: job=bb02 queue=q answer=Succeeded took_ms=298 objective_ms=400
+";
+    let receiver = "\
+t=10.001 level=INFO batch taken over from another entry: job=bb01 queue=q tasks=1 from=entry-1 number=1
+t=10.299 level=INFO answer of a batch taken over sent to its giver: job=bb01 queue=q answer=Succeeded took_ms=298 objective_ms=400
+t=10.401 level=INFO offer of a batch declined, nothing of it runs: job=bb02 number=2 why=Declined(Load)
+";
+    let logs = [giver, receiver].map(|log| ("entry".to_owned(), log.to_owned()));
+    let summary = LogSummary::of(&logs);
+    let queue = summary.queues["q"];
+    assert_eq!((queue.admitted, queue.in_time), (2, 2), "{queue:?}");
+}
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -13,6 +13,7 @@
 mod links;
 mod operators;
 mod process;
+mod processor;
 mod targets;
 
 pub use callers::Caller;
@@ -20,6 +21,7 @@
 pub use fault::FleetFault;
 pub use fault_injection::POWER_OFF;
 pub use fleet_config::{FleetConfig, Node};
+pub use processor::ProcessorModel;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -48,6 +50,7 @@
 use links::Links;
 use operators::Operators;
 use process::Process;
+use processor::Processor;
 
 /// Default number of entries.
 pub const ENTRIES: usize = 3;
@@ -101,6 +104,8 @@
     Cancel(BatchId),
     /// An entry notices that a caller closed its connection.
     CallerGone(usize, u64, RequestId),
+    /// An entry's processor has processed the event with this number.
+    Processed(usize, u64),
     Start(Node),
     Fault(FleetFault),
     EndFault(targets::TimedFault),
@@ -137,6 +142,7 @@
     rng: ChaCha8Rng,
     entries: Vec<Process<BatchEntryCore>>,
     agents: Vec<Process<RunAgentCore>>,
+    processors: Vec<Processor>,
     links: Links,
     targets: Vec<targets::SimulatedTarget>,
     /// Callers by batch.
@@ -189,6 +195,9 @@
             rng: ChaCha8Rng::seed_from_u64(seed),
             entries: (0..fleet_config.entries).map(|_| Process::new()).collect(),
             agents: (0..fleet_config.agents).map(|_| Process::new()).collect(),
+            processors: (0..fleet_config.entries)
+                .map(|_| Processor::default())
+                .collect(),
             links: Links::default(),
             targets: Vec::new(),
             callers: BTreeMap::new(),
@@ -354,6 +363,7 @@
             Event::CallerGone(i, ..)
             | Event::StoreAnswer(i, ..)
             | Event::Configured(i, _)
+            | Event::Processed(i, _)
             | Event::RequestArrived(i, ..) => Some(Node::Entry(*i)),
             _ => None,
         };
@@ -376,7 +386,14 @@
                 return;
             }
         }
-        self.handle_event(event);
+        let event = match (node, event) {
+            (_, event @ Event::Processed(..)) => Some(event),
+            (Some(Node::Entry(i)), event) => self.queue_at_processor(i, event),
+            (_, event) => Some(event),
+        };
+        if let Some(event) = event {
+            self.handle_event(event);
+        }
     }
 
     fn handle_event(&mut self, event: Event) {
@@ -433,6 +450,7 @@
                     self.tell_entry(i, EntryEvent::CallerGone(request));
                 }
             }
+            Event::Processed(entry, number) => self.processed(entry, number),
             Event::Start(node) => self.start(node),
             Event::Fault(fault) => self.apply_fault(fault),
             Event::EndFault(fault) => self.end_fault(fault),
@@ -467,6 +485,7 @@
                     processor_share: self.forced_share(i),
                     far_factor: None,
                 };
+                self.processors[i].reset();
                 let process = &mut self.entries[i];
                 process.core = Some(BatchEntryCore::new(options));
                 process.incarnation = incarnation;
--- a/lib/testutils/src/run_fleet/fleet_config.rs
+++ b/lib/testutils/src/run_fleet/fleet_config.rs
@@ -5,7 +5,7 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
 
-use super::{AGENTS, CAPACITY, ENTRIES, links};
+use super::{AGENTS, CAPACITY, ENTRIES, ProcessorModel, links};
 
 /// A process of the fleet.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,6 +41,8 @@
     pub seeds: Option<usize>,
     /// Whether the first entry reports that it is starved, and the others that they are idle.
     pub first_entry_starved: bool,
+    /// Processors of the entries; unlimited if none.
+    pub processor: Option<ProcessorModel>,
 }
 
 impl Default for FleetConfig {
@@ -58,6 +60,7 @@
             counts_suspension: true,
             seeds: None,
             first_entry_starved: false,
+            processor: None,
         }
     }
 }
--- a/lib/testutils/src/run_fleet/forced_load.rs
+++ b/lib/testutils/src/run_fleet/forced_load.rs
@@ -10,8 +10,11 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 
 impl RunFleet {
-    /// Share of a core of an entry; `None` if loads are not given.
+    /// Share of a core of an entry; `None` if it is unlimited.
     pub(super) fn forced_share(&self, entry: usize) -> Option<f64> {
+        if let Some(processor) = self.fleet_config.processor {
+            return Some(processor.share_of(entry));
+        }
         let share = if entry == 0 { 0.12 } else { 0.5 };
         self.fleet_config.first_entry_starved.then_some(share)
     }
