lib: a giver leaves compressing the payload to the receiver; measure-batch measures relaying

Cause: relaying a batch should cost a starved entry less than a quarter of serving it, and nothing measured it. Change: unless its link is busier than its processor, the giver sends the payload as text; the receiver compresses it once. measure-batch has a mode in which the entry hands all batches over to peers that answer at once.

--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -14,6 +14,7 @@
 use crate::handover_receiver::{TakenBatch, is_giver};
 use crate::handover_share::is_drawn;
 use crate::ids::{Now, RequestId, SessionId};
+use crate::payload::Payload;
 use crate::peer_table::NeighbourLoad;
 use crate::queue::Queue;
 use crate::run::BatchId;
@@ -100,6 +101,7 @@
         let now = self.now;
         let number = self.giver.next_number();
         let spec = &submission.spec;
+        let payload = self.payload_to_hand_over(&spec.payload);
         let age = if is_retry {
             self.options.timings.caller_retry_interval
         } else {
@@ -111,7 +113,7 @@
             host: submission.host.clone(),
             path: submission.path.clone(),
             steps: spec.steps.clone(),
-            payload: self.packer.pack(&spec.payload),
+            payload,
             timeout_ms: submission.caller_timeout.as_millis() as u32,
             age_ms: age.as_millis() as u32,
             request: submission.caller_request.clone(),
@@ -147,6 +149,16 @@
         });
     }
 
+    /// Leaves compressing the payload to the receiver if this entry rather lacks processor time than
+    /// link.
+    fn payload_to_hand_over(&mut self, text: &Arc<str>) -> Payload {
+        let utilization = self.entry_load.utilization(self.now).unwrap_or_default();
+        if self.link_load.usage(self.now) < utilization {
+            return Payload::Text(text.clone());
+        }
+        self.packer.pack(text)
+    }
+
     /// Answers the request of a caller that returned while its batch is handed over; the receiver's
     /// answer goes to the new request.
     fn replace_handed_request(&mut self, id: BatchId, submission: Submission) {
@@ -360,7 +372,11 @@
             ),
         );
         let request = self.receiver.next_request();
-        let batch = Batch::new(&spec, offer.payload.clone(), queue, request, times);
+        let payload = match &offer.payload {
+            Payload::Text(text) => self.packer.pack(text),
+            packed => packed.clone(),
+        };
+        let batch = Batch::new(&spec, payload, queue, request, times);
         self.table.insert(id, batch);
         let taken = TakenBatch {
             link,
--- a/lib/testutils/src/bin/measure-batch.rs
+++ b/lib/testutils/src/bin/measure-batch.rs
@@ -1,7 +1,8 @@
 //! Measures what a batch costs an entry by part: time, allocations, packets and bytes.
 //!
 //! The production core and codecs run against agents that end every run at once. System calls are
-//! left out.
+//! left out. With the argument `handed-over`, the entry is starved and hands all batches over to
+//! entries that answer at once.
 
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::collections::VecDeque;
@@ -15,11 +16,15 @@
 use trestleknot_lib::batch_entry::BatchEntryCore;
 use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Submission};
 use trestleknot_lib::codec;
+use trestleknot_lib::entry_load::{EntryLoadReport, LoopLoad};
 use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::node_metrics::NodeMetrics;
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::RunEnd;
-use trestleknot_lib::run_message::{AgentIntro, AgentNews, AgentPacket, Order, Packet, TargetInfo};
+use trestleknot_lib::run_message::{
+    AgentIntro, AgentNews, AgentPacket, HandOverOutcome, HandOverReply, Order, PROTOCOL_VERSION,
+    Packet, PeerIntro, PeerNews, PeerPacket, TargetInfo,
+};
 use trestleknot_lib::target_health::HealthReport;
 use trestleknot_lib::target_incarnation::TargetIncarnation;
 use trestleknot_lib::timings::Timings;
@@ -34,6 +39,11 @@
     memory_mib: 131_072,
     accelerators: 0,
 };
+/// Links to other entries, and how many there are.
+const FIRST_PEER: SessionId = 1_000;
+const PEERS: u64 = 4;
+/// Interval between samples of the event loop and between packets of other entries, in batches.
+const SAMPLE_INTERVAL: u64 = 40;
 const PAYLOAD_BYTES: usize = 600;
 
 struct CountingAllocator;
@@ -109,6 +119,7 @@
     /// Encoded packets to the entry.
     incoming: VecDeque<(SessionId, Vec<u8>)>,
     costs: Costs,
+    handed_over: u64,
 }
 
 impl Bench {
@@ -133,6 +144,7 @@
             starts_seen: vec![0; AGENTS as usize],
             incoming: VecDeque::new(),
             costs: Costs::default(),
+            handed_over: 0,
         };
         let mut table = testutils::run_fleet::config();
         Arc::make_mut(&mut table.queues[0]).service = "service".into();
@@ -161,6 +173,50 @@
             .push_back((agent, codec::encode_value(&packet)));
     }
 
+    /// Links other entries that are idle.
+    fn join_peers(&mut self) {
+        for peer in 0..PEERS {
+            let link = FIRST_PEER + peer;
+            self.core.handle(self.now, EntryEvent::LinkUp(link, None));
+            let hello = PeerNews::Hello(PeerIntro {
+                name: format!("peer-{peer}").into(),
+                life: link,
+                address: format!("10.0.1.{peer}:7720").parse().expect("an address"),
+                config: 1,
+                evacuations: 0,
+                entries: Vec::new(),
+                protocol: PROTOCOL_VERSION,
+                processor_millis: 500,
+                hall: "hall-0".into(),
+            });
+            self.send_from_peer(link, vec![hello]);
+        }
+        self.receive_all();
+    }
+
+    fn send_from_peer(&mut self, link: SessionId, mut news: Vec<PeerNews>) {
+        news.push(PeerNews::Load(EntryLoadReport {
+            processor_percent: 10,
+            link_percent: 0,
+        }));
+        let clock = self.now.as_millis() as u64;
+        let packet = Packet::BetweenEntries(PeerPacket { clock, news });
+        self.incoming
+            .push_back((link, codec::encode_value(&packet)));
+    }
+
+    /// Samples a starved event loop, and lets the other entries report.
+    fn starve(&mut self) {
+        let load = LoopLoad {
+            busy_share: 1.0,
+            lag: Duration::ZERO,
+        };
+        self.core.handle(self.now, EntryEvent::LoopLoad(load));
+        for peer in 0..PEERS {
+            self.send_from_peer(FIRST_PEER + peer, Vec::new());
+        }
+    }
+
     fn submit(&mut self, number: u64, body: &[u8]) {
         let spec = self
             .costs
@@ -227,10 +283,12 @@
         }
     }
 
-    /// Ends the runs of a start order with one packet.
+    /// Ends the runs of a start order, or answers the batches that were handed over, with one packet.
     fn answer(&mut self, link: SessionId, packet: Packet) {
-        let Packet::FromEntry(packet) = packet else {
-            return;
+        let packet = match packet {
+            Packet::FromEntry(packet) => packet,
+            Packet::BetweenEntries(packet) => return self.answer_offers(link, &packet),
+            Packet::FromAgent(_) => return,
         };
         let mut news = Vec::new();
         for order in &packet.orders {
@@ -249,6 +307,24 @@
     }
 }
 
+impl Bench {
+    fn answer_offers(&mut self, link: SessionId, packet: &PeerPacket) {
+        let answers = packet.news.iter().filter_map(|news| match news {
+            PeerNews::HandOver(offer) => Some(PeerNews::HandOverReply(HandOverReply {
+                number: offer.number,
+                outcome: HandOverOutcome::Succeeded,
+                has_runs: false,
+            })),
+            _ => None,
+        });
+        let answers: Vec<PeerNews> = answers.collect();
+        if !answers.is_empty() {
+            self.handed_over += answers.len() as u64;
+            self.send_from_peer(link, answers);
+        }
+    }
+}
+
 fn hello(agent: SessionId) -> AgentNews {
     AgentNews::Hello(AgentIntro {
         name: format!("agent-{agent}").into(),
@@ -285,17 +361,28 @@
 }
 
 fn main() {
+    let hands_over = std::env::args()
+        .nth(1)
+        .is_some_and(|arg| arg == "handed-over");
     let mut bench = Bench::new();
+    if hands_over {
+        bench.join_peers();
+    }
     for number in 1..=WARM_UP + BATCHES {
         if number == WARM_UP + 1 {
             bench.costs = Costs::default();
+            bench.handed_over = 0;
         }
         bench.now += Duration::from_micros(1_200);
+        if hands_over && number % SAMPLE_INTERVAL == 0 {
+            bench.starve();
+        }
         bench.submit(number, &body(number));
         while bench.incoming.len() > OPEN {
             bench.receive_one();
         }
     }
+    println!("{} of {BATCHES} handed over", bench.handed_over);
     let costs = &bench.costs;
     costs.parse.print("parse request");
     costs.submit.print("decide new batch");
