--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -197,6 +197,10 @@
     pub config_version: u64,
     /// Number of evacuated data halls.
     pub evacuated_halls: u64,
+    /// Number of batches handed over to other entries and not answered.
+    pub handed_over: u64,
+    /// Number of batches taken over from other entries and not answered.
+    pub taken_over: u64,
     /// Utilization of the event loop in percent, if known.
     pub loop_busy_percent: Option<u64>,
     /// Largest recent delay of the timer in milliseconds.
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -182,6 +182,8 @@
             .set_gauge("config_version", gauges.config_version);
         self.figures
             .set_gauge("evacuated_halls", gauges.evacuated_halls);
+        self.figures.set_gauge("handed_over", gauges.handed_over);
+        self.figures.set_gauge("taken_over", gauges.taken_over);
         if let Some(percent) = gauges.loop_busy_percent {
             self.figures.set_gauge("loop_busy_percent", percent);
             self.figures.set_gauge("loop_lag_ms", gauges.loop_lag_ms);
--- a/lib/src/request_timeline.rs
+++ b/lib/src/request_timeline.rs
@@ -16,6 +16,17 @@
     pub outcome: String,
 }
 
+fn is_handed_over(text: &str) -> bool {
+    text.starts_with("batch handed over")
+}
+
+/// The entry that ran a batch for the one that answered it, if any.
+fn receiver_of<'a>(lines: &'a [LogLine], answer: &'a LogLine) -> Option<&'a str> {
+    let receiver = value(&answer.text, "handed_over")?;
+    let taken = lines.iter().any(|l| l.text.starts_with("batch taken over"));
+    taken.then_some(receiver)
+}
+
 fn is_answer(text: &str) -> bool {
     text.starts_with("batch answered") || text.starts_with("batch refused")
 }
@@ -43,7 +54,7 @@
     let admitted = lines.iter().rev();
     let admitted = admitted
         .clone()
-        .find(|l| l.text.starts_with("batch admitted"));
+        .find(|l| l.text.starts_with("batch admitted") || is_handed_over(&l.text));
     let Some(answer) = lines.iter().rev().find(|l| is_answer(&l.text)) else {
         return no_answer(admitted);
     };
@@ -64,13 +75,24 @@
     let (took, objective) = (number(text, "took_ms"), number(text, "objective_ms"));
     match value(text, "answer") {
         Some("Succeeded") if took <= objective => {
-            format!("served by {process} in {took} ms, objective {objective} ms")
+            let by = match receiver_of(lines, answer) {
+                Some(receiver) => format!("{receiver}, to which {process} had handed it over,"),
+                None => process.clone(),
+            };
+            format!("served by {by} in {took} ms, objective {objective} ms")
         }
         Some("Succeeded") => late(lines, took, objective),
         Some("Refused") => format!(
             "refused by {process} after {took} ms: no target had free capacity before the \
              placement deadline; nothing ran"
         ),
+        Some("GaveUp") if lines.iter().any(|l| l.text.contains("why=receiver_lost")) => {
+            let receiver = value(text, "handed_over").unwrap_or("-");
+            format!(
+                "abandoned by {process} after {took} ms: the link to {receiver}, to which it was \
+                 handed over, broke or fell silent; some tasks may have run"
+            )
+        }
         Some("GaveUp") => {
             format!("abandoned by {process} after {took} ms; some tasks had run")
         }
--- a/lib/tests/test_run_agent/crashes.rs
+++ b/lib/tests/test_run_agent/crashes.rs
@@ -183,6 +183,7 @@
         entries: Vec::new(),
         claims: Vec::new(),
         evacuations: Arc::default(),
+        guarantors: Vec::new(),
         protocol,
     };
     let packet = EntryPacket {
--- a/lib/testutils/src/run_fleet/fleet_config.rs
+++ b/lib/testutils/src/run_fleet/fleet_config.rs
@@ -42,6 +42,8 @@
     pub far_factor: Option<f64>,
     /// Number of entries, from the first, that processes know as seeds at start; all if none.
     pub seeds: Option<usize>,
+    /// Whether the first entry reports that it is starved, and the others that they are idle.
+    pub first_entry_starved: bool,
     /// Processors of the entries; unlimited if none.
     pub processor: Option<ProcessorModel>,
 }
@@ -61,6 +63,7 @@
             counts_suspension: true,
             far_factor: None,
             seeds: None,
+            first_entry_starved: false,
             processor: None,
         }
     }
