lib: a task doesn't wait for targets that take no work, nor until its batch is refused

Two batches were refused while three targets were free: their tasks waited for the fastest target, which was ejected. Change: the fastest target is sought among those that take new work and don't fail.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -132,6 +132,10 @@
     pub was_dispatched: bool,
     /// Links over which its payload was sent. A link is identified by its session.
     pub payload_sent_to: BTreeSet<SessionId>,
+    /// Whether a task waited for a faster target although another one had free capacity.
+    pub has_declined: bool,
+    /// Whether its tasks no longer wait for faster targets.
+    pub takes_any_target: bool,
     /// Number of open runs.
     pub open_runs: u32,
     /// Whether the batch is being run or closed.
@@ -174,6 +178,8 @@
             placement_deadline: times.placement_deadline,
             was_dispatched: false,
             payload_sent_to: BTreeSet::new(),
+            has_declined: false,
+            takes_any_target: false,
             open_runs: 0,
             state: BatchState::Open,
         }
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -435,7 +435,9 @@
                 );
                 self.close(id, CloseReason::Deadline);
             } else if batch.placement_deadline <= self.now && !batch.was_dispatched {
-                if self.may_wait_for_unread_input(batch) {
+                if batch.has_declined && !batch.takes_any_target {
+                    self.place_on_any_target(id);
+                } else if self.may_wait_for_unread_input(batch) {
                     self.table.postpone(id, self.now + UNREAD_INPUT_EXTENSION);
                 } else if self.link_full_until.is_some() && !self.lacks_capacity() {
                     self.table.postpone(id, self.now + LINK_WAIT_EXTENSION);
@@ -448,6 +450,16 @@
         }
     }
 
+    /// Ends the wait of a batch's tasks for faster targets. They are likely to be late on the others,
+    /// but a batch isn't refused while targets are free.
+    fn place_on_any_target(&mut self, id: BatchId) {
+        if let Some(batch) = self.table.get_mut(id) {
+            batch.takes_any_target = true;
+        }
+        self.table.postpone(id, self.now + LINK_WAIT_EXTENSION);
+        self.needs_placing = true;
+    }
+
     /// Answers all open requests, so that no connection ends without a reply. Agents stop the open
     /// runs of a process that has exited and doesn't reconnect in time.
     pub(super) fn answer_open_requests(&mut self) {
--- a/lib/src/batch_placing.rs
+++ b/lib/src/batch_placing.rs
@@ -94,6 +94,11 @@
                 all_placed &= self.place_step(id, step);
             }
         }
+        if self.has_declined
+            && let Some(batch) = self.table.get_mut(id)
+        {
+            batch.has_declined = true;
+        }
         self.table.update_waiting(id);
         all_placed
     }
@@ -171,6 +176,16 @@
         price.div_duration_f64(spec.estimate.max(MIN_RUN_TIME))
     }
 
+    /// Returns the time until the batch is due, as a multiple of the step's estimate; unlimited if
+    /// its tasks no longer wait for faster targets.
+    fn time_left(&self, batch: &Batch, spec: &StepSpec) -> f64 {
+        if batch.takes_any_target {
+            return f64::INFINITY;
+        }
+        let left = batch.due.saturating_sub(self.now);
+        left.div_duration_f64(spec.estimate.max(MIN_RUN_TIME))
+    }
+
     /// Chooses a target for a task and records the run. A suspected task goes to an idle target. If
     /// there is none, it goes to a target without other suspects, unless it must run alone.
     /// Keeping suspects apart shows sooner which of them crashes targets.
@@ -225,10 +240,7 @@
             payload_sent_to: &batch.payload_sent_to,
             payload_cost: self.payload_cost(batch, spec),
             is_idle: needs_idle_target,
-            time_left: batch
-                .due
-                .saturating_sub(self.now)
-                .div_duration_f64(spec.estimate.max(MIN_RUN_TIME)),
+            time_left: self.time_left(batch, spec),
         };
         let table = &*self.table;
         let is_excluded = |view: &TargetView| {
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -280,6 +280,9 @@
     least_slowdown: Cell<Option<(Now, f64)>>,
     /// Factor on the run time outside the preferred rack, if the platform states it.
     far_factor: Option<f64>,
+    /// The least slowdown of the targets that take new work, as of the last comparison. Failing and
+    /// paused targets are left out, because a task must not wait for one of them.
+    least_open_slowdown: f64,
     /// Comparison of all targets, at most [`COMPARE_INTERVAL`] old in a placement round.
     speeds: SpeedComparison,
     compared_at: Option<Now>,
@@ -293,6 +296,7 @@
             evacuated: Arc::default(),
             least_slowdown: Cell::new(None),
             far_factor: None,
+            least_open_slowdown: f64::MAX,
             speeds: SpeedComparison::default(),
             compared_at: None,
         }
@@ -355,14 +359,19 @@
         self.compared_at = Some(now);
         let compared = |v: &&TargetView| !v.is_evacuated && v.is_available(now);
         let (mut free, mut capacity) = (0, 0);
+        let mut least_open = f64::MAX;
         let mut slowdowns = Vec::with_capacity(self.views.len());
         for view in self.views.values().filter(compared) {
             slowdowns.push(view.slowdown());
+            if view.may_get_work(now) && !view.health.fails_too_often() {
+                least_open = least_open.min(view.slowdown());
+            }
             free += view.free_capacity().cpu_millis;
             capacity += view.info.as_ref().map_or(0, |i| i.capacity.cpu_millis);
         }
         let free_share = free as f64 / capacity.max(1) as f64;
         self.speeds = SpeedComparison::of(slowdowns, free_share);
+        self.least_open_slowdown = least_open;
     }
 
     /// Adds an agent that has said hello.
@@ -510,7 +519,7 @@
         let is_bound = self.far_factor.is_some() && need.preferred_rack.is_some();
         let fit = self
             .speeds
-            .for_task(is_bound, need.time_left, least_slowdown);
+            .for_task(is_bound, need.time_left, self.least_open_slowdown);
         let mut has_declined = false;
         for (link, view) in &self.views {
             let is_open = view.may_get_work(now)
