lib: a call that times out before the next incarnation answers is a silence

Nobody tries such a batch again.

Cause: an agent took the end of its target for a crash unless the target had been silent for 240 ms. A target that lost power and was back after 200 ms counted as crashed, and the suspect that ran alone there was given up.

The cause's own crashes refuse connections.

Change: a renewal that times out keeps an end from counting as a crash. A refused connection still counts, also after a silence.

--- a/lib/src/run_agent/incarnations.rs
+++ b/lib/src/run_agent/incarnations.rs
@@ -206,7 +206,7 @@
             .incarnations
             .current()
             .is_none_or(|target| target.leaving);
-        !is_leaving && (self.lease.is_refused() || !self.lease.is_silent())
+        !is_leaving && (self.lease.is_refused() || !self.lease.has_timed_out())
     }
 
     /// Marks the current incarnation as over, without ending its runs. A new incarnation of the same
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -46,7 +46,7 @@
         if let Some((at, number)) = self.renewal_overdue()
             && at <= self.now
         {
-            self.lease.unanswered(self.now, number);
+            self.lease.timed_out(self.now, number);
         }
         // A target with an unanswered call is queried until it answers, even if no lease is left to
         // renew.
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -112,6 +112,8 @@
     is_silent: bool,
     /// Whether the target has refused a connection since it last answered.
     is_refused: bool,
+    /// Whether a renewal has timed out since the target last answered.
+    has_timed_out: bool,
     lossy_until: Now,
 }
 
@@ -136,6 +138,7 @@
             last_answer_at: now,
             is_silent: false,
             is_refused: false,
+            has_timed_out: false,
             lossy_until: Now::ZERO,
         };
         // An earlier incarnation of the agent may have renewed just before it ended.
@@ -184,6 +187,7 @@
         self.last_answer_at = now;
         self.is_silent = false;
         self.is_refused = false;
+        self.has_timed_out = false;
     }
 
     /// Records that a connection was refused, so that no process listens there.
@@ -196,6 +200,12 @@
         self.is_refused
     }
 
+    /// Whether a renewal has timed out since the target last answered. A process that crashes does
+    /// not cause that: its connections break at once, and new ones are refused.
+    pub fn has_timed_out(&self) -> bool {
+        self.has_timed_out
+    }
+
     /// Records a renewal now and returns the end of its lease on the target's clock, or none if
     /// that clock is unknown.
     pub fn renew_until(&mut self, now: Now) -> Option<TargetMillis> {
@@ -271,6 +281,12 @@
         self.pause(now, number, pauses.min(MAX_PAUSES));
     }
 
+    /// Records that the renewal in flight was not answered in time; ignores any other number.
+    pub fn timed_out(&mut self, now: Now, number: u64) {
+        self.has_timed_out |= self.in_flight.is_some_and(|f| f.number == number);
+        self.unanswered(now, number);
+    }
+
     /// When the renewal in flight is overdue, and its number. An answer may take `limit` beyond the
     /// requested wait.
     pub fn overdue_at(&self, limit: Duration) -> Option<(Now, u64)> {
@@ -306,6 +322,7 @@
         self.silent_calls = 0;
         self.is_silent = false;
         self.is_refused = false;
+        self.has_timed_out = false;
     }
 
     /// Returns the next renewal, unless one is in flight or a pause lasts. `max_wait` limits the
--- a/lib/tests/test_load_replay.rs
+++ b/lib/tests/test_load_replay.rs
@@ -170,13 +170,12 @@
 
 #[test]
 fn test_figures_innocents_that_share_crashes_are_not_given_up_on_more_seeds() {
-    // A target that crashes of itself while a suspect runs alone there can't be told from one that
-    // the suspect crashed, so one may be given up. Answering as failed after any two crashes gave up
-    // four.
+    // Guards against innocent batches that are answered as failed because they share a crash with
+    // the cause and are then hit by a loss of power.
     let pattern = pattern("crashing_tasks");
-    let results = (1..=5).map(|seed| pattern.figures(seed, ms(0)..ms(8_000)));
+    let results = (1..=24).map(|seed| pattern.figures(seed, ms(0)..ms(8_000)));
     let given_up: Vec<usize> = results.map(|r| r.all().given_up as usize).collect();
-    assert!(given_up.iter().sum::<usize>() <= 1, "by seed: {given_up:?}");
+    assert_eq!(given_up.iter().sum::<usize>(), 0, "by seed: {given_up:?}");
 }
 
 #[test]
--- a/lib/tests/test_run_agent/crashes.rs
+++ b/lib/tests/test_run_agent/crashes.rs
@@ -18,6 +18,14 @@
     agent
 }
 
+/// Lets the renewal in flight time out; returns after 205 ms.
+fn let_renewal_time_out(agent: &mut RunAgentCore) {
+    // The agent reads its sockets for 4 ms after a pause before it judges.
+    agent.handle(ms(200), AgentEvent::Wake);
+    let actions = agent.handle(ms(205), AgentEvent::Wake);
+    assert_eq!(renewals(&actions).len(), 1, "the target is asked again");
+}
+
 /// Run ends that the actions report.
 fn ends(actions: &[AgentAction]) -> Vec<RunEnd> {
     let sent = actions.iter().filter_map(|a| match a {
@@ -139,6 +147,25 @@
     assert_eq!(starts(&actions), 0);
 }
 
+#[test]
+fn test_handle_next_incarnation_after_a_timed_out_call_does_not_count_as_crash() {
+    // Guards against tasks that are suspected because their target's VM lost power: a VM that is
+    // back within a quarter of a second was silent, and no process there had crashed.
+    let mut agent = agent_with_runs(1);
+    let_renewal_time_out(&mut agent);
+    let actions = crash_target(&mut agent, ms(230));
+    assert_eq!(ends(&actions), [RunEnd::Lost]);
+}
+
+#[test]
+fn test_handle_connection_refused_after_a_timed_out_call_counts_as_crash() {
+    // A task may make its target hang before it crashes it.
+    let mut agent = agent_with_runs(1);
+    let_renewal_time_out(&mut agent);
+    let reported = ends_if_renewals_get(agent, &RenewalAnswer::Refused);
+    assert_eq!(reported, [RunEnd::Crashed { alone: true }]);
+}
+
 fn start_alone(index: u16) -> Order {
     match start(index, 5_000) {
         Order::Start(order) => Order::Start(StartOrder {
--- a/test.sh
+++ b/test.sh
@@ -4,12 +4,14 @@
 cd "$(dirname "$0")"
 cargo fmt --all --check
 cargo clippy --workspace --all-targets --locked -- -D warnings
-# Known red tests are named at the start of each line of KNOWN-RED.txt, up to the colon.
+# Known red tests are named in full at the start of each line of KNOWN-RED.txt, up to a colon and a blank.
+# --exact makes --skip match whole names only.
 skips=()
-if [ -s KNOWN-RED.txt ]; then
-    for test in $(cut -d: -f1 KNOWN-RED.txt); do
-        skips+=(--skip "$test")
-    done
+for test in $(sed "s,: .*,," KNOWN-RED.txt); do
+    skips+=(--skip "$test")
+done
+if [ ${#skips[@]} -gt 0 ]; then
+    skips+=(--exact)
 fi
 cargo test --workspace --locked -- "${skips[@]}"
 # A short soak of the real programs; the seeds decide its faults.
