testutils: targets whose processes exit and refuse connections

Cause: all injected crashes of targets leave the VM silent.

Change: the fault Exit, in load patterns too.

--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -1772,6 +1772,11 @@
         FleetFault::Evacuate(1),
         FleetFault::GiveBack(1),
         FleetFault::StoreDown(ms(2_000)),
+        FleetFault::Exit(2),
+        // The second crash comes before all reports of the life that the first one began.
+        FleetFault::LateReports(2, ms(2_500)),
+        FleetFault::Crash(2),
+        FleetFault::Crash(2),
     ];
     for (index, strike) in (0..).zip(strikes) {
         fleet.inject(ms(1_500 + 1_300 * index), strike);
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -167,6 +167,7 @@
         FleetFault::Drain(n) => FleetFault::Drain(pick(n)),
         FleetFault::Crash(_) => FleetFault::Crash(index),
         FleetFault::Restart(_) => FleetFault::Restart(index),
+        FleetFault::Exit(_) => FleetFault::Exit(index),
         FleetFault::Trouble(_, impairment, t) => FleetFault::Trouble(index, impairment, t),
         FleetFault::LateOrders(_, t) => FleetFault::LateOrders(index, t),
         FleetFault::LateReports(_, t) => FleetFault::LateReports(index, t),
--- a/lib/testutils/src/load_replay.rs
+++ b/lib/testutils/src/load_replay.rs
@@ -88,6 +88,8 @@
     PowerOff,
     /// Targets crash at random times during the fault, and are back 200 ms later.
     Crash,
+    /// Like `Crash`, but only the target's process exits: its VM refuses connections meanwhile.
+    Exit,
     /// Targets start at this time; they are switched off until then.
     Join,
 }
@@ -487,9 +489,13 @@
                     fleet.inject(at, off);
                 }
                 FaultKind::Crash => {
-                    let at = at + length.mul_f64(rng.random_range(0.0..1.0));
+                    let at = random_time(at, length, rng);
                     fleet.inject(at, FleetFault::Restart(target));
                 }
+                FaultKind::Exit => {
+                    let at = random_time(at, length, rng);
+                    fleet.inject(at, FleetFault::Exit(target));
+                }
                 FaultKind::Join => fleet.start_later(Node::Agent(target), at),
             }
         }
@@ -517,6 +523,10 @@
     }
 }
 
+fn random_time(from: Now, within: Duration, rng: &mut ChaCha8Rng) -> Now {
+    from + within.mul_f64(rng.random_range(0.0..1.0))
+}
+
 /// A power loss; the process restarts at a random time within `spread` after [`POWER_OFF`].
 fn power_off(node: Node, spread: Duration, rng: &mut ChaCha8Rng) -> FleetFault {
     if spread.is_zero() {
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -30,6 +30,8 @@
     Crash(usize),
     /// A target crashes; its next incarnation has the same name and reports 200 ms later.
     Restart(usize),
+    /// Like `Restart`, but the VM refuses connections meanwhile: only the target's process is gone.
+    Exit(usize),
     /// A target's capacity is this percentage of the original; its next report says so.
     Resize(usize, u32, Duration),
     /// A target is impaired.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -45,6 +45,7 @@
             FleetFault::Drain(Node::Agent(i)) => self.tell_agent(i, AgentEvent::Drain),
             FleetFault::Crash(i) => self.crash(i, RunTarget::crash, Down::Silent, CRASHED_FOR),
             FleetFault::Restart(i) => self.crash(i, RunTarget::restart, Down::Silent, CRASHED_FOR),
+            FleetFault::Exit(i) => self.crash(i, RunTarget::restart, Down::Refuses, CRASHED_FOR),
             FleetFault::Trouble(i, impairment, length) => {
                 self.targets[i].target.trouble = impairment;
                 self.schedule_after(length, Event::EndFault(targets::TimedFault::Impairment(i)));
