tests: entries that die beside suspended targets

What callers may see: a task that runs twice at once for 30 to 50 ms. The tests of suspended VMs left this case out.

Cause: the entry that started the first run dies while the target's VM sleeps, its caller reaches another entry after 1.3 s, and the VM resumes during the second run. Nobody who is awake knows of the first.

--- a/lib/tests/test_fleet_suspension.rs
+++ b/lib/tests/test_fleet_suspension.rs
@@ -68,6 +68,32 @@
     assert!(mean > 0.95, "only {mean} served after it: {served:?}");
 }
 
+#[test]
+fn test_run_until_entries_killed_beside_suspended_targets_keep_invariants() {
+    // Guards against two runs of a task at once: the entry that started the first one dies while the
+    // target's VM is suspended, and its caller reaches an entry that knows nothing of it.
+    for seed in 0..60 {
+        let fleet_config = FleetConfig {
+            entries_meet: true,
+            counts_suspension: true,
+            ..FleetConfig::default()
+        };
+        let mut fleet = RunFleet::with_config(seed, fleet_config, testutils::run_fleet::config());
+        fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let from = ms(rng.random_range(1_500..6_000));
+        let length = ms(rng.random_range(1_400..5_000));
+        let agent = Node::Agent(rng.random_range(0..AGENTS));
+        fleet.inject(from, FleetFault::Suspend(agent, length));
+        let entry = Node::Entry(rng.random_range(0..ENTRIES));
+        let killed_at = from + length.mul_f64(rng.random_range(0.0..1.0));
+        fleet.inject(killed_at, FleetFault::Kill(entry));
+        fleet.run_until(END);
+        let violations = fleet.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
 #[test]
 fn test_run_until_orders_from_before_a_suspension_start_nothing() {
     let starts = |counts_suspension| -> usize {
