--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -208,7 +208,7 @@
 
     /// Records the crashes of runs that earlier attempts had elsewhere, and gives up the tasks at
     /// which they point. Run numbers continue after theirs, because a crash is identified by its run.
-    /// Returns the tasks about which is decided later, with the time.
+    /// Returns the tasks whose verdict is due later, with its time.
     pub fn add_known_crashes(
         &mut self,
         now: Now,
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -100,7 +100,7 @@
     resumed_until: Now,
     /// Load of this VM's network link.
     link_load: LinkLoad,
-    /// Tasks about which it is decided at a time whether crashes suffice to give them up.
+    /// Tasks that crashes point at, with the time when it is decided whether to give them up.
     verdicts: BTreeSet<(Now, TaskKey)>,
     /// When a task last found no target with free capacity.
     capacity_lacked_at: Option<Now>,
--- a/lib/src/batch_entry/crashes.rs
+++ b/lib/src/batch_entry/crashes.rs
@@ -72,8 +72,8 @@
         }
     }
 
-    /// Records a crash in the history of a task that is held here. If it is to be decided later
-    /// whether to give the task up, schedules that.
+    /// Records a crash in the history of a task that is held here, and schedules the verdict if it
+    /// is due later.
     fn record_crash(&mut self, task: TaskKey, alone: bool) -> Option<CrashHistory> {
         let notices = self.directory.crash_notices();
         let verdict_at = notices.verdict_at(self.now, task, self.options.timings.lapse);
@@ -86,7 +86,7 @@
         Some(*history)
     }
 
-    /// Decides about the tasks whose time has come whether their crashes suffice to give them up.
+    /// Gives up the tasks whose verdict is due, unless the evidence against them is disputed.
     pub(super) fn settle_verdicts(&mut self) {
         while let Some(&(at, task)) = self.verdicts.first() {
             if at > self.now {
@@ -94,7 +94,9 @@
             }
             self.verdicts.pop_first();
             let is_disputed = self.directory.crash_notices().is_disputed(task);
-            let Some(history) = self.table.crash_history(task) else {
+            let history = self.table.crash_history(task);
+            // A further crash may have decided already.
+            let Some(history) = history.filter(|h| h.verdict_at().is_some()) else {
                 continue;
             };
             history.settle(self.now, is_disputed);
--- a/lib/src/crash_notices.rs
+++ b/lib/src/crash_notices.rs
@@ -64,6 +64,11 @@
     pub alone: bool,
 }
 
+/// Key that precedes all notices of a task.
+fn first_key(task: TaskKey) -> (RunKey, Incarnation) {
+    (RunKey { task, run: 0 }, Incarnation::MIN)
+}
+
 /// Crash notices by run and by the entry that owned it.
 #[derive(Debug, Default)]
 pub struct CrashNotices {
@@ -103,9 +108,9 @@
         CrashNews::New
     }
 
-    /// Returns when it is decided whether two crashes suffice to give a task up: at once, or when
-    /// the other suspects of a crash that it shared had time for another crash. Runs at a crashed
-    /// target are proven over after `lapse` at the latest.
+    /// Returns when two crashes suffice to give a task up: at once, or when the other suspects of a
+    /// crash that it shared have had time for another one. `lapse` is the longest time until the runs
+    /// at a crashed target are proven over.
     pub fn verdict_at(&self, now: Now, task: TaskKey, lapse: Duration) -> Now {
         let shared = self.of_task(task).filter(|kept| {
             let mut others = self.other_suspects(task, kept);
@@ -124,8 +129,7 @@
     }
 
     fn of_task(&self, task: TaskKey) -> impl Iterator<Item = &Kept> {
-        let first = (RunKey { task, run: 0 }, Incarnation::MIN);
-        let from_task = self.notices.range(first..);
+        let from_task = self.notices.range(first_key(task)..);
         let of_task = from_task.take_while(move |((key, _), _)| key.task == task);
         of_task.map(|(_, kept)| kept)
     }
@@ -146,14 +150,7 @@
             step: 0,
             index: 0,
         };
-        let first = (
-            RunKey {
-                task: first,
-                run: 0,
-            },
-            Incarnation::MIN,
-        );
-        let from_batch = self.notices.range(first..);
+        let from_batch = self.notices.range(first_key(first)..);
         let of_batch = from_batch.take_while(|((key, _), _)| key.task.batch == batch);
         let mut kept: Vec<_> = of_batch.filter(|(_, kept)| kept.until > now).collect();
         kept.sort_by_key(|(_, kept)| kept.until);
