lib: each closing of a batch has a notice of its own

Cause: entries kept a closing notice under batch and entry for 12.6 s, also once it was over, and took the second closing of a batch by the same entry for a copy of the first one. Evidence, by log lines added first (events 1403, 1404 and 1915): entry 1 announced the second closing, entry 2 heard of it 61 ms later and 1.24 s before the caller, as not new, and started the batch without holding it.

Change: notices bear a number that rises within the life of the process that announces them; a higher number is new, and an end covers its own number and earlier ones. A reopened batch's notice stays open until its end is told. Batches that were answered as failed or cancelled while runs are left are announced too. Protocol 2; older builds get the notices in their old form.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -327,7 +327,7 @@
             if round.link_load.full_until(self.now).is_some() {
                 break;
             }
-            let is_blocked = directory.is_closing_at_peer(self.now, id)
+            let is_blocked = directory.has_runs_elsewhere(self.now, id)
                 || giver.has_ended(id)
                 || receiver.has_runs_left(id);
             if !is_blocked && !round.place(id) {
@@ -402,7 +402,7 @@
             BatchChange::None => {}
             BatchChange::Closed => self.finish_closing(id),
             BatchChange::Done => {
-                if let Some(batch) = self.table.remove(id)
+                if let Some(batch) = self.remove_batch(id)
                     && let Some(request) = batch.request
                 {
                     self.answer(id, &batch, request, Reply::Succeeded);
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -144,6 +144,12 @@
                 self.table.len(),
             ),
         );
+        if let Some(hold) = self.directory.longest_hold(self.now, spec.id) {
+            self.log(
+                EventCode::BatchHeld,
+                format!("job={:016x} at_most_ms={}", spec.id, hold.as_millis()),
+            );
+        }
         let payload = self.packer.pack(&spec.payload);
         let mut batch = Batch::new(&spec, payload, queue, request, times);
         if self.add_known_crashes(spec.id, &mut batch, request) {
@@ -249,7 +255,6 @@
             format!("job={id:016x} request={caller_request} again=true"),
         );
         self.table.reopen(id, request, times);
-        self.directory.note_reopened(id);
         Ok(())
     }
 
@@ -302,9 +307,6 @@
             format!("job={id:016x} why=caller_gone age_ms={age_ms}"),
         );
         self.close(id, CloseReason::CallerGone);
-        if self.table.get(id).is_some() {
-            self.directory.tell_closing(self.now, id);
-        }
     }
 
     pub(super) fn answer_query(&mut self, query: &BatchQuery) {
@@ -357,19 +359,32 @@
         for (key, agent) in stops {
             self.order_stop(key, &agent);
         }
-        if self.table.get(id).is_some_and(|b| b.open_runs == 0) {
+        let Some(batch) = self.table.get(id) else {
+            return;
+        };
+        if batch.open_runs == 0 {
             self.finish_closing(id);
+        } else if batch.request.is_none() {
+            // Its caller was answered or is gone, and may submit it to another entry.
+            self.directory.tell_runs_left(self.now, id);
         }
     }
 
+    /// Removes a batch without open runs from the table.
+    pub(super) fn remove_batch(&mut self, id: BatchId) -> Option<Batch> {
+        let batch = self.table.remove(id)?;
+        // Runs that a receiver had of it may be left.
+        if !self.giver.has_ended(id) {
+            self.directory.tell_runs_over(self.now, id);
+        }
+        Some(batch)
+    }
+
     /// Removes a closed batch without open runs and answers its request.
     pub(super) fn finish_closing(&mut self, id: BatchId) {
-        let Some(batch) = self.table.remove(id) else {
+        let Some(batch) = self.remove_batch(id) else {
             return;
         };
-        if batch.state == BatchState::Closing(CloseReason::CallerGone) && batch.was_dispatched {
-            self.directory.tell_closed(self.now, id);
-        }
         if let Some(request) = batch.request {
             let reply = if batch.is_given_up() {
                 // The caller must not retry elsewhere: the batch would crash targets there too.
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -72,7 +72,7 @@
         let may_offer = !self.drain.has_begun()
             && self.declined != Some(id)
             && !self.giver.has_ended(id)
-            && !self.directory.is_closing_at_peer(now, id)
+            && !self.directory.has_runs_elsewhere(now, id)
             && !self.directory.is_large_fleet();
         if !may_offer || !is_drawn(share, &mut self.rng) {
             return None;
@@ -205,7 +205,7 @@
         }
         if reply.has_runs {
             let until = self.now + self.options.timings.lost_agent_bound;
-            self.giver.note_ended(id, number, until, false);
+            self.giver.note_ended(id, number, until);
         }
         self.answer_handed(&batch, reply_of(reply.outcome));
     }
@@ -260,14 +260,14 @@
             ),
         );
         let until = self.now + self.options.timings.lost_agent_bound;
-        self.giver.note_ended(id, batch.number, until, true);
+        self.giver.note_ended(id, batch.number, until);
         let end = PeerNews::HandOverEnd(batch.number);
         self.directory.tell(self.now, batch.link, end);
         let outboxes = self.outboxes.values_mut();
         for outbox in outboxes.filter(|outbox| outbox.knows_guarantors) {
             outbox.orders.push(Order::Release(id));
         }
-        self.directory.tell_closing(self.now, id);
+        self.directory.tell_runs_left(self.now, id);
         self.note_link_use(batch.link);
         Some(batch)
     }
@@ -304,12 +304,10 @@
     }
 
     fn note_hand_over_closed(&mut self, number: HandOverNumber) {
-        let Some((id, is_announced)) = self.giver.note_closed(number) else {
+        let Some(id) = self.giver.note_closed(number) else {
             return;
         };
-        if is_announced {
-            self.directory.tell_closed(self.now, id);
-        }
+        self.directory.tell_runs_over(self.now, id);
         self.needs_placing = true;
     }
 
@@ -409,7 +407,7 @@
             || self.receiver.is_known(id)
             || self.giver.is_handed(id)
             || self.giver.has_ended(id)
-            || self.directory.is_closing_at_peer(now, id);
+            || self.directory.has_runs_elsewhere(now, id);
         if is_known {
             return Some(HandOverDecline::Known);
         }
@@ -538,7 +536,7 @@
             self.give_up_on(id, "deadline");
         }
         for id in self.giver.take_expired(self.now) {
-            self.directory.note_reopened(id);
+            self.directory.tell_runs_over(self.now, id);
             self.needs_placing = true;
         }
         let table = &self.table;
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -7,7 +7,7 @@
 //! The store is the platform's service that holds the operators' records: the configuration and the
 //! evacuations. It also registers the entries' addresses.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,15 +19,15 @@
 use crate::evacuations::{EvacuatedHalls, EvacuationsInForce, OfferOutcome};
 use crate::events::{EventCode, LogEvent};
 use crate::ids::{Incarnation, NodeName, Now, SessionId};
-use crate::peer_closings::PeerClosings;
 use crate::peer_table::{NeighbourLoad, Peer, PeerTable};
 use crate::preferred_entries::{FULL_MESH_LIMIT, LinkStep, PREFERRED_COUNT, PreferredEntries};
 use crate::queue::{ConfigInForce, ConfigVersion, QueueTable};
 use crate::run::BatchId;
 use crate::run_message::{
-    CRASH_NOTICE_PROTOCOL, ClosingBatch, CrashNotice, EntryMillis, PROTOCOL_VERSION, Packet,
-    PeerIntro, PeerNews, PeerPacket,
+    CRASH_NOTICE_PROTOCOL, CrashNotice, EntryMillis, NoticeNumber, PROTOCOL_VERSION, Packet,
+    PeerIntro, PeerNews, PeerPacket, RunsNotice,
 };
+use crate::runs_notices::{NoteOutcome, RunsNotices};
 
 /// Number of entries to which an entry of a large fleet links. On average as many link to it. With
 /// half of the entries gone, one in 4,000 has no living neighbour.
@@ -59,6 +59,13 @@
     Entry(SessionId),
 }
 
+/// Numbers of an entry's notices on one batch since the runs of the earlier ones were over.
+#[derive(Debug, Clone, Copy)]
+struct OwnNotices {
+    first: NoticeNumber,
+    last: NoticeNumber,
+}
+
 /// The shared state that one entry knows, and its links to other entries.
 #[derive(Debug)]
 pub struct EntryDirectory {
@@ -72,10 +79,11 @@
     peers: PeerTable,
     neighbours: PreferredEntries,
     config_fetch: ConfigFetch,
-    peer_closings: PeerClosings,
+    runs_notices: RunsNotices,
     crash_notices: CrashNotices,
-    /// Batches that this entry is closing.
-    own_closings: BTreeSet<BatchId>,
+    /// Batches of which this entry has announced that runs may be left.
+    own_notices: BTreeMap<BatchId, OwnNotices>,
+    last_notice: NoticeNumber,
     /// Load of this entry; `None` if not known.
     own_load: Option<EntryLoadReport>,
     pending_actions: Vec<EntryAction>,
@@ -94,9 +102,10 @@
             peers: PeerTable::default(),
             neighbours,
             config_fetch: ConfigFetch::default(),
-            peer_closings: PeerClosings::default(),
+            runs_notices: RunsNotices::default(),
             crash_notices: CrashNotices::default(),
-            own_closings: BTreeSet::new(),
+            own_notices: BTreeMap::new(),
+            last_notice: 0,
             own_load: None,
             pending_actions: Vec::new(),
         }
@@ -118,9 +127,21 @@
         Some(now.saturating_sub(heard))
     }
 
-    /// Whether a batch must wait because another entry is still closing it.
-    pub fn is_closing_at_peer(&self, now: Now, id: BatchId) -> bool {
-        self.peer_closings.blocked_until(now, id).is_some()
+    /// Whether a batch must wait because runs of it may be left elsewhere.
+    pub fn has_runs_elsewhere(&self, now: Now, id: BatchId) -> bool {
+        self.blocked_until(now, id).is_some()
+    }
+
+    /// Longest time that a batch must wait because runs of it may be left elsewhere; `None` if it
+    /// needn't.
+    pub fn longest_hold(&self, now: Now, id: BatchId) -> Option<Duration> {
+        let until = self.blocked_until(now, id)?;
+        Some(until.saturating_sub(now))
+    }
+
+    fn blocked_until(&self, now: Now, id: BatchId) -> Option<Now> {
+        let entry = self.options.incarnation;
+        self.runs_notices.blocked_until(now, id, entry)
     }
 
     /// Addresses of all known entries, including this one.
@@ -297,9 +318,17 @@
                         .entries
                         .extend(self.learn(now, Source::Entry(link), addresses));
                 }
-                PeerNews::Closing(closing) => self.note_closing(now, link, closing),
+                PeerNews::Closing(closing) => {
+                    self.note_runs_left(now, link, closing.into());
+                }
                 PeerNews::Closed(closing) => {
-                    effects.may_place |= self.note_closed(now, link, closing);
+                    effects.may_place |= self.note_runs_over(now, link, closing.into());
+                }
+                PeerNews::RunsLeft(notice) => {
+                    self.note_runs_left(now, link, notice);
+                }
+                PeerNews::RunsOver(notice) => {
+                    effects.may_place |= self.note_runs_over(now, link, notice);
                 }
                 PeerNews::Crashed(notice) => effects.crashes.push(notice),
                 PeerNews::Heartbeat => {}
@@ -326,7 +355,7 @@
         if self.peers.join(now, link, intro) {
             let hello = PeerNews::Hello(self.intro());
             self.peers.tell(now, link, hello);
-            self.send_closing_notices(now, link);
+            self.send_runs_notices(now, link);
             if intro.protocol >= CRASH_NOTICE_PROTOCOL {
                 self.send_crash_notices(now, link);
             }
@@ -366,13 +395,14 @@
         }
     }
 
-    /// Tells a new neighbour of all batches that are being closed. The neighbour may have missed
-    /// the notices while it had no link.
-    fn send_closing_notices(&mut self, now: Now, link: SessionId) {
-        let here = self.own_closings.iter().map(|id| self.closing_notice(*id));
-        let closing: Vec<ClosingBatch> = here.chain(self.peer_closings.open_notices(now)).collect();
-        for closing in closing {
-            self.peers.tell(now, link, PeerNews::Closing(closing));
+    /// Sends a new neighbour all open notices of batches of which runs may be left. It may have missed
+    /// them while it had no link.
+    fn send_runs_notices(&mut self, now: Now, link: SessionId) {
+        let own = self.own_notices.iter();
+        let own = own.map(|(id, own)| self.own_notice(*id, own.last));
+        let open: Vec<RunsNotice> = own.chain(self.runs_notices.open_notices(now)).collect();
+        for notice in open {
+            self.peers.tell_runs_left_to(now, link, notice);
         }
     }
 
@@ -410,26 +440,40 @@
         self.crash_notices.of_batch(now, id)
     }
 
-    fn note_closing(&mut self, now: Now, link: SessionId, closing: ClosingBatch) {
-        let is_own = closing.entry == self.options.incarnation;
-        if !is_own
-            && self
-                .peer_closings
-                .note_closing(now, closing, self.closing_bound)
-        {
-            let news = PeerNews::Closing(closing);
-            self.peers.forward(now, link, &news);
+    /// Records that another entry or an agent has announced that runs of a batch may be left, and tells
+    /// the neighbours except `from` if that is new. Returns whether the notice is kept.
+    pub fn note_runs_left(&mut self, now: Now, from: SessionId, notice: RunsNotice) -> bool {
+        if notice.holder == self.options.incarnation {
+            return true;
         }
+        let bound = self.closing_bound;
+        let outcome = self.runs_notices.note_left(now, notice, bound);
+        if outcome == NoteOutcome::New {
+            let RunsNotice {
+                batch,
+                holder,
+                owner,
+                number,
+            } = notice;
+            self.log(
+                EventCode::ClosingHeard,
+                format!("job={batch:016x} entry={owner:x} from={holder:x} number={number}"),
+            );
+            self.peers.tell_runs_left(now, notice, Some(from));
+        }
+        outcome != NoteOutcome::Dropped
     }
 
-    fn note_closed(&mut self, now: Now, link: SessionId, closing: ClosingBatch) -> bool {
-        let is_own = closing.entry == self.options.incarnation;
-        let is_news = !is_own
-            && self
-                .peer_closings
-                .note_closed(now, closing, self.closing_bound);
+    /// Records that announced runs are over, and tells the neighbours except `from` if that is new.
+    /// Returns whether a batch may have become free.
+    pub fn note_runs_over(&mut self, now: Now, from: SessionId, notice: RunsNotice) -> bool {
+        if notice.holder == self.options.incarnation {
+            return false;
+        }
+        let bound = self.closing_bound;
+        let is_news = self.runs_notices.note_over(now, notice, bound);
         if is_news {
-            self.peers.tell_closed(now, closing, Some(link));
+            self.peers.tell_runs_over(now, notice, None, Some(from));
         }
         is_news
     }
@@ -509,28 +553,41 @@
         true
     }
 
-    /// Tells the other entries that this entry is closing a batch.
-    pub fn tell_closing(&mut self, now: Now, id: BatchId) {
-        self.own_closings.insert(id);
-        let news = PeerNews::Closing(self.closing_notice(id));
-        self.peers.tell_all(now, &news);
-    }
-
-    /// Forgets that this entry was closing a batch, because its caller came back. The other entries
-    /// are not told; they stop waiting when the notice expires.
-    pub fn note_reopened(&mut self, id: BatchId) {
-        self.own_closings.remove(&id);
+    /// Tells the other entries that runs of a batch may be left at this entry. Each closing of the
+    /// batch has its own notice.
+    pub fn tell_runs_left(&mut self, now: Now, id: BatchId) {
+        self.last_notice += 1;
+        let number = self.last_notice;
+        let own = self.own_notices.entry(id).or_insert(OwnNotices {
+            first: number,
+            last: number,
+        });
+        own.last = number;
+        self.log(
+            EventCode::ClosingTold,
+            format!("job={id:016x} number={number}"),
+        );
+        let notice = self.own_notice(id, number);
+        self.peers.tell_runs_left(now, notice, None);
     }
 
-    fn closing_notice(&self, batch: BatchId) -> ClosingBatch {
+    fn own_notice(&self, batch: BatchId, number: NoticeNumber) -> RunsNotice {
         let entry = self.options.incarnation;
-        ClosingBatch { batch, entry }
+        RunsNotice {
+            batch,
+            holder: entry,
+            owner: entry,
+            number,
+        }
     }
 
-    /// Tells the other entries that no run of a batch is left at this entry.
-    pub fn tell_closed(&mut self, now: Now, id: BatchId) {
-        self.own_closings.remove(&id);
-        let closing = self.closing_notice(id);
-        self.peers.tell_closed(now, closing, None);
+    /// Tells the other entries that no run of a batch is left at this entry, if they were told that
+    /// there may be some.
+    pub fn tell_runs_over(&mut self, now: Now, id: BatchId) {
+        if let Some(own) = self.own_notices.remove(&id) {
+            let notice = self.own_notice(id, own.last);
+            self.peers
+                .tell_runs_over(now, notice, Some(own.first), None);
+        }
     }
 }
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -85,6 +85,8 @@
     SessionGap = 1306, Warn, "session closed after a missing frame";
     PeerJoined = 1401, Info, "peer session opened";
     PeerLost = 1402, Warn, "peer session lost";
+    ClosingTold = 1403, Info, "runs of a closing batch are left, the other entries are to hold it";
+    ClosingHeard = 1404, Info, "runs of a batch may be left elsewhere, it is held";
     TargetSetAside = 1501, Warn, "target ejected after failures";
     TargetProbed = 1502, Info, "probe sent to an ejected target";
     TargetReturned = 1503, Info, "target readmitted or its allowance raised";
@@ -117,6 +119,7 @@
     HandOverDeclined = 1912, Info, "offer of a batch declined, nothing of it runs";
     HandOverReleased = 1913, Info, "batch that was handed over released, its runs are stopped";
     HandOverAnswered = 1914, Info, "answer of a batch taken over sent to its giver";
+    BatchHeld = 1915, Info, "new batch held, runs of an earlier attempt may be left elsewhere";
     CrashesKnown = 1920, Warn, "new batch whose earlier runs crashed targets, its tasks begin as suspects";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
--- a/lib/src/handover_giver.rs
+++ b/lib/src/handover_giver.rs
@@ -42,8 +42,6 @@
     number: HandOverNumber,
     /// When its runs must be over in any case.
     until: Now,
-    /// Whether the other entries were told that it is being closed.
-    is_announced: bool,
 }
 
 /// State of the batches that this entry hands over.
@@ -118,28 +116,16 @@
     }
 
     /// Records that runs of a batch may be left until `until`.
-    pub fn note_ended(
-        &mut self,
-        id: BatchId,
-        number: HandOverNumber,
-        until: Now,
-        is_announced: bool,
-    ) {
-        let batch = EndedBatch {
-            number,
-            until,
-            is_announced,
-        };
-        self.ended.insert(id, batch);
-    }
-
-    /// Records the receiver's confirmation. If the batch was still blocked, returns it and whether
-    /// its closing was announced.
-    pub fn note_closed(&mut self, number: HandOverNumber) -> Option<(BatchId, bool)> {
+    pub fn note_ended(&mut self, id: BatchId, number: HandOverNumber, until: Now) {
+        self.ended.insert(id, EndedBatch { number, until });
+    }
+
+    /// Records the receiver's confirmation. Returns the batch if it was still blocked.
+    pub fn note_closed(&mut self, number: HandOverNumber) -> Option<BatchId> {
         let mut ended = self.ended.iter();
         let id = *ended.find(|(_, batch)| batch.number == number)?.0;
-        let batch = self.ended.remove(&id)?;
-        Some((id, batch.is_announced))
+        self.ended.remove(&id)?;
+        Some(id)
     }
 
     /// Whether runs of a batch that was handed over may be left.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -19,7 +19,7 @@
 //!   [`target_lease`], [`capacity_shares`], [`wait_forecast`], [`entry_leases`],
 //!   [`preferred_entries`], [`evacuations`], [`link_load`], [`crash_history`],
 //!   [`crash_notices`], [`batch_table`],
-//!   [`target_registry`], [`peer_table`], [`peer_closings`], [`config_fetch`],
+//!   [`target_registry`], [`peer_table`], [`runs_notices`], [`config_fetch`],
 //!   [`deferred_batches`], [`entry_directory`], [`entry_drain`];
 //! - cores: [`batch_entry`] and [`run_agent`], with their events and actions in [`batch_event`] and
 //!   [`run_event`], and the choice of targets in [`batch_placing`];
@@ -100,7 +100,6 @@
 pub mod outbox;
 pub mod payload;
 pub mod payload_cache;
-pub mod peer_closings;
 pub mod peer_table;
 pub mod permit;
 pub mod placement;
@@ -121,6 +120,7 @@
 pub mod run_message;
 pub mod run_table;
 pub mod run_time;
+pub mod runs_notices;
 pub mod session_links;
 pub mod settings;
 pub mod slot_table;
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -10,8 +10,8 @@
 use crate::ids::{HallName, Incarnation, NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
 use crate::run_message::{
-    CRASH_NOTICE_PROTOCOL, ClosingBatch, CrashNotice, EntryMillis, PeerIntro, PeerNews,
-    ProtocolVersion,
+    CRASH_NOTICE_PROTOCOL, CrashNotice, EntryMillis, NoticeNumber, PeerIntro, PeerNews,
+    ProtocolVersion, RUNS_NOTICE_PROTOCOL, RunsNotice,
 };
 
 /// Interval of heartbeats on an idle link between entries.
@@ -111,6 +111,41 @@
         (self.clock > 0).then_some(self.clock + since)
     }
 
+    fn understands_numbers(&self) -> bool {
+        self.protocol >= RUNS_NOTICE_PROTOCOL
+    }
+
+    fn runs_left(&self, notice: RunsNotice) -> PeerNews {
+        if self.understands_numbers() {
+            PeerNews::RunsLeft(notice)
+        } else {
+            PeerNews::Closing(notice.into())
+        }
+    }
+
+    fn runs_over(&self, notice: RunsNotice) -> PeerNews {
+        if self.understands_numbers() {
+            PeerNews::RunsOver(notice)
+        } else {
+            PeerNews::Closed(notice.into())
+        }
+    }
+
+    /// Drops unsent notices on a batch up to this one, and returns the lowest number among them.
+    fn drop_unsent(&mut self, notice: RunsNotice) -> Option<NoticeNumber> {
+        let mut first = None;
+        self.news.retain(|news| {
+            let number = match news {
+                PeerNews::RunsLeft(unsent) if is_covered(*unsent, notice) => unsent.number,
+                PeerNews::Closing(unsent) if *unsent == notice.into() => notice.number,
+                _ => return true,
+            };
+            first = Some(first.map_or(number, |first: NoticeNumber| first.min(number)));
+            false
+        });
+        first
+    }
+
     fn due_at(&self) -> Now {
         if self.news.is_empty() && self.carries_batches {
             self.sent + BUSY_HEARTBEAT_INTERVAL
@@ -133,6 +168,12 @@
     }
 }
 
+/// Whether the end of `later` is also the end of `notice`.
+fn is_covered(notice: RunsNotice, later: RunsNotice) -> bool {
+    let key = |n: RunsNotice| (n.batch, n.holder, n.owner);
+    key(notice) == key(later) && notice.number <= later.number
+}
+
 /// The linked entries and all known entry addresses.
 #[derive(Debug, Default)]
 pub struct PeerTable {
@@ -253,13 +294,9 @@
 
     /// Adds news of one neighbour for all others.
     pub fn forward(&mut self, now: Now, from: SessionId, news: &PeerNews) {
-        let delay = match news {
-            PeerNews::Closing(_) | PeerNews::Closed(_) => FORWARDED_NOTICE_DELAY,
-            _ => NEWS_DELAY,
-        };
         for (link, peer) in &mut self.links {
             if *link != from {
-                peer.add(now, news.clone(), delay);
+                peer.add(now, news.clone(), NEWS_DELAY);
             }
         }
     }
@@ -286,22 +323,44 @@
         }
     }
 
-    /// Tells every neighbour but `from` that a batch is closed. If its closing notice to a
-    /// neighbour is still unsent, that notice is dropped instead.
-    pub fn tell_closed(&mut self, now: Now, closing: ClosingBatch, from: Option<SessionId>) {
+    /// Tells every neighbour but `from` that runs of a batch may be left.
+    pub fn tell_runs_left(&mut self, now: Now, notice: RunsNotice, from: Option<SessionId>) {
+        let delay = from.map_or(NEWS_DELAY, |_| FORWARDED_NOTICE_DELAY);
+        for (link, peer) in &mut self.links {
+            if Some(*link) != from {
+                let news = peer.runs_left(notice);
+                peer.add(now, news, delay);
+            }
+        }
+    }
+
+    /// Tells one neighbour at once that runs of a batch may be left.
+    pub fn tell_runs_left_to(&mut self, now: Now, link: SessionId, notice: RunsNotice) {
+        if let Some(peer) = self.links.get_mut(&link) {
+            let news = peer.runs_left(notice);
+            peer.add(now, news, Duration::ZERO);
+        }
+    }
+
+    /// Tells every neighbour but `from` that the runs of a notice are over. Notices to a neighbour
+    /// that are still unsent are dropped. `first` is the number of the earliest notice on the batch
+    /// whose end was not told, if known: a neighbour that got none since needs no news.
+    pub fn tell_runs_over(
+        &mut self,
+        now: Now,
+        notice: RunsNotice,
+        first: Option<NoticeNumber>,
+        from: Option<SessionId>,
+    ) {
+        let delay = from.map_or(NEWS_DELAY, |_| FORWARDED_NOTICE_DELAY);
         for (link, peer) in &mut self.links {
             if Some(*link) == from {
                 continue;
             }
-            let unsent = PeerNews::Closing(closing);
-            match peer.news.iter().position(|news| *news == unsent) {
-                Some(position) => {
-                    peer.news.remove(position);
-                }
-                None => {
-                    let delay = from.map_or(NEWS_DELAY, |_| FORWARDED_NOTICE_DELAY);
-                    peer.add(now, PeerNews::Closed(closing), delay);
-                }
+            let first_unsent = peer.drop_unsent(notice);
+            if first.is_none() || first_unsent != first {
+                let news = peer.runs_over(notice);
+                peer.add(now, news, delay);
             }
         }
     }
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -32,7 +32,7 @@
 pub type ProtocolVersion = u32;
 
 /// Version of the messages of this build. Builds that announce none count as version 0.
-pub const PROTOCOL_VERSION: ProtocolVersion = 1;
+pub const PROTOCOL_VERSION: ProtocolVersion = 2;
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -376,10 +376,9 @@
     Evacuations(Arc<EvacuatedHalls>),
     /// Entries that the receiver was not told of before.
     Entries(Vec<SocketAddr>),
-    /// A batch whose caller has gone while it has open runs. The caller may retry at another entry,
-    /// which must not start the batch before these runs end.
+    /// [`PeerNews::RunsLeft`] for entries of protocol 1 or less.
     Closing(ClosingBatch),
-    /// A batch that was announced as [`PeerNews::Closing`] and has no open runs any more.
+    /// [`PeerNews::RunsOver`] for entries of protocol 1 or less.
     Closed(ClosingBatch),
     /// A target crashed during a run. Only for entries of protocol 1 or more.
     Crashed(CrashNotice),
@@ -397,6 +396,13 @@
     HandOverEnd(HandOverNumber),
     /// No run is left of the ended batch of this number, and none will start.
     HandOverClosed(HandOverNumber),
+    /// Runs of a batch may be left whose caller may retry at another entry, which must not start the
+    /// batch before these runs end. This and the following are sent only to processes of protocol 2
+    /// and later.
+    RunsLeft(RunsNotice),
+    /// The runs of a [`PeerNews::RunsLeft`], and of all earlier ones on the same batch and owner from
+    /// the same process, are over.
+    RunsOver(RunsNotice),
 }
 
 /// Number of an offer, unique for one incarnation of the giver.
@@ -517,7 +523,69 @@
     pub age_ms: u32,
 }
 
-/// A batch that an entry is closing.
+/// Number of a notice, rising within one incarnation of the process that announces it.
+pub type NoticeNumber = u64;
+
+/// Stands for the number of a notice of an older build, which numbers none.
+pub const UNNUMBERED: NoticeNumber = 0;
+
+/// Lowest protocol version that has [`RunsNotice`].
+pub const RUNS_NOTICE_PROTOCOL: ProtocolVersion = 2;
+
+/// Announces that runs of a batch may be left. The number tells apart several notices on one batch
+/// from the same process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "(u64, u64, u64, u64)", from = "(u64, u64, u64, u64)")]
+pub struct RunsNotice {
+    /// Id of the batch.
+    pub batch: BatchId,
+    /// Incarnation of the process that announces it: the owner, or an agent.
+    pub holder: Incarnation,
+    /// Incarnation of the entry that owns the runs.
+    pub owner: Incarnation,
+    /// Number of the notice.
+    pub number: NoticeNumber,
+}
+
+impl From<RunsNotice> for (u64, u64, u64, u64) {
+    fn from(notice: RunsNotice) -> Self {
+        (notice.batch, notice.holder, notice.owner, notice.number)
+    }
+}
+
+impl From<(u64, u64, u64, u64)> for RunsNotice {
+    fn from((batch, holder, owner, number): (u64, u64, u64, u64)) -> Self {
+        Self {
+            batch,
+            holder,
+            owner,
+            number,
+        }
+    }
+}
+
+impl From<ClosingBatch> for RunsNotice {
+    fn from(closing: ClosingBatch) -> Self {
+        let ClosingBatch { batch, entry } = closing;
+        Self {
+            batch,
+            holder: entry,
+            owner: entry,
+            number: UNNUMBERED,
+        }
+    }
+}
+
+impl From<RunsNotice> for ClosingBatch {
+    fn from(notice: RunsNotice) -> Self {
+        Self {
+            batch: notice.batch,
+            entry: notice.holder,
+        }
+    }
+}
+
+/// A batch that an entry is closing, as processes of protocol 1 or less announce it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "(u64, u64)", from = "(u64, u64)")]
 pub struct ClosingBatch {
--- a/lib/tests/test_entry_directory.rs
+++ b/lib/tests/test_entry_directory.rs
@@ -11,7 +11,7 @@
 use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::queue::{QueueTable, RequestLimits};
 use trestleknot_lib::run::BatchId;
-use trestleknot_lib::run_message::{Packet, PeerNews, PeerPacket};
+use trestleknot_lib::run_message::{Packet, PeerIntro, PeerNews, PeerPacket, ProtocolVersion};
 use trestleknot_lib::timings::Timings;
 
 /// One-way delay between two entries.
@@ -212,7 +212,7 @@
     fn count_closing(&self, batch: BatchId) -> usize {
         let entries = self.entries.iter().zip(&self.alive);
         let knows = |(entry, alive): &(&EntryDirectory, &bool)| {
-            **alive && entry.is_closing_at_peer(self.now, batch)
+            **alive && entry.has_runs_elsewhere(self.now, batch)
         };
         entries.filter(knows).count()
     }
@@ -300,12 +300,12 @@
     for count in [3, 12, 48, 192] {
         let mut mesh = Mesh::settled(count);
         let now = mesh.now;
-        mesh.entries[1].tell_closing(now, BATCH);
+        mesh.entries[1].tell_runs_left(now, BATCH);
         mesh.flush(1);
         mesh.run_for(HEARD_OF_CLOSING);
         assert_eq!(mesh.count_closing(BATCH), count - 1, "{count} entries");
         let now = mesh.now;
-        mesh.entries[1].tell_closed(now, BATCH);
+        mesh.entries[1].tell_runs_over(now, BATCH);
         mesh.flush(1);
         mesh.run_for(HEARD_OF_CLOSING);
         assert_eq!(mesh.count_closing(BATCH), 0, "{count} entries");
@@ -350,7 +350,7 @@
         }
     }
     let now = mesh.now;
-    mesh.entries[1].tell_closing(now, BATCH);
+    mesh.entries[1].tell_runs_left(now, BATCH);
     mesh.flush(1);
     for (from, to) in [(0, 1), (1, 2), (2, 3)] {
         mesh.dial(from, address(to));
@@ -358,3 +358,98 @@
     mesh.run_for(HEARD_OF_CLOSING);
     assert_eq!(mesh.count_closing(BATCH), 3);
 }
+
+// Guards against a batch that is not held: its entry closes it a second time, and the others take the
+// notice for a copy of the first one.
+#[test]
+fn test_flush_batch_that_is_closed_again_is_known_everywhere_each_time() {
+    for count in [3, 48] {
+        let mut mesh = Mesh::settled(count);
+        for _ in 0..3 {
+            let now = mesh.now;
+            mesh.entries[1].tell_runs_left(now, BATCH);
+            mesh.flush(1);
+            mesh.run_for(HEARD_OF_CLOSING);
+            assert_eq!(mesh.count_closing(BATCH), count - 1, "{count} entries");
+            let now = mesh.now;
+            mesh.entries[1].tell_runs_over(now, BATCH);
+            mesh.flush(1);
+            mesh.run_for(HEARD_OF_CLOSING);
+            assert_eq!(mesh.count_closing(BATCH), 0, "{count} entries");
+        }
+    }
+}
+
+// Guards against a batch that stays held: its entry goes on with it for a returning caller, closes it
+// again, and tells of the end before the second notice is sent.
+#[test]
+fn test_flush_end_of_several_notices_frees_the_batch_everywhere() {
+    let mut mesh = Mesh::settled(3);
+    let now = mesh.now;
+    mesh.entries[1].tell_runs_left(now, BATCH);
+    mesh.flush(1);
+    mesh.run_for(HEARD_OF_CLOSING);
+    let now = mesh.now;
+    mesh.entries[1].tell_runs_left(now, BATCH);
+    mesh.entries[1].tell_runs_over(now, BATCH);
+    mesh.flush(1);
+    mesh.run_for(HEARD_OF_CLOSING);
+    assert_eq!(mesh.count_closing(BATCH), 0);
+}
+
+#[test]
+fn test_flush_closing_that_ends_at_once_is_not_told() {
+    let mut mesh = Mesh::settled(3);
+    let now = mesh.now;
+    mesh.entries[1].tell_runs_left(now, BATCH);
+    mesh.entries[1].tell_runs_over(now, BATCH);
+    mesh.flush(1);
+    mesh.run_for(HEARD_OF_CLOSING);
+    assert_eq!(mesh.packets, 0);
+}
+
+/// News that a neighbour of this protocol version gets when a batch is closed and its runs are over.
+fn closing_news(protocol: ProtocolVersion) -> Vec<PeerNews> {
+    let link = 1;
+    let mut entry = directory(0);
+    let intro = PeerIntro {
+        name: "other".into(),
+        life: 0xe1,
+        address: address(1),
+        config: 0,
+        evacuations: 0,
+        entries: Vec::new(),
+        protocol,
+        processor_millis: 0,
+        hall: "".into(),
+    };
+    let hello = PeerPacket {
+        clock: 1,
+        news: vec![PeerNews::Hello(intro)],
+    };
+    entry.packet(ms(1), link, hello);
+    entry.flush(ms(1));
+    entry.tell_runs_left(ms(2), BATCH);
+    let mut actions = entry.flush(ms(100));
+    entry.tell_runs_over(ms(101), BATCH);
+    actions.extend(entry.flush(ms(200)));
+    let sent = actions.into_iter().filter_map(|action| match action {
+        EntryAction::Send(_, Packet::BetweenEntries(packet)) => Some(packet.news),
+        _ => None,
+    });
+    sent.flatten().collect()
+}
+
+#[test]
+fn test_flush_neighbour_of_an_older_protocol_gets_notices_without_numbers() {
+    let [left, over] = &closing_news(1)[..] else {
+        panic!("expected two notices");
+    };
+    assert!(matches!(left, PeerNews::Closing(c) if c.batch == BATCH));
+    assert!(matches!(over, PeerNews::Closed(c) if c.batch == BATCH));
+    let [left, over] = &closing_news(2)[..] else {
+        panic!("expected two notices");
+    };
+    assert!(matches!(left, PeerNews::RunsLeft(n) if n.batch == BATCH && n.number == 1));
+    assert!(matches!(over, PeerNews::RunsOver(n) if n.batch == BATCH && n.number == 1));
+}
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -70,7 +70,7 @@
 use trestleknot_lib::run_message::{
     AgentIntro, AgentNews, AgentPacket, ClosingBatch, CrashNotice, EntryPacket, HandOver,
     HandOverDecline, HandOverOutcome, HandOverReply, Order, Packet, PeerIntro, PeerNews,
-    PeerPacket, StartOrder, TargetInfo, Welcome as RunWelcome,
+    PeerPacket, RunsNotice, StartOrder, TargetInfo, Welcome as RunWelcome,
 };
 use trestleknot_lib::settings::{self, AgentSettings, Checked, EntrySettings};
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
@@ -678,9 +678,24 @@
     all.extend(orders().into_iter().map(|o| entry_packet(vec![o])));
     all.extend(peer_news().into_iter().map(peer_packet));
     all.extend(hand_over_packets());
+    all.extend(runs_notice_packets());
     all
 }
 
+/// Packets of protocol version 2.
+fn runs_notice_packets() -> Vec<Packet> {
+    let notice = RunsNotice {
+        batch: 0xaa01,
+        holder: 0xa1,
+        owner: 0xe1,
+        number: 3,
+    };
+    vec![
+        peer_packet(PeerNews::RunsLeft(notice)),
+        peer_packet(PeerNews::RunsOver(notice)),
+    ]
+}
+
 /// Packets of protocol version 1.
 fn hand_over_packets() -> Vec<Packet> {
     let mut order = start_order(None, false);
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -170,6 +170,7 @@
         FleetFault::Exit(_) => FleetFault::Exit(index),
         FleetFault::Trouble(_, impairment, t) => FleetFault::Trouble(index, impairment, t),
         FleetFault::LateOrders(_, t) => FleetFault::LateOrders(index, t),
+        FleetFault::LateStops(_, t) => FleetFault::LateStops(index, t),
         FleetFault::LateReports(_, t) => FleetFault::LateReports(index, t),
         FleetFault::ForeignReports(_, t) => FleetFault::ForeignReports(index, t),
         FleetFault::StoreCut(n, t) => FleetFault::StoreCut(pick(n), t),
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -13,8 +13,8 @@
 use super::{Event, Node, RunFleet};
 use crate::run_target::{CRASHES, PREFERRED_RACK};
 
-/// Longest time that a caller waits for the reply to one request.
-pub(super) const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Default of [`Caller::reply_timeout`].
+const REPLY_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// A batch and what its caller observed.
 #[derive(Debug, Clone)]
@@ -39,6 +39,10 @@
     pub queue: usize,
     /// The entry that it prefers while that entry runs; a random entry otherwise.
     pub entry: Option<usize>,
+    /// Most requests that it sends.
+    pub max_requests: usize,
+    /// Longest time that it waits for the reply to one request.
+    pub reply_timeout: Duration,
     /// Replies received, by request.
     pub replies: Vec<(RequestId, Reply)>,
     /// Requests sent, in order.
@@ -71,6 +75,8 @@
             guess: None,
             queue: 0,
             entry: None,
+            max_requests: 3,
+            reply_timeout: REPLY_TIMEOUT,
             replies: Vec::new(),
             requests: Vec::new(),
             sent,
@@ -109,8 +115,9 @@
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
-        let time_left = caller.deadline.map_or(REPLY_TIMEOUT, |deadline| {
-            REPLY_TIMEOUT.min((caller.sent + deadline).saturating_sub(self.now))
+        let reply_timeout = caller.reply_timeout;
+        let time_left = caller.deadline.map_or(reply_timeout, |deadline| {
+            reply_timeout.min((caller.sent + deadline).saturating_sub(self.now))
         });
         if time_left.is_zero() {
             return;
@@ -199,7 +206,7 @@
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
-        let retries = reply == Reply::GaveUp && caller.requests.len() < 3;
+        let retries = reply == Reply::GaveUp && caller.requests.len() < caller.max_requests;
         if reply == Reply::Succeeded {
             caller.succeeded = Some(self.now);
         }
@@ -225,7 +232,7 @@
         };
         let is_cut_off = std::mem::take(&mut caller.is_cut_off);
         let open_request = caller.open_request.take();
-        if caller.requests.len() >= 3 || (open_request.is_none() && !is_cut_off) {
+        if caller.requests.len() >= caller.max_requests || (open_request.is_none() && !is_cut_off) {
             return;
         }
         if let Some((entry, incarnation, request)) = open_request {
@@ -246,15 +253,16 @@
                 && l == incarnation
             {
                 caller.open_request = None;
-                disconnected.push((*id, request, caller.requests.len()));
+                let retries = caller.requests.len() < caller.max_requests;
+                disconnected.push((*id, request, retries));
             }
         }
-        for (id, request, attempts) in disconnected {
+        for (id, request, retries) in disconnected {
             if notify_entry {
                 let delay = Duration::from_millis(2);
                 self.schedule_after(delay, Event::CallerGone(entry, incarnation, request));
             }
-            if attempts < 3 {
+            if retries {
                 self.schedule_after(self.timings.caller_retry_interval, Event::Submit(id));
             }
         }
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -38,6 +38,8 @@
     Trouble(usize, TargetImpairment, Duration),
     /// Half of the orders to a target go unanswered and are carried out seconds later.
     LateOrders(usize, Duration),
+    /// All stops to a target go unanswered and are carried out at the end of the fault.
+    LateStops(usize, Duration),
     /// A target's reports are repeated seconds later; half of them arrive only then.
     LateReports(usize, Duration),
     /// A foreign writer sends a readable report along with each report of a target.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -65,6 +65,9 @@
                 self.targets[i].loses_orders = true;
                 self.schedule_after(length, Event::EndFault(targets::TimedFault::LateOrders(i)));
             }
+            FleetFault::LateStops(i, length) => {
+                self.targets[i].delays_stops_until = self.now + length;
+            }
             FleetFault::Leave(i) => self.targets[i].target.leave(),
             FleetFault::ClockBack => self.token_base -= 3_600_000,
             FleetFault::Evacuate(hall) => self.evacuate(hall),
--- a/lib/testutils/src/run_fleet/invariants.rs
+++ b/lib/testutils/src/run_fleet/invariants.rs
@@ -7,7 +7,6 @@
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::run::{BatchId, RunEnd, RunKey, TaskKey};
 
-use super::callers::REPLY_TIMEOUT;
 use super::{Caller, RunFleet};
 use crate::run_target::RunRecord;
 
@@ -105,7 +104,7 @@
         let is_late = |record: &&RunRecord| {
             let caller = self.callers.get(&record.key.task.batch);
             let caller = caller.filter(|c| c.requests.len() == 1 && !record.is_late);
-            caller.is_some_and(|c| record.from > c.sent + REPLY_TIMEOUT)
+            caller.is_some_and(|c| record.from > c.sent + c.reply_timeout)
         };
         self.records().filter(is_late).count()
     }
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -60,6 +60,8 @@
 pub(super) struct SimulatedTarget {
     pub(super) target: RunTarget,
     pub(super) loses_orders: bool,
+    /// Stops that arrive before this time are carried out at it.
+    pub(super) delays_stops_until: Now,
     /// Whether each report is repeated seconds later; half of them arrive only then.
     pub(super) delays_reports: bool,
     /// Whether a foreign report accompanies each report.
@@ -75,6 +77,7 @@
         Self {
             target,
             loses_orders: false,
+            delays_stops_until: Now::ZERO,
             delays_reports: false,
             has_foreign_reports: false,
             down_until: Now::ZERO,
@@ -149,6 +152,12 @@
         if self.targets[i].is_down(self.now) {
             return;
         }
+        let delayed_until = self.targets[i].delays_stops_until;
+        if delayed_until > self.now {
+            let accepted_by = self.targets[i].target.life();
+            let stop = LateOrder::Stop(key, token, target_name);
+            return self.schedule_at(delayed_until, Event::LateOrder(i, accepted_by, stop));
+        }
         if self.targets[i].target.trouble.is_mute || self.loses_order(i) {
             return self.delay_order(i, LateOrder::Stop(key, token, target_name));
         }
