lib: runs of a lost entry end before its callers return, or are held

Cause: the chain of times did not end before the callers' return of 1.3 s. Lease of the entry 0.8 s, stops 0.5 s with renewals all the while, lapse 1.11 s: 2.41 s after the entry's last word.

Change: agents announce the batches of a silent entry that still have runs, the other entries hold these as for a closing, pass the notice on and confirm it. Until one has confirmed, the target's lease is asked for only so long that all runs have ended 1.2 s after the owner's last word (Timings::unheld_run_bound). So the agent's own loss at any moment leaves runs that end in time or batches that are held. Runs that go on after two stops are announced although their entry speaks.

--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -69,13 +69,22 @@
     pub news: Vec<AgentNews>,
 }
 
+/// An entry's lease on its runs.
+#[derive(Debug, Clone, Copy, Default)]
+struct Lease {
+    /// When it lapses.
+    until: Now,
+    /// When the entry wrote its last packet, at the earliest.
+    renewed_at: Now,
+}
+
 /// The links to the entries, with the entries' leases and shares of the free capacity.
 #[derive(Debug)]
 pub struct EntryLeases {
     timings: Timings,
     links: BTreeMap<SessionId, EntryLink>,
-    /// When each entry's lease lapses.
-    until: BTreeMap<Incarnation, Now>,
+    /// Lease of each entry.
+    leases: BTreeMap<Incarnation, Lease>,
     shares: CapacityShares,
 }
 
@@ -85,7 +94,7 @@
         Self {
             timings,
             links: BTreeMap::new(),
-            until: BTreeMap::new(),
+            leases: BTreeMap::new(),
             shares: CapacityShares::default(),
         }
     }
@@ -104,8 +113,8 @@
     pub fn closed(&mut self, now: Now, link: SessionId) -> Option<EntryLink> {
         let gone = self.links.remove(&link)?;
         self.shares.remove(link);
-        if let Some(until) = gone.entry.and_then(|e| self.until.get_mut(&e)) {
-            *until = (*until).min(now + self.timings.reconnect_grace);
+        if let Some(lease) = gone.entry.and_then(|e| self.leases.get_mut(&e)) {
+            lease.until = lease.until.min(now + self.timings.reconnect_grace);
         }
         Some(gone)
     }
@@ -119,24 +128,31 @@
         found.heard = now;
         found.waiting = waiting;
         if let Some(entry) = found.entry {
-            let until = self.until.entry(entry).or_default();
-            *until = (*until).max(lease_until);
+            let lease = self.leases.entry(entry).or_default();
+            lease.until = lease.until.max(lease_until);
+            let renewed_at = lease_until.saturating_sub(self.timings.entry_lease);
+            lease.renewed_at = lease.renewed_at.max(renewed_at);
         }
     }
 
     /// Whether an entry's lease on its runs is still valid.
     pub fn has_valid_lease(&self, now: Now, entry: Incarnation) -> bool {
-        self.until.get(&entry).is_some_and(|until| *until > now)
+        self.lease_until(entry) > now
     }
 
     /// When an entry's lease lapses; zero if the entry is unknown.
     pub fn lease_until(&self, entry: Incarnation) -> Now {
-        self.until.get(&entry).copied().unwrap_or_default()
+        self.leases.get(&entry).map_or(Now::ZERO, |l| l.until)
+    }
+
+    /// When an entry wrote its last packet, at the earliest; zero if the entry is unknown.
+    pub fn lease_renewed_at(&self, entry: Incarnation) -> Now {
+        self.leases.get(&entry).map_or(Now::ZERO, |l| l.renewed_at)
     }
 
     /// Whether an entry has sent packets here. Entries are forgotten a while after their lease.
     pub fn knows(&self, entry: Incarnation) -> bool {
-        self.until.contains_key(&entry)
+        self.leases.contains_key(&entry)
     }
 
     /// Whether an entry has an open link and a valid lease.
@@ -147,7 +163,7 @@
 
     /// Forgets entries whose lease lapsed before this time.
     pub fn forget_before(&mut self, before: Now) {
-        self.until.retain(|_, until| *until >= before);
+        self.leases.retain(|_, lease| lease.until >= before);
     }
 
     /// Returns a link.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -138,6 +138,7 @@
     StartUnanswered = 2106, Warn, "start not answered, a new fencing token invalidates it";
     TargetCallFailed = 2107, Info, "call to the target got no answer";
     RunReleased = 2108, Info, "run stopped, its guarantor released the batch";
+    RunsAnnounced = 2109, Info, "entries told that runs of a batch may outlast their entry";
 }
 
 impl EventCode {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -116,6 +116,7 @@
 pub mod ring;
 pub mod run;
 pub mod run_agent;
+pub mod run_announcements;
 pub mod run_event;
 pub mod run_message;
 pub mod run_table;
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -5,6 +5,7 @@
 //! makes sure that the runs fit the target's resources, and it stops the runs of entries whose
 //! leases have lapsed. docs/design/platform.md derives the timing bounds.
 
+mod announcements;
 mod crashes;
 mod evacuation;
 mod guarantors;
@@ -29,6 +30,7 @@
 use crate::released_batches::ReleasedBatches;
 use crate::resources::Resources;
 use crate::run::{RunEnd, RunKey};
+use crate::run_announcements::RunAnnouncements;
 use crate::run_event::{AgentAction, AgentEvent, AgentGauges, AgentOptions};
 use crate::run_message::{
     AgentIntro, AgentMillis, AgentNews, AgentPacket, EntryPacket, Order, PROTOCOL_VERSION, Welcome,
@@ -36,7 +38,7 @@
 use crate::run_table::{Claim, Run, RunTable, Stopping};
 use crate::target_health::TargetHealth;
 use crate::target_incarnations::TargetIncarnations;
-use crate::target_lease::TargetLease;
+use crate::target_lease::{Extension, TargetLease};
 use starts::{MAX_START_TIMEOUT, MIN_START_TIMEOUT};
 
 /// If no event was handled for this long, the process may have been stalled, and answers may wait
@@ -69,6 +71,7 @@
     early_stops: Vec<(Incarnation, RunKey)>,
     /// Batches whose guarantors have released them.
     released: ReleasedBatches,
+    announcements: RunAnnouncements,
     preferred: PreferredEntries,
     discovery: EntryDiscovery,
     unpacker: PayloadUnpacker,
@@ -100,6 +103,7 @@
             early_claims: Vec::new(),
             early_stops: Vec::new(),
             released: ReleasedBatches::default(),
+            announcements: RunAnnouncements::default(),
             preferred: PreferredEntries::new(
                 &options.name,
                 PREFERRED_COUNT,
@@ -134,6 +138,7 @@
         self.fence_overdue_starts();
         self.check_leases();
         self.send_due_stops();
+        self.update_announcements();
         self.renew();
         self.check_drain();
         self.flush();
@@ -155,8 +160,9 @@
                 .next_wake()
                 .filter(|_| self.draining_since.is_none()),
         ];
-        for (_, run) in self.runs.iter() {
+        for (key, run) in self.runs.iter() {
             times.push(Some(self.run_wake(run)));
+            times.push(self.announce_at(key, run));
         }
         if !self.runs.is_empty() || !self.knows_runs {
             times.push(Some(self.lease.lapses_at()));
@@ -223,7 +229,7 @@
     fn resumed(&mut self, suspended: Duration) {
         self.lease.suspended(suspended);
         if self.knows_runs {
-            let query = self.lease.renew_now(self.now, false);
+            let query = self.lease.renew_now(self.now, Extension::None);
             self.push_renewal(query);
         }
         let suspended_ms = suspended.as_millis();
@@ -335,6 +341,7 @@
             found.name = Some(name);
             found.protocol = protocol;
             self.send_crash_notices(link);
+            self.send_announcements(link);
         }
         let lease_until = Duration::from_millis(packet.lease_until);
         self.entry_links
@@ -348,6 +355,7 @@
                 Order::Entries(entries) => self.preferred.learn(self.now, entries),
                 Order::Evacuations(state) => self.offer_evacuations(&state, "entry"),
                 Order::Release(batch) => self.release_ordered(link, batch),
+                Order::RunsNoted(numbers) => self.announcements_confirmed(link, &numbers),
             }
         }
         self.evacuation_watch.confirmed(store_heard);
@@ -447,12 +455,13 @@
     /// Requests that a run be stopped. A run is orphaned if its owner's lease has lapsed. If it then
     /// doesn't end within `timings.stop_bound`, the target's lease is no longer renewed.
     fn request_stop(&mut self, key: RunKey, orphaned_since: Option<Now>) {
-        let resend_at = self.now;
+        let now = self.now;
         let Some(run) = self.runs.get_mut(key) else {
             return;
         };
         let stopping = run.stopping.get_or_insert(Stopping {
-            resend_at,
+            requested_at: now,
+            resend_at: now,
             orphaned_since,
         });
         stopping.orphaned_since = stopping.orphaned_since.or(orphaned_since);
--- /dev/null
+++ b/lib/src/run_agent/announcements.rs
@@ -0,0 +1,170 @@
+//! Announces to the entries that runs may outlast their owner, and limits the target's lease until
+//! other entries hold their batches.
+//!
+//! Callers whose entry is lost return to another one. By then, every run of the lost entry has
+//! ended, or the other entries hold its batch. The agent itself may fail at any time, so the target's
+//! lease keeps this promise: it is extended beyond the callers' return only for runs whose batches
+//! are held.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use super::RunAgentCore;
+use crate::events::EventCode;
+use crate::ids::{Now, SessionId};
+use crate::run::RunKey;
+use crate::run_announcements::OwnedBatch;
+use crate::run_message::{AgentNews, NoticeNumber, RUNS_NOTICE_PROTOCOL, RunsNotice};
+use crate::run_table::Run;
+use crate::target_lease::Extension;
+
+/// Attempts to stop a run after which it is announced.
+const STOPS_BEFORE_ANNOUNCEMENT: u32 = 2;
+
+impl RunAgentCore {
+    /// Extension of the target's lease that the next renewal or start may ask for.
+    pub(super) fn allowed_extension(&self) -> Extension {
+        if !self.may_renew() {
+            return Extension::None;
+        }
+        let runs = self.runs.iter();
+        let unheld = runs.filter(|(key, run)| !self.is_held(*key, run));
+        let earliest = unheld.filter_map(|(_, run)| self.guaranteed_at(run)).min();
+        earliest.map_or(Extension::Full, |at| {
+            Extension::EndsBy(at + self.options.timings.unheld_run_bound)
+        })
+    }
+
+    /// When the entries on which a run depends wrote their last packets, at the earliest. None if the
+    /// run has no owner.
+    fn guaranteed_at(&self, run: &Run) -> Option<Now> {
+        let renewed_at = |entry| self.entry_links.lease_renewed_at(entry);
+        let owner_at = renewed_at(run.owner?);
+        let guarantor_at = run.guarantor.map(renewed_at);
+        Some(guarantor_at.map_or(owner_at, |at| at.min(owner_at)))
+    }
+
+    fn is_held(&self, key: RunKey, run: &Run) -> bool {
+        let Some(owner) = run.owner else {
+            return false;
+        };
+        let announcement = self.announcements.get((key.task.batch, owner));
+        announcement.is_some_and(|a| a.is_held && self.is_current(run, a.at))
+    }
+
+    /// Whether an announcement made at `at` still stands for a run. The entries keep it for a limited
+    /// time, and after a packet of the owner it takes a new silence to make another.
+    fn is_current(&self, run: &Run, at: Now) -> bool {
+        let is_kept = at + self.announcement_interval() > self.now;
+        let is_silent_since = self.guaranteed_at(run).is_some_and(|heard| heard <= at);
+        is_kept && (is_silent_since || self.stop_overdue_at(run).is_some_and(|due| due <= at))
+    }
+
+    /// Interval at which an announcement is repeated, before the entries drop it.
+    fn announcement_interval(&self) -> Duration {
+        self.options.timings.lost_agent_bound / 2
+    }
+
+    /// When a run that is being stopped must be announced.
+    fn stop_overdue_at(&self, run: &Run) -> Option<Now> {
+        let interval = self.options.timings.stop_retry_interval;
+        let stopping = run.stopping?;
+        Some(stopping.requested_at + interval * STOPS_BEFORE_ANNOUNCEMENT)
+    }
+
+    /// When a run must be announced next; none if it has no owner.
+    pub(super) fn announce_at(&self, key: RunKey, run: &Run) -> Option<Now> {
+        let owner = run.owner?;
+        let announcement = self.announcements.get((key.task.batch, owner));
+        if let Some(announcement) = announcement
+            && self.is_current(run, announcement.at)
+        {
+            return Some(announcement.at + self.announcement_interval());
+        }
+        let suspect_at = self.guaranteed_at(run)? + self.options.timings.suspect_after;
+        let at = suspect_at.min(self.run_owned_until(run));
+        Some(self.stop_overdue_at(run).map_or(at, |due| due.min(at)))
+    }
+
+    /// Announces the batches of runs that may outlast their owner, and reports those whose runs are
+    /// over.
+    pub(super) fn update_announcements(&mut self) {
+        let due = self.runs.iter().filter_map(|(key, run)| {
+            let is_due = self.announce_at(key, run)? <= self.now;
+            is_due.then_some((key.task.batch, run.owner?))
+        });
+        let due: BTreeSet<OwnedBatch> = due.collect();
+        for batch in due {
+            let number = self.announcements.announce(self.now, batch);
+            let (id, owner) = batch;
+            self.log(
+                EventCode::RunsAnnounced,
+                format!("job={id:016x} entry={owner:x} number={number}"),
+            );
+            let notice = self.notice_of(batch, number);
+            self.tell_entries(&AgentNews::RunsLeft(notice));
+        }
+        if self.announcements.is_empty() {
+            return;
+        }
+        let runs = &self.runs;
+        let has_runs = |(batch, owner): OwnedBatch| {
+            let mut of_batch = runs.of_batch(batch);
+            of_batch.any(|run| run.owner == Some(owner))
+        };
+        for (batch, number) in self.announcements.take_over(has_runs) {
+            let notice = self.notice_of(batch, number);
+            self.tell_entries(&AgentNews::RunsOver(notice));
+        }
+    }
+
+    fn notice_of(&self, (batch, owner): OwnedBatch, number: NoticeNumber) -> RunsNotice {
+        let holder = self.options.incarnation;
+        RunsNotice {
+            batch,
+            holder,
+            owner,
+            number,
+        }
+    }
+
+    fn tell_entries(&mut self, news: &AgentNews) {
+        for (_, link) in self.entry_links.iter_mut() {
+            if link.protocol >= RUNS_NOTICE_PROTOCOL {
+                link.news.push(news.clone());
+            }
+        }
+    }
+
+    /// Tells a newly linked entry of all open announcements.
+    pub(super) fn send_announcements(&mut self, link: SessionId) {
+        let open = self.announcements.open();
+        let notices = open.into_iter();
+        let notices = notices.map(|(batch, number)| self.notice_of(batch, number));
+        let notices: Vec<RunsNotice> = notices.collect();
+        let Some(found) = self.entry_links.get_mut(link) else {
+            return;
+        };
+        if found.protocol >= RUNS_NOTICE_PROTOCOL {
+            found
+                .news
+                .extend(notices.into_iter().map(AgentNews::RunsLeft));
+        }
+    }
+
+    /// Records that the entry behind a link has noted these announcements, and extends the target's
+    /// lease to its usual length again.
+    pub(super) fn announcements_confirmed(&mut self, link: SessionId, numbers: &[NoticeNumber]) {
+        let Some(entry) = self.entry_links.get(link).and_then(|l| l.entry) else {
+            return;
+        };
+        if !self.announcements.confirmed(entry, numbers) || self.runs.is_empty() {
+            return;
+        }
+        let extension = self.allowed_extension();
+        if extension != Extension::None && self.knows_runs {
+            let renewal = self.lease.renew_now(self.now, extension);
+            self.push_renewal(renewal);
+        }
+    }
+}
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -55,8 +55,8 @@
             return;
         }
         let wait = self.time_to_slow_check();
-        let renew = self.may_renew();
-        if let Some(renewal) = self.lease.next_renewal(self.now, wait, renew) {
+        let extension = self.allowed_extension();
+        if let Some(renewal) = self.lease.next_renewal(self.now, wait, extension) {
             self.push_renewal(renewal);
         }
     }
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -11,6 +11,7 @@
 use crate::run_message::{AgentNews, StartOrder};
 use crate::run_table::{FencingToken, Phase, Run};
 use crate::target_incarnation::TargetName;
+use crate::target_lease::Extension;
 
 /// Longest timeout of a start, and the limit of its call. The target is on this VM and answers
 /// within a few milliseconds; the rest is for a VM that is slowed down.
@@ -171,10 +172,12 @@
             return Err(NotStarted::Full);
         }
         // A start extends the lease of all runs, also of those whose lease must lapse.
-        if !self.may_renew() {
-            return Err(NotStarted::Doubtful);
-        }
-        let until = self.lease.renew_until(self.now);
+        let ends_by = match self.allowed_extension() {
+            Extension::None => return Err(NotStarted::Doubtful),
+            Extension::Full => None,
+            Extension::EndsBy(ends_by) => Some(ends_by),
+        };
+        let until = self.lease.renew_until(self.now, ends_by);
         let until = until.ok_or(NotStarted::Unreachable)?;
         let token = self.lease.token();
         let sent = self.now;
@@ -306,8 +309,8 @@
             }
         }
         if has_new {
-            let renew = self.may_renew();
-            let renewal = self.lease.renew_now(self.now, renew);
+            let extension = self.allowed_extension();
+            let renewal = self.lease.renew_now(self.now, extension);
             self.push_renewal(renewal);
         }
     }
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -163,6 +163,14 @@
     /// entry is left.
     #[serde(rename = "L")]
     Leaving,
+    /// Runs of a batch may outlast their owner. Other entries must not start the batch before these
+    /// runs end. This and the following are sent only to entries of protocol 2 and later.
+    #[serde(rename = "R")]
+    RunsLeft(RunsNotice),
+    /// The runs of a [`AgentNews::RunsLeft`], and of all earlier ones on the same batch and owner,
+    /// are over.
+    #[serde(rename = "O")]
+    RunsOver(RunsNotice),
 }
 
 /// Lowest protocol version that has [`CrashNotice`].
@@ -249,6 +257,9 @@
     /// stopped, and no others start. Only for agents of protocol 1 or later.
     #[serde(rename = "R")]
     Release(BatchId),
+    /// The sender has noted the [`AgentNews::RunsLeft`] with these numbers.
+    #[serde(rename = "H")]
+    RunsNoted(Vec<NoticeNumber>),
 }
 
 impl Order {
@@ -261,6 +272,9 @@
                 SMALL_ITEM_BYTES * (1 + named)
             }
             Self::Entries(_) | Self::Evacuations(_) | Self::Release(_) => SMALL_ITEM_BYTES,
+            Self::RunsNoted(numbers) => {
+                SMALL_ITEM_BYTES + numbers.len() * size_of::<NoticeNumber>()
+            }
         }
     }
 }
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -10,7 +10,7 @@
 
 use crate::ids::{Incarnation, Now};
 use crate::resources::Resources;
-use crate::run::{RunEnd, RunKey, TaskKey};
+use crate::run::{BatchId, RunEnd, RunKey, TaskKey};
 
 /// How long an end is kept for entries that missed it. With the default bounds, longer than an entry
 /// waits before it considers the runs of a silent agent lost.
@@ -44,6 +44,8 @@
 /// State of a requested stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Stopping {
+    /// When it was requested.
+    pub requested_at: Now,
     /// When to send it next.
     pub resend_at: Now,
     /// When the owner's lease lapsed, if it has. The stop must succeed within the stop bound after
@@ -97,6 +99,17 @@
     pub size: Resources,
 }
 
+/// The lowest key of a batch's runs.
+fn first_key(batch: BatchId) -> RunKey {
+    let task = TaskKey {
+        batch,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    RunKey { task, run: 0 }
+}
+
 /// The runs of one target and their recent ends.
 #[derive(Debug, Default)]
 pub struct RunTable {
@@ -158,6 +171,13 @@
         self.runs.get_mut(&key)
     }
 
+    /// All runs of a batch.
+    pub fn of_batch(&self, batch: BatchId) -> impl Iterator<Item = &Run> {
+        let runs = self.runs.range(first_key(batch)..);
+        let of_batch = runs.take_while(move |(key, _)| key.task.batch == batch);
+        of_batch.map(|(_, run)| run)
+    }
+
     /// Whether the table has any run of a task.
     pub fn has_task(&self, task: TaskKey) -> bool {
         let first = RunKey { task, run: 0 };
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -33,11 +33,24 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
 /// Largest factor of [`RETRY_PAUSE`].
 const MAX_PAUSES: u32 = 7;
+/// Least number of renewals in the time of a lease.
+const RENEWALS_PER_LEASE: u32 = 3;
 /// Consecutive unanswered renewals before the target may count as silent.
 const MIN_SILENT_CALLS: u32 = 2;
 /// Time without an answer before the target may count as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(240);
 
+/// Extension of the lease that a call asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Extension {
+    /// None: the call only queries the lists.
+    None,
+    /// The usual length.
+    Full,
+    /// The usual length, but so that all runs have ended by this time if it is the last one.
+    EndsBy(Now),
+}
+
 /// A renewal to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Renewal {
@@ -85,12 +98,7 @@
 /// The agent's side of its target's lease: which renewals are due, and when all runs have lapsed.
 #[derive(Debug)]
 pub struct TargetLease {
-    /// Length of the lease that a renewal requests.
-    lease_length: Duration,
-    /// Time from a renewal until the runs that it covers must have ended.
-    lapse: Duration,
-    /// Longest wait of a renewal for an end.
-    max_wait: Duration,
+    timings: Timings,
     token: FencingToken,
     /// Last known time on the target's clock, and when it was received.
     clock: Option<(TargetMillis, Now)>,
@@ -121,9 +129,7 @@
     /// Creates a lease for a target that has not answered yet.
     pub fn new(now: Now, timings: &Timings, token: FencingToken) -> Self {
         let mut lease = Self {
-            lease_length: timings.target_lease,
-            lapse: timings.lapse,
-            max_wait: timings.renewal_wait,
+            timings: *timings,
             token,
             clock: None,
             born: None,
@@ -142,7 +148,7 @@
             lossy_until: Now::ZERO,
         };
         // An earlier incarnation of the agent may have renewed just before it ended.
-        lease.note_renewed(now);
+        lease.note_renewed(now, timings.target_lease);
         lease
     }
 
@@ -206,17 +212,30 @@
         self.has_timed_out
     }
 
-    /// Records a renewal now and returns the end of its lease on the target's clock, or none if
-    /// that clock is unknown.
-    pub fn renew_until(&mut self, now: Now) -> Option<TargetMillis> {
+    /// Records a renewal now and returns the end of its lease on the target's clock. The runs must
+    /// have ended by `ends_by`, if given. Returns none if the clock is unknown or no time is left.
+    pub fn renew_until(&mut self, now: Now, ends_by: Option<Now>) -> Option<TargetMillis> {
         let (clock, at) = self.clock?;
-        let elapsed = now.saturating_sub(at) + self.lease_length;
-        self.note_renewed(now);
+        let length = self.length_until(now, ends_by);
+        if length.is_zero() {
+            return None;
+        }
+        let elapsed = now.saturating_sub(at) + length;
+        self.note_renewed(now, length);
         Some(clock + elapsed.as_millis() as u64)
     }
 
-    fn note_renewed(&mut self, now: Now) {
-        self.lapses_at = self.lapses_at.max(now + self.lapse);
+    fn length_until(&self, now: Now, ends_by: Option<Now>) -> Duration {
+        let length = self.timings.target_lease;
+        ends_by.map_or(length, |ends_by| {
+            let time = ends_by.saturating_sub(now);
+            self.timings.longest_lease_within(time)
+        })
+    }
+
+    fn note_renewed(&mut self, now: Now, length: Duration) {
+        let lapses_at = now + self.timings.lapse_of(length);
+        self.lapses_at = self.lapses_at.max(lapses_at);
     }
 
     /// When all runs on the target have lapsed if no more renewals are sent.
@@ -326,8 +345,13 @@
     }
 
     /// Returns the next renewal, unless one is in flight or a pause lasts. `max_wait` limits the
-    /// wait for an end; without `renew` it is only a query.
-    pub fn next_renewal(&mut self, now: Now, max_wait: Duration, renew: bool) -> Option<Renewal> {
+    /// wait for an end.
+    pub fn next_renewal(
+        &mut self,
+        now: Now,
+        max_wait: Duration,
+        extension: Extension,
+    ) -> Option<Renewal> {
         if self.in_flight.is_some() || self.retry_at.is_some_and(|at| at > now) {
             return None;
         }
@@ -338,23 +362,31 @@
         } else if self.lossy_until > now {
             max_wait.clamp(MIN_WAIT, LOSSY_WAIT)
         } else {
-            max_wait.clamp(MIN_WAIT, self.max_wait)
+            max_wait.clamp(MIN_WAIT, self.timings.renewal_wait)
         };
-        Some(self.send(now, renew, wait))
+        Some(self.send(now, extension, wait))
     }
 
     /// Returns a renewal that does not wait, even if another one is in flight.
-    pub fn renew_now(&mut self, now: Now, renew: bool) -> Renewal {
-        self.send(now, renew, Duration::ZERO)
+    pub fn renew_now(&mut self, now: Now, extension: Extension) -> Renewal {
+        self.send(now, extension, Duration::ZERO)
     }
 
-    fn send(&mut self, now: Now, renew: bool, wait: Duration) -> Renewal {
+    fn send(&mut self, now: Now, extension: Extension, wait: Duration) -> Renewal {
         self.retry_at = None;
         // A target that may be lost is only queried: its leases must lapse to end its runs.
-        let until = if renew && !self.has_unanswered_call() {
-            self.renew_until(now)
-        } else {
-            None
+        let until = match extension {
+            Extension::None => None,
+            _ if self.has_unanswered_call() => None,
+            Extension::Full => self.renew_until(now, None),
+            Extension::EndsBy(ends_by) => self.renew_until(now, Some(ends_by)),
+        };
+        // A short lease is renewed sooner.
+        let wait = match (extension, until) {
+            (Extension::EndsBy(ends_by), Some(_)) => {
+                wait.min(self.length_until(now, Some(ends_by)) / RENEWALS_PER_LEASE)
+            }
+            _ => wait,
         };
         let number = self.next_number;
         self.next_number += 1;
--- a/lib/src/timings.rs
+++ b/lib/src/timings.rs
@@ -23,6 +23,11 @@
 const STOPS_PER_BOUND: u32 = 10;
 /// Allowance for scheduling delays on a busy VM, added to the time that a lease takes to lapse.
 const LAPSE_SLACK: Duration = Duration::from_millis(70);
+/// Longest time from the break of a caller's connection until its entry closes the batch, or has told
+/// the other entries that runs of it may be left. Meanwhile the entry still sends packets.
+const MAX_CLOSING_DELAY: Duration = Duration::from_millis(100);
+/// Heartbeats that an entry may miss before the agent announces its runs to the other entries.
+const SUSPECT_HEARTBEATS: u32 = 2;
 /// Allowance for rounding and scheduling delays in [`Timings::lost_agent_bound`].
 const PROOF_SLACK: Duration = Duration::from_millis(160);
 /// Longest tolerated suspension of a VM with its target and agent. Until it ends, an entry can't
@@ -120,6 +125,13 @@
     /// Time from a renewal until the runs that it covers must have ended, even if the target's
     /// clock is slow (agent).
     pub lapse: Duration,
+    /// What a lapse takes beyond the lease on a sound clock (agent).
+    pub lapse_overhead: Duration,
+    /// Silence of an entry after which the agent announces its runs to the other entries (agent).
+    pub suspect_after: Duration,
+    /// Time from an entry's last packet until its runs must have ended, unless the other entries
+    /// hold their batches (agent).
+    pub unheld_run_bound: Duration,
     /// How long the target may wait before it answers a renewal; leaves time to repeat a lost one
     /// (agent).
     pub renewal_wait: Duration,
@@ -154,7 +166,9 @@
         // If a target becomes silent when an entry dies, that entry's runs lapse before the callers
         // retry.
         let target_lease = longest_lease.min(caller_return.mul_f64(0.77));
-        let lapse = target_lease.mul_f64(CLOCK_SLOWDOWN) + stop_time + LAPSE_SLACK;
+        let lapse_overhead = stop_time + LAPSE_SLACK;
+        let lapse = target_lease.mul_f64(CLOCK_SLOWDOWN) + lapse_overhead;
+        let closing_delay = MAX_CLOSING_DELAY.min(caller_return / 10);
         let stop_bound = MIN_STOP_BOUND.max(stop_time * STOPS_PER_BOUND);
         Ok(Self {
             entry_lease,
@@ -167,6 +181,9 @@
             stop_bound,
             target_lease,
             lapse,
+            lapse_overhead,
+            suspect_after: heartbeat * SUSPECT_HEARTBEATS,
+            unheld_run_bound: caller_return - closing_delay,
             renewal_wait: target_lease.mul_f64(0.33),
             lost_agent_bound: entry_lease + stop_bound + lapse + PROOF_SLACK + MAX_SUSPENSION,
             drain_serve_time: MAX_SERVE_ON.min(shutdown_grace.mul_f64(0.54)),
@@ -176,6 +193,18 @@
         })
     }
 
+    /// Time from the renewal of a lease of this length until the runs that it covers must have ended.
+    pub fn lapse_of(&self, lease: Duration) -> Duration {
+        lease.mul_f64(CLOCK_SLOWDOWN) + self.lapse_overhead
+    }
+
+    /// Returns the longest lease whose runs must have ended within `time` of its renewal; zero if
+    /// there is none.
+    pub fn longest_lease_within(&self, time: Duration) -> Duration {
+        let longest = time.saturating_sub(self.lapse_overhead);
+        self.target_lease.min(longest.div_f64(CLOCK_SLOWDOWN))
+    }
+
     /// An entry answers an agent's packet if it has sent that agent nothing for this long.
     pub fn max_answer_delay(&self) -> Duration {
         self.heartbeat.mul_f64(0.6)
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -691,6 +691,9 @@
         number: 3,
     };
     vec![
+        agent_packet(vec![AgentNews::RunsLeft(notice)]),
+        agent_packet(vec![AgentNews::RunsOver(notice)]),
+        entry_packet(vec![Order::RunsNoted(vec![3, 4])]),
         peer_packet(PeerNews::RunsLeft(notice)),
         peer_packet(PeerNews::RunsOver(notice)),
     ]
--- /dev/null
+++ b/lib/tests/test_run_agent/announcements.rs
@@ -0,0 +1,248 @@
+//! Runs that may outlast their owner: announcements to the other entries, and the target's lease until
+//! these hold the batches.
+
+use trestleknot_lib::run_message::{NoticeNumber, RunsNotice};
+
+use super::*;
+
+const OWNER: u64 = 9;
+const OTHER: u64 = 10;
+const SECOND: SessionId = 2;
+/// When the owner writes its last packet.
+const LAST_PACKET: Now = ms(20);
+
+fn timings() -> Timings {
+    Timings::default()
+}
+
+fn packet_on(link: SessionId, at: Now, orders: Vec<Order>) -> AgentEvent {
+    let lease_until = at + timings().entry_lease;
+    AgentEvent::Packet(
+        link,
+        EntryPacket {
+            lease_until: lease_until.as_millis() as u64,
+            store_heard: 0,
+            waiting: 0,
+            orders,
+        },
+    )
+}
+
+fn welcome(life: u64, protocol: u32) -> Order {
+    Order::Welcome(Welcome {
+        name: format!("entry-{life}").into(),
+        life,
+        entries: Vec::new(),
+        claims: Vec::new(),
+        guarantors: Vec::new(),
+        evacuations: Arc::default(),
+        protocol,
+    })
+}
+
+/// An agent whose target answers renewals within 10 ms, on a clock that is 1 s ahead.
+struct Fixture {
+    agent: RunAgentCore,
+    now: Now,
+    /// Renewals that the target hasn't answered.
+    open: Vec<u64>,
+    /// Whether the target lists the run as running.
+    has_run: bool,
+    /// All actions since they were last taken.
+    actions: Vec<AgentAction>,
+}
+
+impl Fixture {
+    /// An agent with a run of the first entry, which falls silent after [`LAST_PACKET`]. The second
+    /// entry understands messages of this protocol version.
+    fn new(protocol: u32) -> Self {
+        let mut fixture = Self {
+            agent: ready_agent_of(welcome_packet(LINK, ms(4), OWNER, 2)),
+            now: ms(5),
+            open: Vec::new(),
+            has_run: true,
+            actions: Vec::new(),
+        };
+        fixture.handle(AgentEvent::LinkUp(SECOND, address(2)));
+        fixture.handle(welcome_packet(SECOND, ms(5), OTHER, protocol));
+        fixture.now = LAST_PACKET;
+        fixture.hear(LINK, vec![start(0, 500)]);
+        fixture.handle(AgentEvent::StartAnswered {
+            key: key(0),
+            token: 100,
+            answer: StartAnswer::Started { clock: 1_020 },
+        });
+        fixture
+    }
+
+    fn handle(&mut self, event: AgentEvent) {
+        let actions = self.agent.handle(self.now, event);
+        self.open.extend(renewals(&actions));
+        self.actions.extend(actions);
+    }
+
+    /// Handles a packet that an entry writes now.
+    fn hear(&mut self, link: SessionId, orders: Vec<Order>) {
+        self.handle(packet_on(link, self.now, orders));
+    }
+
+    fn answer_renewals(&mut self) {
+        let run = ListedRun {
+            key: key(0),
+            percent: 1,
+        };
+        let end = (1, key(0), RunEnd::Done);
+        for number in std::mem::take(&mut self.open) {
+            let answer = RenewalAnswer::Lists {
+                born: None,
+                clock: 1_000 + self.now.as_millis() as u64,
+                running: self.has_run.then_some(run).into_iter().collect(),
+                ended: (!self.has_run).then_some(end).into_iter().collect(),
+            };
+            self.handle(AgentEvent::RenewalAnswered { number, answer });
+        }
+    }
+
+    /// Lets time pass, in which the second entry keeps sending.
+    fn pass_until(&mut self, until: Now) {
+        while self.now < until {
+            self.now += ms(10);
+            self.answer_renewals();
+            self.hear(SECOND, Vec::new());
+        }
+    }
+
+    fn take_notices(&mut self, on: SessionId) -> Vec<(RunsNotice, bool)> {
+        notices(&std::mem::take(&mut self.actions), on)
+    }
+
+    /// The latest end of a lease since the actions were last taken, on the agent's clock.
+    fn latest_lease(&self) -> Option<Now> {
+        let ends = self.actions.iter().filter_map(|a| match a {
+            AgentAction::Renew { renewal, .. } => renewal.until,
+            _ => None,
+        });
+        ends.max().map(|until| ms(until - 1_000))
+    }
+}
+
+/// When the agent announces the runs of the silent entry.
+fn suspect_at() -> Now {
+    LAST_PACKET + timings().suspect_after
+}
+
+fn welcome_packet(link: SessionId, at: Now, life: u64, protocol: u32) -> AgentEvent {
+    packet_on(link, at, vec![welcome(life, protocol)])
+}
+
+/// Announcements and their ends on a link, in order.
+fn notices(actions: &[AgentAction], on: SessionId) -> Vec<(RunsNotice, bool)> {
+    let sent = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(link, packet) if *link == on => Some(packet),
+        _ => None,
+    });
+    let notices = sent.flat_map(|p| &p.news).filter_map(|news| match news {
+        AgentNews::RunsLeft(notice) => Some((*notice, true)),
+        AgentNews::RunsOver(notice) => Some((*notice, false)),
+        _ => None,
+    });
+    notices.collect()
+}
+
+fn notice(number: NoticeNumber) -> RunsNotice {
+    RunsNotice {
+        batch: 5,
+        holder: 7,
+        owner: OWNER,
+        number,
+    }
+}
+
+// Guards against leases that outlast the return of a lost entry's callers while no other entry knows
+// of its runs.
+#[test]
+fn test_handle_lease_ends_before_callers_return_until_batch_is_held() {
+    let mut fixture = Fixture::new(2);
+    fixture.pass_until(ms(2_500));
+    // Nobody confirms the announcement.
+    let latest = fixture.latest_lease().expect("the lease is renewed");
+    assert!(latest > suspect_at(), "{latest:?}");
+    // The target's clock may be 2% slow from the last renewal on.
+    let ends_by = LAST_PACKET + timings().unheld_run_bound;
+    assert!(latest + timings().lapse_overhead <= ends_by, "{latest:?}");
+    assert_eq!(fixture.agent.gauges().runs, 0, "the run must have lapsed");
+    let expected = [(notice(1), true), (notice(1), false)];
+    assert_eq!(fixture.take_notices(SECOND), expected);
+}
+
+#[test]
+fn test_handle_lease_is_extended_once_another_entry_holds_the_batch() {
+    let mut fixture = Fixture::new(2);
+    fixture.pass_until(suspect_at());
+    assert_eq!(fixture.take_notices(SECOND), [(notice(1), true)]);
+    // What the owner confirms says nothing about the other entries.
+    fixture.handle(packet_on(
+        LINK,
+        LAST_PACKET,
+        vec![Order::RunsNoted(vec![1])],
+    ));
+    assert_eq!(fixture.latest_lease(), None);
+    fixture.hear(SECOND, vec![Order::RunsNoted(vec![1])]);
+    let full = fixture.now + timings().target_lease;
+    let latest = fixture.latest_lease();
+    let latest = latest.expect("the lease is renewed at once");
+    assert!(latest + ms(10) >= full, "{latest:?}, {full:?}");
+}
+
+#[test]
+fn test_handle_end_of_announced_run_is_told() {
+    let mut fixture = Fixture::new(2);
+    fixture.pass_until(suspect_at());
+    assert_eq!(fixture.take_notices(SECOND), [(notice(1), true)]);
+    fixture.has_run = false;
+    fixture.pass_until(suspect_at() + ms(500));
+    assert_eq!(fixture.take_notices(SECOND), [(notice(1), false)]);
+}
+
+#[test]
+fn test_handle_entry_that_links_later_is_told_of_open_announcements() {
+    let mut fixture = Fixture::new(2);
+    fixture.pass_until(suspect_at());
+    fixture.handle(AgentEvent::LinkUp(3, address(3)));
+    fixture.handle(welcome_packet(3, fixture.now, 11, 2));
+    assert_eq!(fixture.take_notices(3), [(notice(1), true)]);
+}
+
+#[test]
+fn test_handle_entry_that_speaks_again_is_announced_anew_at_its_next_silence() {
+    let mut fixture = Fixture::new(2);
+    fixture.pass_until(suspect_at());
+    fixture.hear(SECOND, vec![Order::RunsNoted(vec![1])]);
+    fixture.pass_until(suspect_at() + ms(50));
+    fixture.take_notices(SECOND);
+    let heard = fixture.now;
+    fixture.hear(LINK, Vec::new());
+    fixture.pass_until(heard + timings().suspect_after - ms(10));
+    // The earlier confirmation counts no more.
+    let latest = fixture.latest_lease().expect("the lease is renewed");
+    assert!(latest < heard + timings().unheld_run_bound, "{latest:?}");
+    assert_eq!(fixture.take_notices(SECOND), []);
+    fixture.pass_until(heard + timings().suspect_after);
+    assert_eq!(fixture.take_notices(SECOND), [(notice(2), true)]);
+}
+
+#[test]
+fn test_handle_run_whose_stop_is_lost_is_announced_although_its_entry_speaks() {
+    // The entry may be unable to tell the others that it closes the batch.
+    let mut fixture = Fixture::new(2);
+    fixture.hear(LINK, vec![Order::Stop(vec![key(0)])]);
+    fixture.pass_until(LAST_PACKET + timings().stop_retry_interval * 2);
+    assert_eq!(fixture.take_notices(SECOND), [(notice(1), true)]);
+}
+
+#[test]
+fn test_handle_entry_of_an_older_protocol_gets_no_announcement() {
+    let mut fixture = Fixture::new(1);
+    fixture.pass_until(suspect_at() + ms(50));
+    assert_eq!(fixture.take_notices(SECOND), []);
+}
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -1,5 +1,6 @@
 //! Decisions of the agent core for the platform, event by event.
 
+mod announcements;
 mod crashes;
 mod evacuation;
 mod guarantors;
@@ -120,6 +121,20 @@
 
 /// An agent that has read its target's lists and is linked to one entry.
 fn ready_agent() -> RunAgentCore {
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: Vec::new(),
+        guarantors: Vec::new(),
+        evacuations: Arc::default(),
+        protocol: 0,
+    };
+    ready_agent_of(packet(60_000, vec![Order::Welcome(welcome)]))
+}
+
+/// Like [`ready_agent`], with this first packet of the entry.
+fn ready_agent_of(first_packet: AgentEvent) -> RunAgentCore {
     let mut agent = RunAgentCore::new(Now::ZERO, options());
     let actions = agent.handle(ms(1), report("life-1", false, 1));
     let (number, target_name) = incarnation_checks(&actions)[0];
@@ -132,16 +147,7 @@
     let answer = lists();
     agent.handle(ms(2), AgentEvent::RenewalAnswered { number, answer });
     agent.handle(ms(3), AgentEvent::LinkUp(LINK, address(1)));
-    let welcome = Welcome {
-        name: "entry".into(),
-        life: 9,
-        entries: Vec::new(),
-        claims: Vec::new(),
-        guarantors: Vec::new(),
-        evacuations: Arc::default(),
-        protocol: 0,
-    };
-    agent.handle(ms(4), packet(60_000, vec![Order::Welcome(welcome)]));
+    agent.handle(ms(4), first_packet);
     agent
 }
 
--- a/lib/tests/test_timings.rs
+++ b/lib/tests/test_timings.rs
@@ -9,6 +9,9 @@
     Duration::from_millis(millis)
 }
 
+/// Time within which all entries of a fleet hear of an announcement (lib/tests/test_entry_directory.rs).
+const HEARD_EVERYWHERE: Duration = Duration::from_millis(300);
+
 /// Duration of a lease on a target whose clock is 2% slow.
 fn slow(lease: Duration) -> Duration {
     lease.mul_f64(1.02)
@@ -51,6 +54,17 @@
         prop_assert!(t.entry_lease + stop < caller_return);
         // This also holds if the target fell silent at the same moment.
         prop_assert!(t.reconnect_grace + slow(t.target_lease) < caller_return);
+        // The lease of a lost entry's runs ends before its callers return, unless others hold them.
+        prop_assert!(t.unheld_run_bound < caller_return);
+        let last_lease = t.longest_lease_within(t.unheld_run_bound);
+        prop_assert!(slow(last_lease) + stop <= t.unheld_run_bound);
+        prop_assert!(t.lapse_of(last_lease) <= t.unheld_run_bound + ms(1));
+        // Announcements reach all entries before then, also if entries pass them on.
+        prop_assert!(t.suspect_after + HEARD_EVERYWHERE < caller_return);
+        // A sound entry, whose packets may come late by a heartbeat, is not suspected.
+        prop_assert!(t.heartbeat + t.max_answer_delay() < t.suspect_after);
+        // Until it is, there is time for a lease.
+        prop_assert!(t.longest_lease_within(t.unheld_run_bound - t.suspect_after) > Duration::ZERO);
         // An adopted run without a claim is stopped well within the lease it was found with.
         prop_assert!(t.claim_grace * 2 < t.target_lease);
         // Planned stops end before the platform kills the process.
