lib: an entry that stood still reads its input before it starts anything

After a gap between events in which linked agents must have sent something (suspect_after, two heartbeats), it places nothing and sends agents no packet for 20 ms. A packet would also count as a word given after the caller's connection broke.

Tests: test_handle_entry_that_stood_still_starts_nothing_before_it_has_read_its_input (failed before: it sent the agent a packet at once) and test_handle_entry_that_stood_still_goes_on_with_its_batches.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -54,6 +54,9 @@
 /// because a round ends when the VM's network link is full.
 const CAPACITY_SHORTAGE_TTL: Duration = Duration::from_millis(100);
 
+/// Time after a long stall to read what arrived meanwhile, such as the break of a caller's connection.
+const UNREAD_INPUT_GRACE: Duration = Duration::from_millis(20);
+
 /// Estimated bytes of a reply to a caller, including headers.
 const REPLY_BYTES: usize = 200;
 
@@ -98,6 +101,9 @@
     declined: Option<BatchId>,
     /// Until when silence proves nothing, because packets that arrived during a stall may be unread.
     resumed_until: Now,
+    /// Until when nothing is placed and no agent is sent a packet. After a stall for which agents
+    /// take an entry for lost, its callers may be gone without its having read that.
+    unread_until: Option<Now>,
     /// Load of this VM's network link.
     link_load: LinkLoad,
     /// Tasks that crashes point at, with the time when it is decided whether to give them up.
@@ -136,6 +142,7 @@
             receiver: HandoverReceiver::default(),
             declined: None,
             resumed_until: Now::ZERO,
+            unread_until: None,
             link_load: LinkLoad::new(options.link_rate),
             verdicts: BTreeSet::new(),
             capacity_lacked_at: None,
@@ -166,6 +173,10 @@
         self.relay_answers();
         self.check_hand_overs();
         self.settle_deferred();
+        if self.unread_until.is_some_and(|until| until <= self.now) {
+            self.unread_until = None;
+            self.needs_placing = true;
+        }
         if self.link_full_until.is_some_and(|until| until <= self.now) {
             self.link_full_until = None;
             self.needs_placing = true;
@@ -203,6 +214,7 @@
             self.deferred.next_wake(),
             self.verdicts.first().map(|(at, _)| *at),
             self.link_full_until,
+            self.unread_until,
             self.next_hand_over_check(),
         ];
         let soonest = times.into_iter().flatten().min()?;
@@ -300,7 +312,7 @@
     }
 
     fn place_waiting(&mut self) {
-        if !self.needs_placing {
+        if !self.needs_placing || self.unread_until.is_some() {
             return;
         }
         self.needs_placing = false;
@@ -496,14 +508,20 @@
         self.exited = true;
     }
 
-    fn flush(&mut self) {
-        self.relay_answers();
-        self.confirm_closed();
+    fn flush_orders(&mut self) {
         let with_orders = self.outboxes.iter().filter(|(_, o)| !o.orders.is_empty());
         let links: Vec<SessionId> = with_orders.map(|(link, _)| *link).collect();
         for link in links {
             self.send_orders(link);
         }
+    }
+
+    fn flush(&mut self) {
+        self.relay_answers();
+        self.confirm_closed();
+        if self.unread_until.is_none() {
+            self.flush_orders();
+        }
         let usage = self.link_load.usage(self.now);
         let load = self.entry_load.report(self.now, usage);
         self.directory.set_own_load(load);
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -79,10 +79,11 @@
         }
         self.confirm_runs_left(link, noted);
         let max_answer_delay = self.options.timings.max_answer_delay();
-        let is_reply_due = self
-            .targets
-            .get(link)
-            .is_some_and(|v| v.sent + max_answer_delay <= self.now);
+        let is_reply_due = self.unread_until.is_none()
+            && self
+                .targets
+                .get(link)
+                .is_some_and(|v| v.sent + max_answer_delay <= self.now);
         if is_reply_due {
             self.send_orders(link);
         }
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::BatchEntryCore;
 use super::callers::refusal;
+use super::{BatchEntryCore, UNREAD_INPUT_GRACE};
 use crate::active_batch::{Batch, BatchState, CloseReason};
 use crate::batch::BatchSpec;
 use crate::batch_event::{BatchQuery, EntryAction, Refusal, Reply, Submission};
@@ -526,6 +526,10 @@
         if self.now + STALL_THRESHOLD <= now {
             self.resumed_until = now + STALL_GRACE;
         }
+        // Linked agents send packets at shorter intervals.
+        if self.now + self.options.timings.suspect_after <= now {
+            self.unread_until = Some(now + UNREAD_INPUT_GRACE);
+        }
     }
 
     /// Ends the batches whose other side is gone or whose time is up.
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -14,7 +14,7 @@
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
-use trestleknot_lib::run::{NotStarted, RunKey, TaskKey};
+use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_message::{
     AgentIntro, AgentNews, AgentPacket, Order, Packet, PeerIntro, PeerNews, PeerPacket, TargetInfo,
 };
@@ -623,3 +623,73 @@
     assert!(step.record_slow_task(&second, ms(850)));
     assert_eq!(step.spec.estimate, ms(800));
 }
+
+// Guards against a task that runs twice at once: an entry that wakes up reads first that its run was
+// stopped and only then that its caller is gone, who may have reached another entry meanwhile.
+#[test]
+fn test_handle_entry_that_stood_still_starts_nothing_before_it_has_read_its_input() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    let started = starts(&entry.handle(ms(5), batch_of_tasks(5, 1)));
+    assert_eq!(started.len(), 1);
+    let task = TaskKey {
+        batch: 5,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let key = RunKey { task, run: 1 };
+    let wakes_at = ms(1_250);
+    let news = AgentNews::Ended {
+        key,
+        end: RunEnd::Stopped,
+        ran_ms: 800,
+    };
+    let packet = AgentPacket {
+        clock: 1_250,
+        free: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        starts_seen: 1,
+        health: HealthReport::default(),
+        news: vec![news],
+    };
+    let mut actions = entry.handle(wakes_at, EntryEvent::Packet(1, Packet::FromAgent(packet)));
+    // Another packet would extend the lease of its runs beyond the callers' return.
+    assert!(!actions.iter().any(|a| matches!(a, EntryAction::Send(1, _))));
+    actions.extend(entry.handle(wakes_at + ms(5), EntryEvent::CallerGone(5)));
+    actions.extend(entry.handle(wakes_at + ms(25), EntryEvent::Wake));
+    assert_eq!(starts(&actions).len(), 0, "{actions:?}");
+    assert_eq!(entry.gauges().batches, 0);
+}
+
+#[test]
+fn test_handle_entry_that_stood_still_goes_on_with_its_batches() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    assert_eq!(
+        starts(&entry.handle(ms(1_250), batch_of_tasks(5, 1))).len(),
+        0
+    );
+    let packet = AgentPacket {
+        clock: 1_255,
+        free: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        starts_seen: 0,
+        health: HealthReport::default(),
+        news: Vec::new(),
+    };
+    entry.handle(ms(1_255), EntryEvent::Packet(1, Packet::FromAgent(packet)));
+    let wake = entry.next_wake().expect("the entry has a batch");
+    assert!(wake <= ms(1_275), "{wake:?}");
+    let mut actions = entry.handle(wake, EntryEvent::Wake);
+    actions.extend(entry.handle(ms(1_275), EntryEvent::Wake));
+    assert_eq!(starts(&actions).len(), 1, "{actions:?}");
+}
