lib, cli: near misses of runs at the same time are logged

- An agent logs a run that its target lists as running after the agent took it for over by inference (2110).
It used to pass over it in silence.
- An entry logs a notice on runs that may be left elsewhere if it has already started the batch (1916): the notice came too late to hold it.
- `account` prints the shortest time from the end of a run to the next start of its task, by how the run ended and whether the batch was submitted again.

Nothing is decided differently.

--- a/cli/src/log_summary.rs
+++ b/cli/src/log_summary.rs
@@ -7,6 +7,7 @@
 use comfy_table::Table;
 use comfy_table::presets::UTF8_HORIZONTAL_ONLY;
 use trestleknot_lib::log_summary::{LogSummary, Samples};
+use trestleknot_lib::restart_gaps::restart_gaps;
 
 use crate::error::CliResult;
 use crate::log_files::read_logs;
@@ -14,7 +15,8 @@
 /// Prints a summary of the log files of a folder.
 pub fn account(args: &ArgMatches) -> CliResult<ExitCode> {
     let folder = args.get_one::<PathBuf>("logs").expect("clap requires it");
-    let summary = LogSummary::of(&read_logs(folder)?);
+    let logs = read_logs(folder)?;
+    let summary = LogSummary::of(&logs);
     anstream::println!("{}", queue_table(&summary));
     for (reason, batches) in &summary.refused_on_arrival {
         anstream::println!("refused on arrival, {reason}: {batches}");
@@ -29,6 +31,20 @@
         "age of what was known: {}",
         quantiles(&summary.load_report_age)
     );
+    for (cause, gaps) in restart_gaps(&logs) {
+        let attempt = if cause.is_resubmitted {
+            "submitted again"
+        } else {
+            "same attempt"
+        };
+        anstream::println!(
+            "restarts after {}, {attempt}: {}, {:.0} ms after the end or later ({})",
+            cause.end,
+            gaps.pairs,
+            gaps.shortest * 1e3,
+            gaps.run
+        );
+    }
     if summary.dropped_lines > 0 {
         let lines = summary.dropped_lines;
         anstream::println!("{lines} lines were dropped: the figures above are too low");
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -461,6 +461,9 @@
             .note_entries(self.directory.entries_per_target());
         self.announce_entries(effects.entries);
         self.needs_placing |= effects.may_place;
+        for notice in effects.runs_left {
+            self.check_for_late_notice(notice);
+        }
         for notice in effects.crashes {
             self.handle_crash_notice(link, notice);
         }
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -13,8 +13,9 @@
 use crate::run::{NotStarted, RunEnd, RunKey};
 use crate::run_message::{
     AgentMillis, AgentNews, AgentPacket, EntryPacket, NoticeNumber, Order, PROTOCOL_VERSION,
-    Packet, ProtocolVersion, Welcome,
+    Packet, ProtocolVersion, RunsNotice, Welcome,
 };
+use crate::runs_notices::NoteOutcome;
 use crate::target_health::HealthReport;
 use crate::target_registry::{EjectionChange, LoadReport, StartRefusal, TaskRequirements};
 
@@ -70,7 +71,11 @@
         let mut noted = Vec::new();
         for news in packet.news {
             if let AgentNews::RunsLeft(notice) = news {
-                if self.directory.note_runs_left(self.now, link, notice) {
+                let outcome = self.directory.note_runs_left(self.now, link, notice);
+                if outcome == NoteOutcome::New {
+                    self.check_for_late_notice(notice);
+                }
+                if outcome != NoteOutcome::Dropped {
                     noted.push(notice.number);
                 }
             } else {
@@ -192,6 +197,24 @@
         }
     }
 
+    /// Logs that a batch was started here before this entry heard that runs of another entry may be
+    /// left. A giver's notice is about the runs that this entry has for it.
+    pub(super) fn check_for_late_notice(&mut self, notice: RunsNotice) {
+        let id = notice.batch;
+        let is_own = notice.owner == self.options.incarnation
+            || self.receiver.guarantor_of_runs(id) == Some(notice.owner);
+        let has_started = self.table.get(id).is_some_and(|b| b.was_dispatched);
+        if is_own || !has_started {
+            return;
+        }
+        let age_ms = self.table.age(self.now, id).as_millis();
+        let RunsNotice { holder, owner, .. } = notice;
+        self.log(
+            EventCode::RunsLeftHeardLate,
+            format!("job={id:016x} entry={owner:x} from={holder:x} age_ms={age_ms}"),
+        );
+    }
+
     /// Confirms to an agent that these announcements are noted.
     fn confirm_runs_left(&mut self, link: SessionId, noted: Vec<NoticeNumber>) {
         if noted.is_empty() {
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -46,10 +46,20 @@
     pub evacuations_changed: bool,
     /// Notices of target crashes.
     pub crashes: Vec<CrashNotice>,
+    /// New notices that runs of a batch may be left elsewhere.
+    pub runs_left: Vec<RunsNotice>,
     /// Messages on batches that are handed over, in order.
     pub hand_overs: Vec<PeerNews>,
 }
 
+impl PeerEffects {
+    fn note_runs_left(&mut self, outcome: NoteOutcome, notice: RunsNotice) {
+        if outcome == NoteOutcome::New {
+            self.runs_left.push(notice);
+        }
+    }
+}
+
 /// Source of an entry's address.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -319,13 +329,16 @@
                         .extend(self.learn(now, Source::Entry(link), addresses));
                 }
                 PeerNews::Closing(closing) => {
-                    self.note_runs_left(now, link, closing.into());
+                    effects.note_runs_left(
+                        self.note_runs_left(now, link, closing.into()),
+                        closing.into(),
+                    );
                 }
                 PeerNews::Closed(closing) => {
                     effects.may_place |= self.note_runs_over(now, link, closing.into());
                 }
                 PeerNews::RunsLeft(notice) => {
-                    self.note_runs_left(now, link, notice);
+                    effects.note_runs_left(self.note_runs_left(now, link, notice), notice);
                 }
                 PeerNews::RunsOver(notice) => {
                     effects.may_place |= self.note_runs_over(now, link, notice);
@@ -441,10 +454,10 @@
     }
 
     /// Records that another entry or an agent has announced that runs of a batch may be left, and tells
-    /// the neighbours except `from` if that is new. Returns whether the notice is kept.
-    pub fn note_runs_left(&mut self, now: Now, from: SessionId, notice: RunsNotice) -> bool {
+    /// the neighbours except `from` if that is new.
+    pub fn note_runs_left(&mut self, now: Now, from: SessionId, notice: RunsNotice) -> NoteOutcome {
         if notice.holder == self.options.incarnation {
-            return true;
+            return NoteOutcome::Known;
         }
         let bound = self.closing_bound;
         let outcome = self.runs_notices.note_left(now, notice, bound);
@@ -461,7 +474,7 @@
             );
             self.peers.tell_runs_left(now, notice, Some(from));
         }
-        outcome != NoteOutcome::Dropped
+        outcome
     }
 
     /// Records that announced runs are over, and tells the neighbours except `from` if that is new.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -120,6 +120,7 @@
     HandOverReleased = 1913, Info, "batch that was handed over released, its runs are stopped";
     HandOverAnswered = 1914, Info, "answer of a batch taken over sent to its giver";
     BatchHeld = 1915, Info, "new batch held, runs of an earlier attempt may be left elsewhere";
+    RunsLeftHeardLate = 1916, Warn, "runs of a batch may be left elsewhere, but its tasks were already started here";
     CrashesKnown = 1920, Warn, "new batch whose earlier runs crashed targets, its tasks begin as suspects";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
@@ -139,6 +140,7 @@
     TargetCallFailed = 2107, Info, "call to the target got no answer";
     RunReleased = 2108, Info, "run stopped, its guarantor released the batch";
     RunsAnnounced = 2109, Info, "entries told that runs of a batch may outlast their entry";
+    RunOutlived = 2110, Error, "target lists a run as running that was taken for over";
 }
 
 impl EventCode {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -112,6 +112,7 @@
 pub mod released_batches;
 pub mod request_timeline;
 pub mod resources;
+pub mod restart_gaps;
 pub mod retry_detector;
 pub mod ring;
 pub mod run;
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -170,8 +170,9 @@
     pub(super) fn note_listed_run(&mut self, listed: &ListedRun) {
         let ListedRun { key, percent } = *listed;
         if self.runs.get(key).is_none() {
-            if self.runs.end_of(key).is_none() {
-                self.adopt(key);
+            match self.runs.end_of(key) {
+                None => self.adopt(key),
+                Some(end) => self.check_listed_after_end(key, end),
             }
             return;
         }
@@ -179,6 +180,14 @@
         self.check_slow(key, percent);
     }
 
+    /// Reports a run that goes on although it was taken for over. A list that was overtaken by the
+    /// news of an end that the target itself listed shows the same run, so such ends don't count.
+    fn check_listed_after_end(&mut self, key: RunKey, end: RunEnd) {
+        if matches!(end, RunEnd::Lost | RunEnd::Crashed { .. }) {
+            self.log(EventCode::RunOutlived, format!("run={key} end={end:?}"));
+        }
+    }
+
     pub(super) fn adopt(&mut self, key: RunKey) {
         self.log(EventCode::RunAdopted, format!("run={key}"));
         let run = Run {
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -11,12 +11,14 @@
 };
 use trestleknot_lib::entry_load::{EntryLoadReport, LoopLoad};
 use trestleknot_lib::evacuations::EvacuatedHalls;
+use trestleknot_lib::events::EventCode;
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, Order, Packet, PeerIntro, PeerNews, PeerPacket, TargetInfo,
+    AgentIntro, AgentNews, AgentPacket, Order, Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice,
+    TargetInfo,
 };
 use trestleknot_lib::target_health::HealthReport;
 use trestleknot_lib::target_incarnation::TargetIncarnation;
@@ -693,3 +695,29 @@
     actions.extend(entry.handle(ms(1_275), EntryEvent::Wake));
     assert_eq!(starts(&actions).len(), 1, "{actions:?}");
 }
+
+// Guards against two attempts of a batch that run at once unseen: the other entry's notice arrives after
+// the batch was started here.
+#[test]
+fn test_handle_notice_on_a_batch_that_is_started_already_is_logged_once() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    assert_eq!(starts(&entry.handle(ms(5), batch_of_tasks(5, 1))).len(), 1);
+    let notice = RunsNotice {
+        batch: 5,
+        holder: 2,
+        owner: 2,
+        number: 1,
+    };
+    let packet = AgentPacket {
+        clock: 20,
+        free: Resources::NONE,
+        starts_seen: 1,
+        health: HealthReport::default(),
+        news: vec![AgentNews::RunsLeft(notice), AgentNews::RunsLeft(notice)],
+    };
+    let actions = entry.handle(ms(20), EntryEvent::Packet(1, Packet::FromAgent(packet)));
+    let is_late = |a: &&EntryAction| matches!(a, EntryAction::Log(event) if event.code == EventCode::RunsLeftHeardLate);
+    assert_eq!(actions.iter().filter(is_late).count(), 1, "{actions:?}");
+}
--- a/lib/tests/test_run_agent/leases.rs
+++ b/lib/tests/test_run_agent/leases.rs
@@ -1,6 +1,7 @@
 //! Lease renewals: unanswered ones, adopted and claimed runs, and which leases may lapse.
 
 use super::*;
+use trestleknot_lib::events::EventCode;
 
 #[test]
 fn test_handle_silent_target_is_asked_until_it_answers() {
@@ -304,3 +305,31 @@
     let is_stop = |a: &AgentAction| matches!(a, AgentAction::Stop { key: k, .. } if *k == key);
     assert!(actions.iter().any(is_stop), "it is stopped: {actions:?}");
 }
+
+// Guards against a proof of an end that is none and stays unseen: the run goes on at the target, and
+// its task has been started elsewhere.
+#[test]
+fn test_handle_run_that_is_listed_after_it_was_taken_for_over_is_logged() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(60_000, vec![start(0, 500)]));
+    let call = start_calls(&actions)[0].clone();
+    let answer = StartAnswer::Started { clock: 1_010 };
+    let (key, token) = (call.key, call.token);
+    agent.handle(ms(12), AgentEvent::StartAnswered { key, token, answer });
+    // The target is silent until its lease must have lapsed, and then lists the run nevertheless.
+    let mut now = ms(12);
+    let mut asked = Vec::new();
+    while agent.gauges().runs > 0 || asked.is_empty() {
+        now += ms(5);
+        assert!(now < ms(5_000), "the target is not asked again");
+        asked = renewals(&agent.handle(now, packet(600_000, Vec::new())));
+    }
+    let (number, answer) = (asked[0], running(&[key]));
+    let actions = agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+    let logged = actions.iter().filter_map(|a| match a {
+        AgentAction::Log(event) => Some(event.code),
+        _ => None,
+    });
+    let logged: Vec<EventCode> = logged.collect();
+    assert!(logged.contains(&EventCode::RunOutlived), "{logged:?}");
+}
