--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -143,7 +143,7 @@
             return;
         };
         for listed in running {
-            self.note_listed_run(listed);
+            self.note_listed_run(listed, answered.sent_at);
         }
         if ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted(answered.sent_at, answered.token, running);
@@ -167,12 +167,16 @@
         }
     }
 
-    pub(super) fn note_listed_run(&mut self, listed: &ListedRun) {
+    /// Handles a run that the target listed as running; `asked_at` is when the list was asked for.
+    pub(super) fn note_listed_run(&mut self, listed: &ListedRun, asked_at: Now) {
         let ListedRun { key, percent } = *listed;
         if self.runs.get(key).is_none() {
-            match self.runs.end_of(key) {
-                None => self.adopt(key),
-                Some(end) => self.check_listed_after_end(key, end),
+            if self.runs.end_of(key).is_none() {
+                self.adopt(key);
+            }
+            let inferred_end_at = self.runs.inferred_end_at(key);
+            if inferred_end_at.is_some_and(|at| at < asked_at) {
+                self.log(EventCode::RunOutlived, format!("run={key}"));
             }
             return;
         }
@@ -180,14 +184,6 @@
         self.check_slow(key, percent);
     }
 
-    /// Reports a run that goes on although it was taken for over. A list that was overtaken by the
-    /// news of an end that the target itself listed shows the same run, so such ends don't count.
-    fn check_listed_after_end(&mut self, key: RunKey, end: RunEnd) {
-        if matches!(end, RunEnd::Lost | RunEnd::Crashed { .. }) {
-            self.log(EventCode::RunOutlived, format!("run={key} end={end:?}"));
-        }
-    }
-
     pub(super) fn adopt(&mut self, key: RunKey) {
         self.log(EventCode::RunAdopted, format!("run={key}"));
         let run = Run {
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -118,7 +118,8 @@
     /// Size of the sized run that was added last.
     last_size: Resources,
     unsized_runs: u32,
-    recent_ends: BTreeMap<RunKey, RunEnd>,
+    /// How runs ended, and when that was learnt.
+    recent_ends: BTreeMap<RunKey, (Now, RunEnd)>,
     ends_by_time: VecDeque<(Now, RunKey)>,
 }
 
@@ -249,13 +250,20 @@
             self.ends_by_time.pop_front();
             self.recent_ends.remove(&oldest);
         }
-        if self.recent_ends.insert(key, end).is_none() {
+        if self.recent_ends.insert(key, (now, end)).is_none() {
             self.ends_by_time.push_back((now, key));
         }
     }
 
     /// Returns how a run ended, if its end is still kept.
     pub fn end_of(&self, key: RunKey) -> Option<RunEnd> {
-        self.recent_ends.get(&key).copied()
+        self.recent_ends.get(&key).map(|(_, end)| *end)
+    }
+
+    /// Returns when a run was taken for over without an end listed by the target; `None` if it wasn't, or
+    /// if that is forgotten.
+    pub fn inferred_end_at(&self, key: RunKey) -> Option<Now> {
+        let (at, end) = self.recent_ends.get(&key)?;
+        matches!(end, RunEnd::Lost | RunEnd::Crashed { .. }).then_some(*at)
     }
 }
