lib: run numbers of a batch that comes again continue

Symptom: an agent's late news of a run of an earlier attempt counted for the run of the next attempt at the same entry. The entry started the task a second time, answered it as done, or charged it a failure while its run went on.

Cause: each attempt numbered its runs from 1, and the entry knows a run by task and number only. An agent reports an end twice when a stop crosses it; the second report may be read when the caller is back, and even after the next start was ordered at the same agent, so a check of the agent's name would not do.

Evidence: test_handle_late_news_of_an_earlier_attempt_does_not_end_the_next_ones_run, before: run 2 of the task is ordered while run 1 of the second attempt is out ("left: [(1, false, [(0, 2)])]").

Within one incarnation of an entry a task and a number now identify one run, and nothing on any link changes. New batches begin at 1. News that a run is slow count only for the task's current run.

Ways weighed: an attempt number in the messages between entry and agent needs a new protocol version for five messages, and is lost when the agent restarts and adopts runs from the target's lists; numbers from the time of day are not unique when clocks step, and would not begin at 1.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -234,6 +234,24 @@
         verdicts
     }
 
+    /// Numbers the next run of each task from `first` at least.
+    pub fn raise_run_numbers(&mut self, first: RunNumber) {
+        let tasks = self.steps.iter_mut().flat_map(|step| &mut step.tasks);
+        for task in tasks {
+            task.run = task.run.max(first);
+        }
+    }
+
+    /// Returns the lowest number that no run of its tasks had.
+    pub fn next_run_number(&self) -> RunNumber {
+        let tasks = self.steps.iter().flat_map(|step| &step.tasks);
+        let next = tasks.map(|task| match task.state {
+            TaskState::Assigned { .. } => task.run + 1,
+            TaskState::Waiting | TaskState::Done => task.run,
+        });
+        next.max().unwrap_or_default()
+    }
+
     /// Returns whether one of its tasks is given up because targets crashed during its runs.
     pub fn is_given_up(&self) -> bool {
         let mut tasks = self.steps.iter().flat_map(|step| &step.tasks);
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -278,6 +278,10 @@
         let Some(estimate) = self.estimate_of(key) else {
             return;
         };
+        // The news may be about a run of an earlier attempt.
+        if self.table.task(key).is_none() {
+            return;
+        }
         let ran = Duration::from_millis(u64::from(ran_ms));
         let percent = percent.clamp(1, 100);
         let projected = ran.mul_f64(100.0 / f64::from(percent));
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -9,6 +9,7 @@
 use crate::crash_history::CrashHistory;
 use crate::ids::{NodeName, Now, RequestId, SessionId};
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
+use crate::run_numbers::RunNumbers;
 
 /// Additional increment of a task's run number after a target has seen a higher one.
 const RUN_NUMBER_JUMP: RunNumber = 8;
@@ -55,11 +56,14 @@
     by_request: BTreeMap<RequestId, BatchId>,
     /// Open runs.
     by_agent: BTreeMap<NodeName, BTreeSet<RunKey>>,
+    run_numbers: RunNumbers,
 }
 
 impl BatchTable {
-    /// Adds a new batch, and its tasks to the waiting ones.
-    pub fn insert(&mut self, id: BatchId, batch: Batch) {
+    /// Adds a new batch, and its tasks to the waiting ones. Their run numbers continue after those of
+    /// earlier attempts.
+    pub fn insert(&mut self, id: BatchId, mut batch: Batch) {
+        batch.raise_run_numbers(self.run_numbers.first_of(id));
         if let Some(request) = batch.request {
             self.by_request.insert(request, id);
         }
@@ -125,8 +129,10 @@
     }
 
     /// Removes and returns a batch.
-    pub fn remove(&mut self, id: BatchId) -> Option<Batch> {
+    pub fn remove(&mut self, now: Now, id: BatchId) -> Option<Batch> {
         let batch = self.batches.remove(&id)?;
+        self.run_numbers
+            .note_ended(now, id, batch.next_run_number());
         if let Some(request) = batch.request {
             self.by_request.remove(&request);
         }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -119,6 +119,7 @@
 pub mod run_announcements;
 pub mod run_event;
 pub mod run_message;
+pub mod run_numbers;
 pub mod run_table;
 pub mod run_time;
 pub mod runs_notices;
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -693,3 +693,135 @@
     actions.extend(entry.handle(ms(1_275), EntryEvent::Wake));
     assert_eq!(starts(&actions).len(), 1, "{actions:?}");
 }
+
+/// Batch 5 with one task, submitted by `request`.
+fn attempt(request: RequestId) -> EntryEvent {
+    match batch_of_tasks(5, 1) {
+        EntryEvent::Submit(mut submission) => {
+            submission.request = request;
+            EntryEvent::Submit(submission)
+        }
+        other => other,
+    }
+}
+
+fn run_of_task(run: u32) -> RunKey {
+    let task = TaskKey {
+        batch: 5,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    RunKey { task, run }
+}
+
+fn ended(run: u32, end: RunEnd) -> AgentNews {
+    let key = run_of_task(run);
+    let ran_ms = 50;
+    AgentNews::Ended { key, end, ran_ms }
+}
+
+/// A packet of agent 1 with this piece of news.
+fn agent_tells(news: AgentNews) -> EntryEvent {
+    packet_of(1, vec![news])
+}
+
+fn packet_of(agent: SessionId, news: Vec<AgentNews>) -> EntryEvent {
+    let packet = AgentPacket {
+        clock: 2_000,
+        free: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        starts_seen: 2,
+        health: HealthReport::default(),
+        news,
+    };
+    EntryEvent::Packet(agent, Packet::FromAgent(packet))
+}
+
+/// An entry whose caller left and came back after the first attempt was over: a run of the second
+/// attempt is ordered at agent 1, or at agent 2 if agent 1 takes no more work. Returns the number
+/// of the first attempt's run.
+fn entry_with_second_attempt(first_agent_leaves: bool) -> (BatchEntryCore, u32) {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let first = starts(&entry.handle(ms(10), attempt(6)));
+    let (_, run) = first[0].2[0];
+    entry.handle(ms(50), EntryEvent::CallerGone(6));
+    entry.handle(ms(55), agent_tells(ended(run, RunEnd::Stopped)));
+    assert_eq!(entry.gauges().batches, 0, "the first attempt is over");
+    let mut agent = 1;
+    if first_agent_leaves {
+        agent = 2;
+        entry.handle(ms(56), agent_tells(AgentNews::Leaving));
+        join(&mut entry, ms(57), agent, "hall");
+    }
+    for at in (100..1_350).step_by(100) {
+        entry.handle(ms(at), packet_of(1, Vec::new()));
+        entry.handle(ms(at), packet_of(agent, Vec::new()));
+    }
+    let second = starts(&entry.handle(ms(1_350), attempt(7)));
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert_eq!(second[0].0, agent);
+    (entry, run)
+}
+
+// Guards against a task that runs twice at once, or is answered as done while it runs: a stop crosses
+// the end of a run, so that the agent reports the end a second time, when the caller is back.
+#[test]
+fn test_handle_late_news_of_an_earlier_attempt_does_not_end_the_next_ones_run() {
+    for first_agent_leaves in [false, true] {
+        let (_, run) = entry_with_second_attempt(first_agent_leaves);
+        let key = run_of_task(run);
+        let reason = NotStarted::Superseded;
+        let news = [
+            ended(run, RunEnd::Stopped),
+            ended(run, RunEnd::Done),
+            ended(run, RunEnd::Failed),
+            ended(run, RunEnd::Crashed { alone: false }),
+            AgentNews::NotStarted { key, reason },
+            AgentNews::Slow {
+                key,
+                ran_ms: 400,
+                percent: 1,
+            },
+        ];
+        for late in news {
+            let (mut entry, _) = entry_with_second_attempt(first_agent_leaves);
+            if !first_agent_leaves {
+                join(&mut entry, ms(1_351), 3, "hall");
+            }
+            let mut actions = entry.handle(ms(1_360), agent_tells(late.clone()));
+            actions.extend(entry.handle(ms(1_380), EntryEvent::Wake));
+            assert_eq!(starts(&actions), [], "{late:?}");
+            assert_eq!(replies(&actions), [], "{late:?}");
+            let stops = orders(&actions).filter(|o| matches!(o, Order::Stop(_)));
+            assert_eq!(stops.count(), 0, "{late:?}");
+        }
+    }
+}
+
+/// All orders among the actions.
+fn orders(actions: &[EntryAction]) -> impl Iterator<Item = &Order> {
+    let packets = actions.iter().filter_map(|a| match a {
+        EntryAction::Send(_, Packet::FromEntry(packet)) => Some(packet),
+        _ => None,
+    });
+    packets.flat_map(|packet| &packet.orders)
+}
+
+#[test]
+fn test_handle_run_numbers_of_a_new_batch_begin_at_1() {
+    // Targets refuse a run that is not above an earlier one of its task.
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let first = starts(&entry.handle(ms(10), batch_of_tasks(5, 1)));
+    assert_eq!(first, [(1, true, vec![(0, 1)])]);
+    entry.handle(ms(50), agent_tells(ended(1, RunEnd::Done)));
+    let other = starts(&entry.handle(ms(60), batch_of_tasks(6, 1)));
+    assert_eq!(other, [(1, true, vec![(0, 1)])]);
+}
