lib: an agent answers about a run only when no other run of its task is left

Symptom: an agent that had a run of a task refused another entry's start of the same task at once, as Superseded. That entry started the task on another target, while the first run went on; without another target with room it tried the same one again, some thousand times a second. A claim of a run that the agent didn't know was answered as Lost, also while another run of that task was running there.

Cause: "this start led to no run" and "this run is over" are answers about one key, but the entry takes them as leave to start the task again anywhere. The refusal did not say on what news to try again.

Evidence, before: test_handle_start_beside_another_run_of_the_task_is_refused_when_that_is_over (NotStarted(Superseded) while the run goes on) and test_handle_claim_is_not_answered_before_other_runs_of_the_task_are_over (Ended(Lost) likewise).

Change: the agent withholds each final answer about a run until its target has no run of the task, and then gives it (`WithheldAnswers`). The entry waits as for any other open run, so there is one try for each end; the messages are the old ones, so entries of older builds gain too.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -139,4 +139,5 @@
 pub mod trace;
 pub mod vm_list;
 pub mod wait_forecast;
+pub mod withheld_answers;
 pub mod worker_threads;
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -146,7 +146,7 @@
     Evacuated,
     /// The order was too late: its start deadline or the lease has passed.
     Late,
-    /// Another run of the task is known, or the target has seen a higher run number.
+    /// The target has seen a higher run number, or had another run of the task, which is over now.
     Superseded,
     /// The target reported that it is unhealthy.
     Unhealthy,
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -39,6 +39,7 @@
 use crate::target_health::TargetHealth;
 use crate::target_incarnations::TargetIncarnations;
 use crate::target_lease::{Extension, TargetLease};
+use crate::withheld_answers::WithheldAnswers;
 use starts::{MAX_START_TIMEOUT, MIN_START_TIMEOUT};
 
 /// If no event was handled for this long, the process may have been stalled, and answers may wait
@@ -56,6 +57,7 @@
     incarnations: TargetIncarnations,
     lease: TargetLease,
     runs: RunTable,
+    withheld: WithheldAnswers,
     crash_notices: CrashNotices,
     health: TargetHealth,
     /// Timeout of starts, learnt from how long the target takes to answer them.
@@ -95,6 +97,7 @@
             incarnations: TargetIncarnations::default(),
             lease,
             runs: RunTable::default(),
+            withheld: WithheldAnswers::default(),
             crash_notices: CrashNotices::default(),
             health: TargetHealth::default(),
             start_timeout: AdaptiveTimeout::new(MIN_START_TIMEOUT, MAX_START_TIMEOUT),
@@ -140,6 +143,7 @@
         self.send_due_stops();
         self.update_announcements();
         self.renew();
+        self.send_withheld_answers();
         self.check_drain();
         self.flush();
         std::mem::take(&mut self.actions)
@@ -414,15 +418,33 @@
             self.stop_if_released(key);
             return;
         }
+        self.answer_over(entry, key);
+    }
+
+    /// Tells an entry that a run which is not in the table is over.
+    fn answer_over(&mut self, entry: Incarnation, key: RunKey) {
         let end = self.runs.end_of(key).unwrap_or(RunEnd::Lost);
-        self.entry_links.tell(
-            entry,
-            AgentNews::Ended {
-                key,
-                end,
-                ran_ms: 0,
-            },
-        );
+        let ran_ms = 0;
+        self.answer(entry, key, AgentNews::Ended { key, end, ran_ms });
+    }
+
+    /// Gives an entry a final answer about a run, at once or when no run of its task is left.
+    fn answer(&mut self, entry: Incarnation, key: RunKey, answer: AgentNews) {
+        if !self.runs.has_task(key.task) {
+            self.entry_links.tell(entry, answer);
+        } else if self.withheld.add(entry, key, answer) {
+            self.log(
+                EventCode::AnswerWithheld,
+                format!("run={key} entry={entry:x}"),
+            );
+        }
+    }
+
+    fn send_withheld_answers(&mut self) {
+        let runs = &self.runs;
+        for (entry, answer) in self.withheld.take_due(|task| runs.has_task(task)) {
+            self.entry_links.tell(entry, answer);
+        }
     }
 
     fn stop_ordered(&mut self, link: SessionId, keys: Vec<RunKey>) {
@@ -446,10 +468,7 @@
             self.request_stop(key, None);
             return;
         }
-        let end = self.runs.end_of(key).unwrap_or(RunEnd::Lost);
-        let ran_ms = 0;
-        let news = AgentNews::Ended { key, end, ran_ms };
-        self.entry_links.tell(entry, news);
+        self.answer_over(entry, key);
     }
 
     /// Requests that a run be stopped. A run is orphaned if its owner's lease has lapsed. If it then
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -78,8 +78,7 @@
             format!("run={key} reason={reason:?}"),
         );
         if let Some(entry) = entry {
-            self.entry_links
-                .tell(entry, AgentNews::NotStarted { key, reason });
+            self.answer(entry, key, AgentNews::NotStarted { key, reason });
         }
     }
 
--- /dev/null
+++ b/lib/tests/test_run_agent/owners.rs
@@ -0,0 +1,135 @@
+//! Runs of one task that several entries have ordered: claims, stops, starts and ends of one entry
+//! while the agent has a run of another.
+
+use super::*;
+
+const OWNER: u64 = 9;
+const OTHER: u64 = 10;
+const SECOND: SessionId = 2;
+
+fn welcome(life: u64, claims: Vec<(RunKey, Resources)>) -> Order {
+    Order::Welcome(Welcome {
+        name: format!("entry-{life}").into(),
+        life,
+        entries: Vec::new(),
+        claims,
+        guarantors: Vec::new(),
+        evacuations: Arc::default(),
+        protocol: 2,
+    })
+}
+
+fn packet_on(link: SessionId, orders: Vec<Order>) -> AgentEvent {
+    let packet = EntryPacket {
+        lease_until: 60_000,
+        store_heard: 0,
+        waiting: 0,
+        orders,
+    };
+    AgentEvent::Packet(link, packet)
+}
+
+/// An agent with a run of the owner, and a link to another entry, whose welcome has these claims.
+fn agent_with_owned_run(claims: Vec<(RunKey, Resources)>) -> (RunAgentCore, Vec<AgentAction>) {
+    let mut agent = ready_agent_of(packet(60_000, vec![welcome(OWNER, Vec::new())]));
+    agent.handle(ms(6), packet(60_000, vec![start(0, 500)]));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_000 },
+    };
+    agent.handle(ms(8), started);
+    agent.handle(ms(9), AgentEvent::LinkUp(SECOND, address(2)));
+    let actions = agent.handle(ms(10), packet_on(SECOND, vec![welcome(OTHER, claims)]));
+    (agent, actions)
+}
+
+/// Lets the target list the end of the run.
+fn end_run(agent: &mut RunAgentCore, now: Now, end: RunEnd) -> Vec<AgentAction> {
+    let mut actions = Vec::new();
+    // The number of the renewal that is on its way is not known here.
+    for number in 1..10 {
+        let answer = RenewalAnswer::Lists {
+            born: None,
+            clock: 1_000,
+            running: Vec::new(),
+            ended: vec![(1, key(0), end)],
+        };
+        actions.extend(agent.handle(now, AgentEvent::RenewalAnswered { number, answer }));
+    }
+    assert_eq!(agent.gauges().runs, 0);
+    actions
+}
+
+/// The news about runs, with their links.
+fn told(actions: &[AgentAction]) -> Vec<(SessionId, RunKey, Result<RunEnd, NotStarted>)> {
+    let mut told = Vec::new();
+    for action in actions {
+        let AgentAction::Send(link, packet) = action else {
+            continue;
+        };
+        for news in &packet.news {
+            match news {
+                AgentNews::Ended { key, end, .. } => told.push((*link, *key, Ok(*end))),
+                AgentNews::NotStarted { key, reason } => told.push((*link, *key, Err(*reason))),
+                _ => {}
+            }
+        }
+    }
+    told.sort_by_key(|(link, key, _)| (*link, *key));
+    told
+}
+
+fn stops(actions: &[AgentAction]) -> usize {
+    let is_stop = |a: &&AgentAction| matches!(a, AgentAction::Stop { .. });
+    actions.iter().filter(is_stop).count()
+}
+
+/// A run of the same task under another number.
+fn later_key() -> RunKey {
+    RunKey { run: 4, ..key(0) }
+}
+
+/// What the entries hear while the run goes on, and at its end.
+fn assert_waits_for_the_end(
+    agent: &mut RunAgentCore,
+    mut actions: Vec<AgentAction>,
+    key_of_other: RunKey,
+    answer: Result<RunEnd, NotStarted>,
+) {
+    for step in 1..20 {
+        actions.extend(agent.handle(ms(10 + 10 * step), packet_on(SECOND, Vec::new())));
+        actions.extend(agent.handle(ms(10 + 10 * step), packet_on(LINK, Vec::new())));
+    }
+    assert_eq!(told(&actions), [], "a run of the task goes on");
+    assert_eq!(stops(&actions), 0, "its owner did not ask for a stop");
+    let actions = end_run(agent, ms(250), RunEnd::Done);
+    let expected = [
+        (LINK, key(0), Ok(RunEnd::Done)),
+        (SECOND, key_of_other, answer),
+    ];
+    assert_eq!(told(&actions), expected);
+}
+
+// Guards against a run that loses its owner, which would neither hear of its end nor end it by its
+// own loss: an entry that was cut off claims a run of its own with the same number.
+// Guards against lost work: the stop means a run of an earlier attempt.
+// Guards against a task that runs twice at once: told that its run is over, the entry would start the
+// task on another target while this run goes on.
+#[test]
+fn test_handle_claim_is_not_answered_before_other_runs_of_the_task_are_over() {
+    let (mut agent, actions) = agent_with_owned_run(vec![(later_key(), SIZE)]);
+    assert_waits_for_the_end(&mut agent, actions, later_key(), Ok(RunEnd::Lost));
+}
+
+// Guards against a task that runs twice at once, and against a busy loop: refused at once, the entry
+// would start the task elsewhere, or here again, some thousand times a second.
+#[test]
+fn test_handle_start_beside_another_run_of_the_task_is_refused_when_that_is_over() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let actions = agent.handle(ms(11), packet_on(SECOND, vec![start(0, 500)]));
+    let refused = Err(NotStarted::Superseded);
+    assert_waits_for_the_end(&mut agent, actions, key(0), refused);
+}
+
+// Guards against a failed or successful end that counts for another entry's run.
