lib: claims, stops and ends count only for the entry that owns the run

Symptom: an entry that was cut off and linked to an agent again took over another entry's run with the same number. The run's owner heard neither of its end nor ended it by its own loss: the run went on as long as the former entry was alive. A stop from one entry stopped the run of another, and the end of one entry's run was told as that of another's, so that a failure or success counted for a run that had not ended so.

Cause: an agent found runs and kept ends by task and number, and each entry numbers the runs of its own attempts.

Change: a run with an owner is claimed and stopped by that entry only; another one hears that its own run is over when the task has no run there. Kept ends name their owner. With the numbers that continue within an entry's incarnation, (owner, task, number) identifies one run. An adopted run is its first claimant's, since the target accepts a number only once. An end that is reported again is kept for its whole time.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -421,9 +421,9 @@
         self.answer_over(entry, key);
     }
 
-    /// Tells an entry that a run which is not in the table is over.
+    /// Tells an entry that its run, which is not in the table, is over.
     fn answer_over(&mut self, entry: Incarnation, key: RunKey) {
-        let end = self.runs.end_of(key).unwrap_or(RunEnd::Lost);
+        let end = self.runs.end_for(key, entry).unwrap_or(RunEnd::Lost);
         let ran_ms = 0;
         self.answer(entry, key, AgentNews::Ended { key, end, ran_ms });
     }
@@ -464,7 +464,7 @@
 
     /// Stops a run, or tells the entry that it is over.
     fn stop_or_report_end(&mut self, entry: Incarnation, key: RunKey) {
-        if self.runs.get(key).is_some() {
+        if self.runs.get(key).is_some_and(|run| run.may_be_of(entry)) {
             self.request_stop(key, None);
             return;
         }
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -88,6 +88,22 @@
     pub end_if_unlisted: RunEnd,
 }
 
+impl Run {
+    /// Whether the run may be an entry's own. Runs of several entries may have the same key, because
+    /// each entry numbers the runs of its own attempts.
+    pub fn may_be_of(&self, entry: Incarnation) -> bool {
+        self.owner.is_none_or(|owner| owner == entry)
+    }
+}
+
+/// A run that is over.
+#[derive(Debug, Clone, Copy)]
+struct PastRun {
+    ended: Now,
+    owner: Option<Incarnation>,
+    end: RunEnd,
+}
+
 /// An entry's claim that a run is its own.
 #[derive(Debug, Clone, Copy)]
 pub struct Claim {
@@ -118,7 +134,7 @@
     /// Size of the sized run that was added last.
     last_size: Resources,
     unsized_runs: u32,
-    recent_ends: BTreeMap<RunKey, RunEnd>,
+    recent_ends: BTreeMap<RunKey, PastRun>,
     ends_by_time: VecDeque<(Now, RunKey)>,
 }
 
@@ -145,12 +161,15 @@
         Some(run)
     }
 
-    /// Sets the owner of a run, and its guarantor and size if they are unknown. Returns false if
-    /// the run is not in the table.
+    /// Sets the owner of a run that has none, and its guarantor and size if they are unknown. Returns
+    /// false if the entry has no such run: it is not in the table, or another entry owns it.
     pub fn claim(&mut self, key: RunKey, claim: &Claim) -> bool {
         let Some(run) = self.runs.get_mut(&key) else {
             return false;
         };
+        if !run.may_be_of(claim.owner) {
+            return false;
+        }
         run.owner = Some(claim.owner);
         run.guarantor = run.guarantor.or(claim.guarantor);
         if run.size.is_none() {
@@ -240,22 +259,37 @@
         self.reserved.divided_by(sized)
     }
 
-    /// Records how a run ended and drops expired ends.
+    /// Records how a run ended, which is still in the table if it was known, and drops expired ends.
     pub fn remember_end(&mut self, now: Now, key: RunKey, end: RunEnd) {
         while let Some(&(at, oldest)) = self.ends_by_time.front() {
             if at + END_RETENTION > now {
                 break;
             }
             self.ends_by_time.pop_front();
-            self.recent_ends.remove(&oldest);
-        }
-        if self.recent_ends.insert(key, end).is_none() {
-            self.ends_by_time.push_back((now, key));
+            if self.recent_ends.get(&oldest).is_some_and(|r| r.ended == at) {
+                self.recent_ends.remove(&oldest);
+            }
         }
+        let owner = match self.runs.get(&key) {
+            Some(run) => run.owner,
+            None => self.recent_ends.get(&key).and_then(|past| past.owner),
+        };
+        let ended = now;
+        let past = PastRun { ended, owner, end };
+        self.recent_ends.insert(key, past);
+        self.ends_by_time.push_back((now, key));
     }
 
     /// Returns how a run ended, if its end is still kept.
     pub fn end_of(&self, key: RunKey) -> Option<RunEnd> {
-        self.recent_ends.get(&key).copied()
+        self.recent_ends.get(&key).map(|past| past.end)
+    }
+
+    /// Returns how an entry's run ended, if its end is still kept. A run of another entry may have
+    /// had the same key.
+    pub fn end_for(&self, key: RunKey, entry: Incarnation) -> Option<RunEnd> {
+        let past = self.recent_ends.get(&key)?;
+        let is_its_own = past.owner.is_none_or(|owner| owner == entry);
+        is_its_own.then_some(past.end)
     }
 }
--- a/lib/tests/test_run_agent/owners.rs
+++ b/lib/tests/test_run_agent/owners.rs
@@ -113,7 +113,20 @@
 
 // Guards against a run that loses its owner, which would neither hear of its end nor end it by its
 // own loss: an entry that was cut off claims a run of its own with the same number.
+#[test]
+fn test_handle_claim_does_not_take_over_the_run_of_another_entry() {
+    let (mut agent, actions) = agent_with_owned_run(vec![(key(0), SIZE)]);
+    assert_waits_for_the_end(&mut agent, actions, key(0), Ok(RunEnd::Lost));
+}
+
 // Guards against lost work: the stop means a run of an earlier attempt.
+#[test]
+fn test_handle_stop_does_not_stop_the_run_of_another_entry() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let actions = agent.handle(ms(11), packet_on(SECOND, vec![Order::Stop(vec![key(0)])]));
+    assert_waits_for_the_end(&mut agent, actions, key(0), Ok(RunEnd::Lost));
+}
+
 // Guards against a task that runs twice at once: told that its run is over, the entry would start the
 // task on another target while this run goes on.
 #[test]
@@ -132,4 +145,24 @@
     assert_waits_for_the_end(&mut agent, actions, key(0), refused);
 }
 
+#[test]
+fn test_handle_stop_of_a_start_that_waits_is_answered_once() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let mut actions = agent.handle(ms(11), packet_on(SECOND, vec![start(0, 500)]));
+    let stop = vec![Order::Stop(vec![key(0)])];
+    actions.extend(agent.handle(ms(12), packet_on(SECOND, stop.clone())));
+    actions.extend(agent.handle(ms(13), packet_on(SECOND, stop)));
+    let refused = Err(NotStarted::Superseded);
+    assert_waits_for_the_end(&mut agent, actions, key(0), refused);
+}
+
 // Guards against a failed or successful end that counts for another entry's run.
+#[test]
+fn test_handle_end_of_one_entrys_run_is_not_told_as_that_of_another() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    end_run(&mut agent, ms(20), RunEnd::Failed);
+    let actions = agent.handle(ms(30), packet_on(SECOND, vec![Order::Stop(vec![key(0)])]));
+    assert_eq!(told(&actions), [(SECOND, key(0), Ok(RunEnd::Lost))]);
+    let actions = agent.handle(ms(31), packet_on(LINK, vec![Order::Stop(vec![key(0)])]));
+    assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Failed))]);
+}
