lib: a batch that its giver released is not handed over again at once

Symptom: a caller left, its batch was released, and it came back to the same loaded entry, which handed the batch over again. All agents refused its starts as NoGuarantor, and the caller was told to come again although targets were free.

Cause: agents keep a release by batch and guarantor for 5 s, and a second hand-over by the same giver has the same key.

Evidence: test_handle_released_batch_that_comes_again_is_kept, before: the batch is offered 1.3 s after its release.

Change: a giver offers a batch again only once agents must have forgotten its release (6 s after it is closed), and keeps it until then. No message changes, so the agents of older builds are served too. The number of the offer in releases and starts would allow the second hand-over at once, for a new protocol version of both; such returns are too rare for that.

--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -71,7 +71,7 @@
         let share = self.handover_share.adjust(now, utilization);
         let may_offer = !self.drain.has_begun()
             && self.declined != Some(id)
-            && !self.giver.has_ended(id)
+            && self.giver.may_offer(now, id)
             && !self.directory.has_runs_elsewhere(now, id)
             && !self.directory.is_large_fleet();
         if !may_offer || !is_drawn(share, &mut self.rng) {
@@ -304,7 +304,7 @@
     }
 
     fn note_hand_over_closed(&mut self, number: HandOverNumber) {
-        let Some(id) = self.giver.note_closed(number) else {
+        let Some(id) = self.giver.note_closed(self.now, number) else {
             return;
         };
         self.directory.tell_runs_over(self.now, id);
--- a/lib/src/handover_giver.rs
+++ b/lib/src/handover_giver.rs
@@ -12,9 +12,14 @@
 use crate::ids::{NodeName, Now, RequestId, SessionId};
 use crate::link_uses::LinkUses;
 use crate::queue::Queue;
+use crate::released_batches::RELEASE_RETENTION;
 use crate::run::BatchId;
 use crate::run_message::HandOverNumber;
 
+/// Time after the end of a batch in which it is not offered again: agents refuse its starts for
+/// [`RELEASE_RETENTION`] after they have read its release, which may arrive late.
+const REOFFER_DELAY: Duration = RELEASE_RETENTION.saturating_add(Duration::from_secs(1));
+
 /// A batch that was offered to another entry and is not answered yet.
 #[derive(Debug)]
 pub struct HandedBatch {
@@ -53,6 +58,8 @@
     by_number: BTreeMap<HandOverNumber, BatchId>,
     deadlines: BTreeSet<(Now, BatchId)>,
     ended: BTreeMap<BatchId, EndedBatch>,
+    /// Batches that agents may still refuse to start for a receiver, each with the time until which.
+    released: BTreeMap<BatchId, Now>,
     links: LinkUses,
 }
 
@@ -121,10 +128,10 @@
     }
 
     /// Records the receiver's confirmation. Returns the batch if it was still blocked.
-    pub fn note_closed(&mut self, number: HandOverNumber) -> Option<BatchId> {
+    pub fn note_closed(&mut self, now: Now, number: HandOverNumber) -> Option<BatchId> {
         let mut ended = self.ended.iter();
         let id = *ended.find(|(_, batch)| batch.number == number)?.0;
-        self.ended.remove(&id)?;
+        self.unblock(now, id);
         Some(id)
     }
 
@@ -134,6 +141,19 @@
     }
 
     /// Batches whose runs may be left.
+    fn unblock(&mut self, now: Now, id: BatchId) {
+        self.ended.remove(&id);
+        self.released.retain(|_, until| *until > now);
+        self.released.insert(id, now + REOFFER_DELAY);
+    }
+
+    /// Whether a batch can be handed over: not while runs of it may be left, and not while agents may
+    /// refuse its starts because they were told of its release.
+    pub fn may_offer(&self, now: Now, id: BatchId) -> bool {
+        let is_released = self.released.get(&id).is_some_and(|until| *until > now);
+        !is_released && !self.has_ended(id)
+    }
+
     pub fn ended(&self) -> impl Iterator<Item = BatchId> {
         self.ended.keys().copied()
     }
@@ -144,7 +164,7 @@
         let over = self.ended.iter().filter(is_over);
         let over: Vec<BatchId> = over.map(|(id, _)| *id).collect();
         for id in &over {
-            self.ended.remove(id);
+            self.unblock(now, *id);
         }
         over
     }
--- a/lib/src/released_batches.rs
+++ b/lib/src/released_batches.rs
@@ -9,7 +9,7 @@
 /// How long a release is kept. The owner of the batch learns within less time that it has ended:
 /// from its guarantor, or because the link between the two is silent. Start orders that it sent
 /// before are refused as late.
-const RELEASE_RETENTION: Duration = Duration::from_secs(5);
+pub const RELEASE_RETENTION: Duration = Duration::from_secs(5);
 
 /// Recent releases by batch and guarantor.
 #[derive(Debug, Default)]
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -460,6 +460,38 @@
     let (mut pair, key) = Pair::with_run();
     pair.give(EntryEvent::CallerGone(100));
     pair.deliver();
+/// A pair whose caller left 1.3 s ago, with no run left.
+fn pair_after_release() -> Pair {
+    let (mut pair, key) = Pair::with_run();
+    pair.give(EntryEvent::CallerGone(100));
+    pair.deliver();
+    pair.end_run(key, RunEnd::Stopped);
+    pair.deliver();
+    pair.pass(ms(1_300));
+    pair.forget();
+    pair
+}
+
+// Guards against batches that are refused although there is room: agents refuse for a while what a
+// guarantor has released, so a receiver finds no target for a batch that is offered again.
+#[test]
+fn test_handle_released_batch_that_comes_again_is_kept() {
+    let mut pair = pair_after_release();
+    pair.give(submission(101, BATCH));
+    assert!(pair.offer().is_none());
+    let own = starts(&pair.giver_actions);
+    assert_eq!(own.len(), 1, "{:?}", pair.giver_actions);
+    assert_eq!(own[0].guarantor, None);
+}
+
+#[test]
+fn test_handle_released_batch_is_offered_again_once_agents_have_forgotten_it() {
+    let mut pair = pair_after_release();
+    pair.pass(ms(6_000));
+    pair.give(submission(101, BATCH));
+    assert!(pair.offer().is_some(), "{:?}", pair.giver_actions);
+}
+
     pair.end_run(key, RunEnd::Stopped);
     pair.to_giver.clear();
     pair.forget();
