lib: an entry closes links whose other side says no hello

Symptom: a connection that went silent before the hello arrived, as connections may for good and without a reset, stayed open at the entry for ever, dialled or accepted. The entry dialled that neighbour no more, and each such link kept a descriptor.

Cause: the time-outs of links belong to agents and entries, and a link becomes one's by its hello.

Evidence: test_handle_link_without_a_hello_is_closed, before: the link is open after 10 s.

Change: `UnnamedLinks` keeps the links without a hello, and the entry closes them after 3 s, as links between entries that are silent. Agents close such links already: theirs have a time-out from the start.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -42,6 +42,7 @@
 use crate::run::{BatchId, RunKey, TaskKey};
 use crate::run_message::{AgentMillis, Order, Packet, PeerPacket, StartOrder};
 use crate::target_registry::TargetRegistry;
+use crate::unnamed_links::UnnamedLinks;
 use crate::wait_forecast::WaitForecast;
 
 /// A placement round ends after this many batches with a task that found no target.
@@ -82,6 +83,7 @@
     table: BatchTable,
     targets: TargetRegistry,
     outboxes: BTreeMap<SessionId, Outbox>,
+    unnamed_links: UnnamedLinks,
     /// Lost agents that had open runs, and when these runs are proven over.
     lost_agents: BTreeMap<NodeName, Now>,
     needs_placing: bool,
@@ -128,6 +130,7 @@
             table: BatchTable::default(),
             targets: TargetRegistry::with_far_factor(options.far_factor),
             outboxes: BTreeMap::new(),
+            unnamed_links: UnnamedLinks::default(),
             lost_agents: BTreeMap::new(),
             needs_placing: false,
             drain: EntryDrain::new(&options.timings),
@@ -209,6 +212,7 @@
         let times = [
             self.table.next_deadline(),
             self.directory.next_wake(),
+            self.unnamed_links.next_wake(),
             self.lost_agents.values().min().copied(),
             self.drain.next_wake(self.now),
             self.deferred.next_wake(),
@@ -273,10 +277,12 @@
                     .note_entries(self.directory.entries_per_target());
             }
             EntryEvent::Packet(link, Packet::FromAgent(packet)) => {
-                self.handle_agent_packet(link, packet)
+                self.handle_agent_packet(link, packet);
+                self.note_named(link);
             }
             EntryEvent::Packet(link, Packet::BetweenEntries(packet)) => {
                 self.handle_peer_packet(link, packet);
+                self.note_named(link);
             }
             EntryEvent::Packet(link, Packet::FromEntry(_)) => {
                 self.actions.push(EntryAction::Close(link))
@@ -303,6 +309,20 @@
             self.actions.push(EntryAction::Close(link));
             self.handle_link_down(link);
         }
+        for link in self.unnamed_links.overdue(self.now.saturating_sub(lag)) {
+            self.log(
+                EventCode::PeerLost,
+                format!("entry=- link={link} why=no_hello"),
+            );
+            self.actions.push(EntryAction::Close(link));
+            self.handle_link_down(link);
+        }
+    }
+
+    fn note_named(&mut self, link: SessionId) {
+        if self.targets.get(link).is_some() || self.directory.peer(link).is_some() {
+            self.unnamed_links.remove(link);
+        }
     }
 
     /// Returns whether a task recently found no target with free capacity.
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -28,6 +28,7 @@
 
 impl BatchEntryCore {
     pub(super) fn handle_link_up(&mut self, link: SessionId, dialled: Option<SocketAddr>) {
+        self.unnamed_links.add(self.now, link);
         if let Some(address) = dialled {
             self.directory.greet(self.now, link, address);
         }
@@ -35,6 +36,7 @@
 
     pub(super) fn handle_link_down(&mut self, link: SessionId) {
         self.directory.link_down(self.now, link);
+        self.unnamed_links.remove(link);
         self.outboxes.remove(&link);
         let Some(view) = self.targets.leave(link) else {
             return;
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -137,6 +137,7 @@
 pub mod telemetry;
 pub mod timings;
 pub mod trace;
+pub mod unnamed_links;
 pub mod vm_list;
 pub mod wait_forecast;
 pub mod withheld_answers;
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -825,3 +825,42 @@
     let other = starts(&entry.handle(ms(60), batch_of_tasks(6, 1)));
     assert_eq!(other, [(1, true, vec![(0, 1)])]);
 }
+
+/// When the entry closes link 9, on which it or the other side has dialled and nothing arrives.
+fn closed_at(dialled: Option<&str>) -> Option<Now> {
+    let mut entry = entry();
+    let dialled = dialled.map(|address| address.parse().expect("an address"));
+    entry.handle(ms(1), EntryEvent::LinkUp(9, dialled));
+    let mut now = ms(1);
+    while now < ms(10_000) {
+        now = entry.next_wake().map_or(ms(10_000), |wake| wake.max(now));
+        let actions = entry.handle(now, EntryEvent::Wake);
+        if actions.iter().any(|a| matches!(a, EntryAction::Close(9))) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+// Guards against links that are kept for ever: a connection may go silent for good, without a reset,
+// before the other side's hello arrives.
+#[test]
+fn test_handle_link_without_a_hello_is_closed() {
+    for dialled in [Some("10.0.0.2:7720"), None] {
+        let closed = closed_at(dialled).expect("the link is closed");
+        assert!(closed <= ms(3_100), "{dialled:?}: {closed:?}");
+    }
+}
+
+// Guards against a link that is closed although its other side has said who it is.
+#[test]
+fn test_handle_link_with_a_hello_is_kept() {
+    let mut entry = entry();
+    join(&mut entry, ms(1), 9, "hall");
+    let mut actions = Vec::new();
+    for at in (100..6_000).step_by(100) {
+        actions.extend(entry.handle(ms(at), packet_of(9, Vec::new())));
+        actions.extend(entry.handle(ms(at), EntryEvent::Wake));
+    }
+    assert!(!closes_a_link(&actions));
+}
