lib: a batch that comes again goes to its queue's present service

Symptom: a batch that was reopened, or was still handed over, when its caller returned ran on the service with which it first came, although a configuration had moved its queue since. The rule counts from when the request was sent.

Cause: a returning request was attached to the batch's state, with its queue. A hand-over likewise went on at the receiver.

Change: reopening takes the queue as configured now. If its service differs, open runs are stopped and their tasks wait for targets of the new one; a handed-over batch is ended and served anew here. Other changes of a queue stop nothing.

--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -109,7 +109,7 @@
 pub struct Batch {
     /// Request to answer; `None` once it was answered or its caller disconnected.
     pub request: Option<RequestId>,
-    /// Queue of the batch, as configured when the batch arrived.
+    /// Queue of the batch, as configured when its caller last submitted it here.
     pub queue: Arc<Queue>,
     /// Payload passed to every task.
     pub payload: Payload,
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -114,7 +114,8 @@
             .is_retry(&queue.name, caller_timeout, caller_return);
         let times = self.batch_times(&spec, &queue, caller_timeout, is_retry);
         if self.table.get(spec.id).is_some() {
-            return self.resubmit(&spec, request, times, &caller_request);
+            self.resubmit(&spec, request, &queue, times, &caller_request);
+            return Ok(());
         }
         let submission = Submission {
             request,
@@ -237,14 +238,16 @@
     }
 
     /// Attaches a resubmitted batch to its existing state: the caller's connection broke, and its
-    /// runs may still be open. Its tasks keep their progress.
-    pub(super) fn resubmit(
+    /// runs may still be open. Its tasks keep their progress. If its queue has another service by now,
+    /// that one runs the remaining tasks.
+    fn resubmit(
         &mut self,
         spec: &BatchSpec,
         request: RequestId,
+        queue: &Arc<Queue>,
         times: BatchTimes,
         caller_request: &str,
-    ) -> Result<(), Reply> {
+    ) {
         let id = spec.id;
         let before = self.table.take_request(id);
         if let Some(before) = before {
@@ -254,8 +257,10 @@
             EventCode::BatchAdmitted,
             format!("job={id:016x} request={caller_request} again=true"),
         );
-        self.table.reopen(id, request, times);
-        Ok(())
+        let before = self.table.reopen(id, request, queue.clone(), times);
+        if before.is_some_and(|before| before.service != queue.service) {
+            self.stop_open_runs(id);
+        }
     }
 
     pub(super) fn batch_times(
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -52,9 +52,13 @@
         is_retry: bool,
     ) -> Option<Submission> {
         let id = submission.spec.id;
-        if self.giver.is_handed(id) {
-            self.replace_handed_request(id, submission);
-            return None;
+        if let Some(service) = self.giver.service_of(id) {
+            if *service == queue.service {
+                self.replace_handed_request(id, submission);
+                return None;
+            }
+            // The receiver runs the batch at the service that its queue had before.
+            self.give_up_on(id, "queue_moved");
         }
         let Some((receiver, clock)) = self.choose_receiver(id) else {
             return Some(submission);
@@ -468,7 +472,9 @@
         if has_runs {
             self.receiver
                 .note_closing(id, &taken, self.closing_deadline());
-            self.stop_guaranteed_runs(id);
+            // The caller has come to this entry itself, and the giver, which the runs name as their
+            // guarantor, does not wait for them any more.
+            self.stop_open_runs(id);
         }
         let answer = HandOverReply {
             number: taken.number,
@@ -480,9 +486,8 @@
         self.note_link_use(taken.link);
     }
 
-    /// Stops the runs of a batch whose caller has come to this entry itself. They name a guarantor
-    /// that does not wait for them any more.
-    fn stop_guaranteed_runs(&mut self, id: BatchId) {
+    /// Stops the runs of an open batch. Their tasks wait again afterwards.
+    pub(super) fn stop_open_runs(&mut self, id: BatchId) {
         let Some(batch) = self.table.get(id) else {
             return;
         };
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -1,6 +1,7 @@
 //! The batches of an entry, indexed by id, request, agent and deadline.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::active_batch::{
@@ -8,6 +9,7 @@
 };
 use crate::crash_history::CrashHistory;
 use crate::ids::{NodeName, Now, RequestId, SessionId};
+use crate::queue::Queue;
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
 use crate::run_numbers::RunNumbers;
 
@@ -158,19 +160,23 @@
         Some(request)
     }
 
-    /// Reopens a batch for a new request of its caller.
-    pub fn reopen(&mut self, id: BatchId, request: RequestId, times: BatchTimes) {
+    /// Reopens a batch for a new request of its caller, with its queue as configured now. Returns the
+    /// queue that it had.
+    pub fn reopen(
+        &mut self,
+        id: BatchId,
+        request: RequestId,
+        queue: Arc<Queue>,
+        times: BatchTimes,
+    ) -> Option<Arc<Queue>> {
         self.take_request(id);
-        let Some(order) = self.batches.get(&id).map(Batch::placement_order) else {
-            return;
-        };
+        let order = self.batches.get(&id).map(Batch::placement_order)?;
         self.set_waiting(order, id, 0);
-        let Some(batch) = self.batches.get_mut(&id) else {
-            return;
-        };
+        let batch = self.batches.get_mut(&id)?;
         self.deadlines.remove(&(batch.latest_on_time_start, id));
         self.deadlines.remove(&(batch.placement_deadline, id));
         self.deadlines.remove(&(batch.caller_deadline, id));
+        let queue_before = std::mem::replace(&mut batch.queue, queue);
         batch.request = Some(request);
         batch.state = BatchState::Open;
         batch.arrived = times.arrived;
@@ -184,6 +190,7 @@
         self.deadlines.insert((times.placement_deadline, id));
         self.deadlines.insert((times.caller_deadline, id));
         self.update_waiting(id);
+        Some(queue_before)
     }
 
     /// Replaces a batch's placement deadline.
--- a/lib/src/handover_giver.rs
+++ b/lib/src/handover_giver.rs
@@ -101,6 +101,12 @@
         self.handed.contains_key(&id)
     }
 
+    /// The service that the queue of a batch had when it was handed over; none if it is not handed
+    /// over.
+    pub fn service_of(&self, id: BatchId) -> Option<&Arc<str>> {
+        self.handed.get(&id).map(|batch| &batch.queue.service)
+    }
+
     /// The batch that a request submitted.
     pub fn find_by_request(&self, request: RequestId) -> Option<BatchId> {
         self.by_request.get(&request).copied()
@@ -135,12 +141,6 @@
         Some(id)
     }
 
-    /// Whether runs of a batch that was handed over may be left.
-    pub fn has_ended(&self, id: BatchId) -> bool {
-        self.ended.contains_key(&id)
-    }
-
-    /// Batches whose runs may be left.
     fn unblock(&mut self, now: Now, id: BatchId) {
         self.ended.remove(&id);
         self.released.retain(|_, until| *until > now);
@@ -154,6 +154,12 @@
         !is_released && !self.has_ended(id)
     }
 
+    /// Whether runs of a batch that was handed over may be left.
+    pub fn has_ended(&self, id: BatchId) -> bool {
+        self.ended.contains_key(&id)
+    }
+
+    /// Batches whose runs may be left.
     pub fn ended(&self) -> impl Iterator<Item = BatchId> {
         self.ended.keys().copied()
     }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -62,11 +62,16 @@
 }
 
 fn config_of(needs_advice: bool) -> EntryEvent {
+    config_version(1, "service", needs_advice)
+}
+
+/// A configuration that routes the queue to `service`.
+fn config_version(version: u64, service: &str, needs_advice: bool) -> EntryEvent {
     let queue = Queue {
         name: "queue".into(),
         host: HOST.into(),
         path_prefix: "/q/".into(),
-        service: "service".into(),
+        service: service.into(),
         priority: 0,
         max_attempts: 3,
         stretch: 1.6,
@@ -74,7 +79,7 @@
         needs_advice,
     };
     EntryEvent::Config(Arc::new(QueueTable {
-        version: 1,
+        version,
         queues: vec![Arc::new(queue)],
         limits: RequestLimits { body_bytes: 65_536 },
     }))
@@ -192,6 +197,17 @@
 
 /// Connects an agent in `hall` on `link`, with a target of the queue's service.
 fn join(entry: &mut BatchEntryCore, now: Now, link: SessionId, hall: &str) -> Vec<EntryAction> {
+    join_of(entry, now, link, hall, "service")
+}
+
+/// Connects an agent with a target of this service.
+fn join_of(
+    entry: &mut BatchEntryCore,
+    now: Now,
+    link: SessionId,
+    hall: &str,
+    service: &str,
+) -> Vec<EntryAction> {
     let intro = AgentIntro {
         name: format!("agent-{link}").into(),
         life: link,
@@ -203,7 +219,7 @@
             name: "life".into(),
             born: None,
         },
-        service: "service".into(),
+        service: service.into(),
         capacity: Resources {
             cpu_millis: 16_000,
             memory_mib: 1_024,
@@ -864,3 +880,60 @@
     }
     assert!(!closes_a_link(&actions));
 }
+
+/// An entry with a run of batch 5 at agent 1, whose queue has moved to the service of agent 2.
+fn entry_with_moved_queue() -> BatchEntryCore {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    join_of(&mut entry, ms(2), 2, "hall", "next");
+    let first = starts(&entry.handle(ms(10), attempt(6)));
+    assert_eq!(first, [(1, true, vec![(0, 1)])]);
+    entry.handle(ms(20), config_version(2, "next", false));
+    entry
+}
+
+/// The services and links of the starts among the actions.
+fn services(actions: &[EntryAction]) -> Vec<String> {
+    let services = orders(actions).filter_map(|order| match order {
+        Order::Start(order) => Some(order.service.to_string()),
+        _ => None,
+    });
+    services.collect()
+}
+
+// Guards against a request that an old configuration's service runs although it was sent later: the
+// batch is still being closed when its caller returns.
+#[test]
+fn test_handle_batch_that_is_reopened_goes_to_its_queues_service() {
+    let mut entry = entry_with_moved_queue();
+    entry.handle(ms(30), EntryEvent::CallerGone(6));
+    entry.handle(ms(40), attempt(7));
+    let actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Stopped)));
+    assert_eq!(services(&actions), ["next"], "{actions:?}");
+}
+
+// The same, when the entry hasn't noticed yet that the caller's first connection broke.
+#[test]
+fn test_handle_runs_of_a_reopened_batch_at_the_former_service_are_stopped() {
+    let mut entry = entry_with_moved_queue();
+    let actions = entry.handle(ms(40), attempt(7));
+    let is_stop = |o: &&Order| matches!(o, Order::Stop(keys) if *keys == [run_of_task(1)]);
+    assert_eq!(orders(&actions).filter(is_stop).count(), 1, "{actions:?}");
+    let actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Stopped)));
+    assert_eq!(services(&actions), ["next"], "{actions:?}");
+}
+
+// Guards against lost work: a configuration that doesn't move the queue leaves its runs alone.
+#[test]
+fn test_handle_runs_of_a_reopened_batch_go_on_at_the_same_service() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    entry.handle(ms(10), attempt(6));
+    entry.handle(ms(20), config_version(2, "service", false));
+    let mut actions = entry.handle(ms(40), attempt(7));
+    assert!(!orders(&actions).any(|o| matches!(o, Order::Stop(_))));
+    actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Done)));
+    assert_eq!(replies(&actions), [(7, Reply::Succeeded)]);
+}
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -62,11 +62,16 @@
 }
 
 fn config() -> EntryEvent {
+    config_version(1, "service")
+}
+
+/// A configuration that routes the queue to `service`.
+fn config_version(version: u64, service: &str) -> EntryEvent {
     let queue = Queue {
         name: "queue".into(),
         host: HOST.into(),
         path_prefix: "/q/".into(),
-        service: "service".into(),
+        service: service.into(),
         priority: 0,
         max_attempts: 1,
         stretch: 1.6,
@@ -74,7 +79,7 @@
         needs_advice: false,
     };
     EntryEvent::Config(Arc::new(QueueTable {
-        version: 1,
+        version,
         queues: vec![Arc::new(queue)],
         limits: RequestLimits { body_bytes: 65_536 },
     }))
@@ -455,11 +460,6 @@
     assert_eq!(own[0].guarantor, None);
 }
 
-#[test]
-fn test_handle_lost_confirmation_blocks_for_the_bound_of_lost_agents() {
-    let (mut pair, key) = Pair::with_run();
-    pair.give(EntryEvent::CallerGone(100));
-    pair.deliver();
 /// A pair whose caller left 1.3 s ago, with no run left.
 fn pair_after_release() -> Pair {
     let (mut pair, key) = Pair::with_run();
@@ -492,6 +492,11 @@
     assert!(pair.offer().is_some(), "{:?}", pair.giver_actions);
 }
 
+#[test]
+fn test_handle_lost_confirmation_blocks_for_the_bound_of_lost_agents() {
+    let (mut pair, key) = Pair::with_run();
+    pair.give(EntryEvent::CallerGone(100));
+    pair.deliver();
     pair.end_run(key, RunEnd::Stopped);
     pair.to_giver.clear();
     pair.forget();
@@ -571,6 +576,37 @@
     assert_eq!(pair.own_replies()[1..], [(101, Reply::Succeeded)]);
 }
 
+// Guards against a request that an old configuration's service runs although it was sent later.
+#[test]
+fn test_handle_caller_that_returns_after_its_queue_moved_is_served_anew() {
+    let (mut pair, key) = Pair::with_run();
+    pair.give(config_version(2, "next"));
+    let held = pair.giver.gauges().batches;
+    pair.forget();
+    pair.give(submission(101, BATCH));
+    assert!(has_release(&pair.giver_actions), "{:?}", pair.giver_actions);
+    assert_eq!(pair.own_replies(), [(100, Reply::GaveUp)]);
+    pair.deliver();
+    assert!(pair.is_stopped(key));
+    pair.end_run(key, RunEnd::Done);
+    pair.deliver();
+    let answered = pair.own_replies();
+    assert!(!answered.contains(&(101, Reply::Succeeded)), "{answered:?}");
+    let waiting = pair.giver.gauges().batches - held;
+    assert_eq!(waiting, 1, "it waits for its new service");
+}
+
+// Guards against lost work: a configuration that doesn't move the queue leaves the batch where it is.
+#[test]
+fn test_handle_caller_that_returns_after_another_change_gets_the_answer() {
+    let (mut pair, key) = Pair::with_run();
+    pair.give(config_version(2, "service"));
+    pair.give(submission(101, BATCH));
+    pair.end_run(key, RunEnd::Done);
+    pair.deliver();
+    assert_eq!(pair.own_replies()[1..], [(101, Reply::Succeeded)]);
+}
+
 #[test]
 fn test_handle_caller_that_comes_to_the_receiver_gets_runs_without_guarantor() {
     let (mut pair, key) = Pair::with_run();
