--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -29,6 +29,7 @@
 
 impl BatchEntryCore {
     pub(super) fn handle_link_up(&mut self, link: SessionId, dialled: Option<SocketAddr>) {
+        self.unnamed_links.add(self.now, link);
         if let Some(address) = dialled {
             self.directory.greet(self.now, link, address);
         }
@@ -36,6 +37,7 @@
 
     pub(super) fn handle_link_down(&mut self, link: SessionId) {
         self.directory.link_down(self.now, link);
+        self.unnamed_links.remove(link);
         self.outboxes.remove(&link);
         let Some(view) = self.targets.leave(link) else {
             return;
@@ -301,6 +303,10 @@
         let Some(estimate) = self.estimate_of(key) else {
             return;
         };
+        // The news may be about a run of an earlier attempt.
+        if self.table.task(key).is_none() {
+            return;
+        }
         let ran = Duration::from_millis(u64::from(ran_ms));
         let percent = percent.clamp(1, 100);
         let projected = ran.mul_f64(100.0 / f64::from(percent));
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -1,6 +1,7 @@
 //! The batches of an entry, indexed by id, request, agent and deadline.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::active_batch::{
@@ -8,7 +9,9 @@
 };
 use crate::crash_history::CrashHistory;
 use crate::ids::{NodeName, Now, RequestId, SessionId};
+use crate::queue::Queue;
 use crate::run::{BatchId, RunKey, RunNumber, TaskKey};
+use crate::run_numbers::RunNumbers;
 
 /// Additional increment of a task's run number after a target has seen a higher one.
 const RUN_NUMBER_JUMP: RunNumber = 8;
@@ -55,11 +58,14 @@
     by_request: BTreeMap<RequestId, BatchId>,
     /// Open runs.
     by_agent: BTreeMap<NodeName, BTreeSet<RunKey>>,
+    run_numbers: RunNumbers,
 }
 
 impl BatchTable {
-    /// Adds a new batch, and its tasks to the waiting ones.
-    pub fn insert(&mut self, id: BatchId, batch: Batch) {
+    /// Adds a new batch, and its tasks to the waiting ones. Their run numbers continue after those of
+    /// earlier attempts.
+    pub fn insert(&mut self, id: BatchId, mut batch: Batch) {
+        batch.raise_run_numbers(self.run_numbers.first_of(id));
         if let Some(request) = batch.request {
             self.by_request.insert(request, id);
         }
@@ -125,8 +131,10 @@
     }
 
     /// Removes and returns a batch.
-    pub fn remove(&mut self, id: BatchId) -> Option<Batch> {
+    pub fn remove(&mut self, now: Now, id: BatchId) -> Option<Batch> {
         let batch = self.batches.remove(&id)?;
+        self.run_numbers
+            .note_ended(now, id, batch.next_run_number());
         if let Some(request) = batch.request {
             self.by_request.remove(&request);
         }
@@ -152,19 +160,23 @@
         Some(request)
     }
 
-    /// Reopens a batch for a new request of its caller.
-    pub fn reopen(&mut self, id: BatchId, request: RequestId, times: BatchTimes) {
+    /// Reopens a batch for a new request of its caller, with its queue as configured now. Returns the
+    /// queue that it had.
+    pub fn reopen(
+        &mut self,
+        id: BatchId,
+        request: RequestId,
+        queue: Arc<Queue>,
+        times: BatchTimes,
+    ) -> Option<Arc<Queue>> {
         self.take_request(id);
-        let Some(order) = self.batches.get(&id).map(Batch::placement_order) else {
-            return;
-        };
+        let order = self.batches.get(&id).map(Batch::placement_order)?;
         self.set_waiting(order, id, 0);
-        let Some(batch) = self.batches.get_mut(&id) else {
-            return;
-        };
+        let batch = self.batches.get_mut(&id)?;
         self.deadlines.remove(&(batch.latest_on_time_start, id));
         self.deadlines.remove(&(batch.placement_deadline, id));
         self.deadlines.remove(&(batch.caller_deadline, id));
+        let queue_before = std::mem::replace(&mut batch.queue, queue);
         batch.request = Some(request);
         batch.state = BatchState::Open;
         batch.arrived = times.arrived;
@@ -178,6 +190,7 @@
         self.deadlines.insert((times.placement_deadline, id));
         self.deadlines.insert((times.caller_deadline, id));
         self.update_waiting(id);
+        Some(queue_before)
     }
 
     /// Replaces a batch's placement deadline.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -141,6 +141,7 @@
     RunReleased = 2108, Info, "run stopped, its guarantor released the batch";
     RunsAnnounced = 2109, Info, "entries told that runs of a batch may outlast their entry";
     RunOutlived = 2110, Error, "target lists a run as running that was taken for over";
+    AnswerWithheld = 2111, Warn, "answer about a run withheld, another run of its task goes on";
 }
 
 impl EventCode {
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -64,11 +64,16 @@
 }
 
 fn config_of(needs_advice: bool) -> EntryEvent {
+    config_version(1, "service", needs_advice)
+}
+
+/// A configuration that routes the queue to `service`.
+fn config_version(version: u64, service: &str, needs_advice: bool) -> EntryEvent {
     let queue = Queue {
         name: "queue".into(),
         host: HOST.into(),
         path_prefix: "/q/".into(),
-        service: "service".into(),
+        service: service.into(),
         priority: 0,
         max_attempts: 3,
         stretch: 1.6,
@@ -76,7 +81,7 @@
         needs_advice,
     };
     EntryEvent::Config(Arc::new(QueueTable {
-        version: 1,
+        version,
         queues: vec![Arc::new(queue)],
         limits: RequestLimits { body_bytes: 65_536 },
     }))
@@ -194,6 +199,17 @@
 
 /// Connects an agent in `hall` on `link`, with a target of the queue's service.
 fn join(entry: &mut BatchEntryCore, now: Now, link: SessionId, hall: &str) -> Vec<EntryAction> {
+    join_of(entry, now, link, hall, "service")
+}
+
+/// Connects an agent with a target of this service.
+fn join_of(
+    entry: &mut BatchEntryCore,
+    now: Now,
+    link: SessionId,
+    hall: &str,
+    service: &str,
+) -> Vec<EntryAction> {
     let intro = AgentIntro {
         name: format!("agent-{link}").into(),
         life: link,
@@ -205,7 +221,7 @@
             name: "life".into(),
             born: None,
         },
-        service: "service".into(),
+        service: service.into(),
         capacity: Resources {
             cpu_millis: 16_000,
             memory_mib: 1_024,
@@ -721,3 +737,231 @@
     let is_late = |a: &&EntryAction| matches!(a, EntryAction::Log(event) if event.code == EventCode::RunsLeftHeardLate);
     assert_eq!(actions.iter().filter(is_late).count(), 1, "{actions:?}");
 }
+
+/// Batch 5 with one task, submitted by `request`.
+fn attempt(request: RequestId) -> EntryEvent {
+    match batch_of_tasks(5, 1) {
+        EntryEvent::Submit(mut submission) => {
+            submission.request = request;
+            EntryEvent::Submit(submission)
+        }
+        other => other,
+    }
+}
+
+fn run_of_task(run: u32) -> RunKey {
+    let task = TaskKey {
+        batch: 5,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    RunKey { task, run }
+}
+
+fn ended(run: u32, end: RunEnd) -> AgentNews {
+    let key = run_of_task(run);
+    let ran_ms = 50;
+    AgentNews::Ended { key, end, ran_ms }
+}
+
+/// A packet of agent 1 with this piece of news.
+fn agent_tells(news: AgentNews) -> EntryEvent {
+    packet_of(1, vec![news])
+}
+
+fn packet_of(agent: SessionId, news: Vec<AgentNews>) -> EntryEvent {
+    let packet = AgentPacket {
+        clock: 2_000,
+        free: Resources {
+            cpu_millis: 16_000,
+            memory_mib: 1_024,
+            accelerators: 0,
+        },
+        starts_seen: 2,
+        health: HealthReport::default(),
+        news,
+    };
+    EntryEvent::Packet(agent, Packet::FromAgent(packet))
+}
+
+/// An entry whose caller left and came back after the first attempt was over: a run of the second
+/// attempt is ordered at agent 1, or at agent 2 if agent 1 takes no more work. Returns the number
+/// of the first attempt's run.
+fn entry_with_second_attempt(first_agent_leaves: bool) -> (BatchEntryCore, u32) {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let first = starts(&entry.handle(ms(10), attempt(6)));
+    let (_, run) = first[0].2[0];
+    entry.handle(ms(50), EntryEvent::CallerGone(6));
+    entry.handle(ms(55), agent_tells(ended(run, RunEnd::Stopped)));
+    assert_eq!(entry.gauges().batches, 0, "the first attempt is over");
+    let mut agent = 1;
+    if first_agent_leaves {
+        agent = 2;
+        entry.handle(ms(56), agent_tells(AgentNews::Leaving));
+        join(&mut entry, ms(57), agent, "hall");
+    }
+    for at in (100..1_350).step_by(100) {
+        entry.handle(ms(at), packet_of(1, Vec::new()));
+        entry.handle(ms(at), packet_of(agent, Vec::new()));
+    }
+    let second = starts(&entry.handle(ms(1_350), attempt(7)));
+    assert_eq!(second.len(), 1, "{second:?}");
+    assert_eq!(second[0].0, agent);
+    (entry, run)
+}
+
+// Guards against a task that runs twice at once, or is answered as done while it runs: a stop crosses
+// the end of a run, so that the agent reports the end a second time, when the caller is back.
+#[test]
+fn test_handle_late_news_of_an_earlier_attempt_does_not_end_the_next_ones_run() {
+    for first_agent_leaves in [false, true] {
+        let (_, run) = entry_with_second_attempt(first_agent_leaves);
+        let key = run_of_task(run);
+        let reason = NotStarted::Superseded;
+        let news = [
+            ended(run, RunEnd::Stopped),
+            ended(run, RunEnd::Done),
+            ended(run, RunEnd::Failed),
+            ended(run, RunEnd::Crashed { alone: false }),
+            AgentNews::NotStarted { key, reason },
+            AgentNews::Slow {
+                key,
+                ran_ms: 400,
+                percent: 1,
+            },
+        ];
+        for late in news {
+            let (mut entry, _) = entry_with_second_attempt(first_agent_leaves);
+            if !first_agent_leaves {
+                join(&mut entry, ms(1_351), 3, "hall");
+            }
+            let mut actions = entry.handle(ms(1_360), agent_tells(late.clone()));
+            actions.extend(entry.handle(ms(1_380), EntryEvent::Wake));
+            assert_eq!(starts(&actions), [], "{late:?}");
+            assert_eq!(replies(&actions), [], "{late:?}");
+            let stops = orders(&actions).filter(|o| matches!(o, Order::Stop(_)));
+            assert_eq!(stops.count(), 0, "{late:?}");
+        }
+    }
+}
+
+/// All orders among the actions.
+fn orders(actions: &[EntryAction]) -> impl Iterator<Item = &Order> {
+    let packets = actions.iter().filter_map(|a| match a {
+        EntryAction::Send(_, Packet::FromEntry(packet)) => Some(packet),
+        _ => None,
+    });
+    packets.flat_map(|packet| &packet.orders)
+}
+
+#[test]
+fn test_handle_run_numbers_of_a_new_batch_begin_at_1() {
+    // Targets refuse a run that is not above an earlier one of its task.
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let first = starts(&entry.handle(ms(10), batch_of_tasks(5, 1)));
+    assert_eq!(first, [(1, true, vec![(0, 1)])]);
+    entry.handle(ms(50), agent_tells(ended(1, RunEnd::Done)));
+    let other = starts(&entry.handle(ms(60), batch_of_tasks(6, 1)));
+    assert_eq!(other, [(1, true, vec![(0, 1)])]);
+}
+
+/// When the entry closes link 9, on which it or the other side has dialled and nothing arrives.
+fn closed_at(dialled: Option<&str>) -> Option<Now> {
+    let mut entry = entry();
+    let dialled = dialled.map(|address| address.parse().expect("an address"));
+    entry.handle(ms(1), EntryEvent::LinkUp(9, dialled));
+    let mut now = ms(1);
+    while now < ms(10_000) {
+        now = entry.next_wake().map_or(ms(10_000), |wake| wake.max(now));
+        let actions = entry.handle(now, EntryEvent::Wake);
+        if actions.iter().any(|a| matches!(a, EntryAction::Close(9))) {
+            return Some(now);
+        }
+    }
+    None
+}
+
+// Guards against links that are kept for ever: a connection may go silent for good, without a reset,
+// before the other side's hello arrives.
+#[test]
+fn test_handle_link_without_a_hello_is_closed() {
+    for dialled in [Some("10.0.0.2:7720"), None] {
+        let closed = closed_at(dialled).expect("the link is closed");
+        assert!(closed <= ms(3_100), "{dialled:?}: {closed:?}");
+    }
+}
+
+// Guards against a link that is closed although its other side has said who it is.
+#[test]
+fn test_handle_link_with_a_hello_is_kept() {
+    let mut entry = entry();
+    join(&mut entry, ms(1), 9, "hall");
+    let mut actions = Vec::new();
+    for at in (100..6_000).step_by(100) {
+        actions.extend(entry.handle(ms(at), packet_of(9, Vec::new())));
+        actions.extend(entry.handle(ms(at), EntryEvent::Wake));
+    }
+    assert!(!closes_a_link(&actions));
+}
+
+/// An entry with a run of batch 5 at agent 1, whose queue has moved to the service of agent 2.
+fn entry_with_moved_queue() -> BatchEntryCore {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    join_of(&mut entry, ms(2), 2, "hall", "next");
+    let first = starts(&entry.handle(ms(10), attempt(6)));
+    assert_eq!(first, [(1, true, vec![(0, 1)])]);
+    entry.handle(ms(20), config_version(2, "next", false));
+    entry
+}
+
+/// The services and links of the starts among the actions.
+fn services(actions: &[EntryAction]) -> Vec<String> {
+    let services = orders(actions).filter_map(|order| match order {
+        Order::Start(order) => Some(order.service.to_string()),
+        _ => None,
+    });
+    services.collect()
+}
+
+// Guards against a request that an old configuration's service runs although it was sent later: the
+// batch is still being closed when its caller returns.
+#[test]
+fn test_handle_batch_that_is_reopened_goes_to_its_queues_service() {
+    let mut entry = entry_with_moved_queue();
+    entry.handle(ms(30), EntryEvent::CallerGone(6));
+    entry.handle(ms(40), attempt(7));
+    let actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Stopped)));
+    assert_eq!(services(&actions), ["next"], "{actions:?}");
+}
+
+// The same, when the entry hasn't noticed yet that the caller's first connection broke.
+#[test]
+fn test_handle_runs_of_a_reopened_batch_at_the_former_service_are_stopped() {
+    let mut entry = entry_with_moved_queue();
+    let actions = entry.handle(ms(40), attempt(7));
+    let is_stop = |o: &&Order| matches!(o, Order::Stop(keys) if *keys == [run_of_task(1)]);
+    assert_eq!(orders(&actions).filter(is_stop).count(), 1, "{actions:?}");
+    let actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Stopped)));
+    assert_eq!(services(&actions), ["next"], "{actions:?}");
+}
+
+// Guards against lost work: a configuration that doesn't move the queue leaves its runs alone.
+#[test]
+fn test_handle_runs_of_a_reopened_batch_go_on_at_the_same_service() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    entry.handle(ms(10), attempt(6));
+    entry.handle(ms(20), config_version(2, "service", false));
+    let mut actions = entry.handle(ms(40), attempt(7));
+    assert!(!orders(&actions).any(|o| matches!(o, Order::Stop(_))));
+    actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Done)));
+    assert_eq!(replies(&actions), [(7, Reply::Succeeded)]);
+}
