lib: calls to a former incarnation of a target lengthen no lease unnoticed

An agent could report a run as lost while its target went on with it. A target that restarts under its name begins its clock anew. A renewal that was meant for the former incarnation, or that bears no name, may reach the next one: the time that it asks for lies far ahead there, and the target cuts the lease to the longest one. The agent asks for shorter leases (0.57 to 0.81 s with the usual bounds) and took the runs for over by these, up to 0.4 s too soon. Later copies could do the same again, as the token had not risen.

When another incarnation answers, and a lease was asked of the former one, the agent now raises its token, which keeps out what is still on its way, and counts a lease of the longest length.

Found by test_handle_any_order_of_answers_reports_only_what_is_over, a property test of the agent core against the model of a target: calls arrive in any order and seconds late, answers are lost or overtake one another, agents are killed, frozen and started with a stepped time of day, targets crash and restart, VMs are suspended. Every report that a run is over or never started is compared with what the target did. The small form of this, test_handle_renewal_that_reaches_the_next_incarnation_is_allowed_for, fails without the change.

--- a/lib/src/run_agent/incarnations.rs
+++ b/lib/src/run_agent/incarnations.rs
@@ -109,6 +109,7 @@
         }
         // Lists that were read without a target name may be those of another incarnation.
         self.lease.reset_incarnation();
+        self.lease.incarnation_changed(self.now);
         self.knows_runs = false;
         self.incarnations.make_current(self.now, incarnation);
         self.target_changed();
@@ -128,6 +129,7 @@
         }
         self.mark_current_over("lists state another start time");
         self.lease.forget_ends(number);
+        self.lease.incarnation_changed(self.now);
         self.lease.note_incarnation(self.now, born);
         self.announce_target();
     }
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -117,6 +117,8 @@
     first_number: u64,
     retry_at: Option<Now>,
     lapses_at: Now,
+    /// Whether a lease was asked of the target's current incarnation.
+    has_asked: bool,
     silent_calls: u32,
     /// When the target last answered.
     last_answer_at: Now,
@@ -144,6 +146,7 @@
             first_number: 1,
             retry_at: None,
             lapses_at: now,
+            has_asked: false,
             silent_calls: 0,
             last_answer_at: now,
             is_silent: false,
@@ -230,6 +233,7 @@
         let elapsed = now.saturating_sub(at);
         let advance = self.timings.least_clock_advance(elapsed) + length;
         self.note_renewed(now, length);
+        self.has_asked = true;
         Some(clock + advance.as_millis() as u64)
     }
 
@@ -340,6 +344,17 @@
         is_new
     }
 
+    /// Records that another incarnation of the target has answered. Calls to the earlier one may have
+    /// reached it, and have asked for a lease by the earlier one's clock, which the target has cut to
+    /// the longest one. A higher token keeps out those that are still on their way.
+    pub fn incarnation_changed(&mut self, now: Now) {
+        if !std::mem::take(&mut self.has_asked) {
+            return;
+        }
+        self.raise_token();
+        self.note_renewed(now, self.timings.target_lease);
+    }
+
     /// Forgets the clock and the end numbers of an earlier incarnation of the target, after the
     /// current one answered renewal `number`. Answers to earlier renewals may be the earlier one's.
     pub fn forget_ends(&mut self, number: u64) {
--- a/lib/tests/test_run_agent/incarnations.rs
+++ b/lib/tests/test_run_agent/incarnations.rs
@@ -215,3 +215,70 @@
     let actions = agent.handle(ms(4), AgentEvent::RenewalAnswered { number, answer });
     assert_eq!(announced_targets(&actions), [Some(info("life-1", false))]);
 }
+
+/// Lists of an incarnation that began at this time, whose clock shows `clock`.
+fn lists_of(born: u64, clock: u64) -> RenewalAnswer {
+    RenewalAnswer::Lists {
+        born: Some(born),
+        clock,
+        running: Vec::new(),
+        ended: Vec::new(),
+    }
+}
+
+// Guards against a run that counts as lapsed while it goes on: a renewal that was meant for the former
+// incarnation of a target reaches the next one of the same name, whose clock shows less. That one cuts
+// the lease to the longest one, and the agent believes in the shorter one that it asked for next.
+#[test]
+fn test_handle_renewal_that_reaches_the_next_incarnation_is_allowed_for() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(700, vec![start(0, 5_000)]));
+    let number = renewals(&actions)[0];
+    let answer = lists_of(1, 900_000);
+    let actions = agent.handle(ms(11), AgentEvent::RenewalAnswered { number, answer });
+    let former = actions.iter().find_map(|action| match action {
+        AgentAction::Renew { renewal, .. } => Some(*renewal),
+        _ => None,
+    });
+    let former = former.expect("the lease is renewed");
+    assert!(former.until.is_some());
+    // Another incarnation answers that renewal: it has reached it.
+    let (number, answer) = (former.number, lists_of(2, 5));
+    let actions = agent.handle(ms(300), AgentEvent::RenewalAnswered { number, answer });
+    let longest_until = ms(300) + Timings::default().target_lease;
+    let later = start_calls(&actions).into_iter().map(|call| call.token);
+    let later: Vec<u64> = later.chain(renewal_tokens(&actions)).collect();
+    assert!(!later.is_empty(), "{actions:?}");
+    assert!(later.iter().all(|token| *token > former.token), "{later:?}");
+    // That incarnation reports, and a run starts there. Then the target falls silent.
+    let mut next = info("life-1", false);
+    next.life.born = Some(2);
+    let report = TargetReport {
+        info: next,
+        sequence: 1,
+    };
+    let actions = agent.handle(ms(300), AgentEvent::Report(report));
+    let (number, _) = incarnation_checks(&actions)[0];
+    let alive = incarnation_checked(number, IncarnationAnswer::Alive(Some(2)));
+    let actions = agent.handle(ms(300), alive);
+    let number = renewals(&actions)[0];
+    let answer = lists_of(2, 5);
+    agent.handle(ms(300), AgentEvent::RenewalAnswered { number, answer });
+    let actions = agent.handle(ms(301), packet(1_000, vec![start(1, 5_000)]));
+    assert_eq!(starts(&actions), 1, "{:?}", refusal(&actions));
+    let mut now = ms(301);
+    while agent.gauges().runs > 0 {
+        now += ms(1);
+        agent.handle(now, AgentEvent::Wake);
+    }
+    assert!(now > longest_until, "given up at {now:?}");
+}
+
+/// The tokens of the renewals among the actions.
+fn renewal_tokens(actions: &[AgentAction]) -> Vec<u64> {
+    let tokens = actions.iter().filter_map(|action| match action {
+        AgentAction::Renew { renewal, .. } => Some(renewal.token),
+        _ => None,
+    });
+    tokens.collect()
+}
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -6,6 +6,7 @@
 mod guarantors;
 mod incarnations;
 mod leases;
+mod proofs;
 mod room;
 mod starts;
 mod suspension;
