testutils: ends that are acknowledged and then lost are seen; one known red test

A task that is done may run again without any caller coming again, which the second half of the rule on two runs forbids. An agent acknowledges an end to its target with the next call; the target forgets it. If the agent is cut off from the entry just then and is killed before it is back, nobody knows of the end: the agent's next life finds neither the run nor its end in the lists and answers the entry's claim with `Lost`.

The simulated targets record which ends were acknowledged before their lease lapsed, and the fleet lists runs that follow such an end as done.

Not mended here: ends must stay unacknowledged until their entry has confirmed them, while a renewal with ends that are not acknowledged is answered at once, so that it no longer waits for the next end.

--- a/lib/tests/test_fleet_custody.rs
+++ b/lib/tests/test_fleet_custody.rs
@@ -5,9 +5,10 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use testutils::run_fleet::{AGENTS, Caller, ENTRIES, FleetConfig, FleetFault, Node, RunFleet};
-use testutils::run_target::RunTarget;
+use testutils::run_target::{RunRecord, RunTarget};
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run::BatchId;
 
 const fn ms(millis: u64) -> Now {
     Duration::from_millis(millis)
@@ -137,3 +138,40 @@
         assert_invariants(&fleet, &format!("seed {seed}"));
     }
 }
+
+// Guards against a task that runs again although it is done: an agent that is cut off acknowledges the
+// end to its target, which forgets it, and is killed before it could tell the entry.
+#[test]
+fn test_run_until_end_seen_by_an_agent_that_is_lost_is_known_to_the_next() {
+    const SENT: Now = ms(2_000);
+    const WORK_MS: u64 = 500;
+    const OTHERS: BatchId = 0x5c0e;
+    for seed in 0..10 {
+        let mut fleet = fleet(seed);
+        let mut caller = Caller::new(SENT, 1, WORK_MS, SIZE);
+        caller.guess = Some(1.0);
+        caller.max_requests = 1;
+        caller.reply_timeout = ms(9_000);
+        fleet.add_caller(seed, caller);
+        // Other runs go on, so that the agent has a call to make that acknowledges the end.
+        let mut others = Caller::new(SENT - ms(100), 16, 5_000, SIZE);
+        others.guess = Some(1.0);
+        others.max_requests = 1;
+        others.reply_timeout = ms(9_000);
+        fleet.add_caller(OTHERS, others);
+        fleet.run_until(SENT + ms(WORK_MS - 100));
+        let is_run = |record: &RunRecord| record.key.task.batch == seed;
+        let has_run = |target: &RunTarget| target.records.iter().any(is_run);
+        let agent = fleet.targets().position(has_run).expect("the task runs");
+        let agent = Node::Agent(agent);
+        fleet.inject(SENT + ms(WORK_MS - 90), FleetFault::Cut(agent, ms(700)));
+        fleet.inject(SENT + ms(WORK_MS + 200), FleetFault::Kill(agent));
+        fleet.run_until(SENT + ms(15_000));
+        let again = fleet.started_after_acknowledged_end();
+        assert!(
+            again.is_empty(),
+            "seed {seed}: {again:#?}\n{:#?}",
+            fleet.log
+        );
+    }
+}
--- a/lib/testutils/src/run_fleet/invariants.rs
+++ b/lib/testutils/src/run_fleet/invariants.rs
@@ -55,6 +55,23 @@
         self.records().filter(goes_on).map(describe).collect()
     }
 
+    /// Describes runs of tasks that had ended as done before, if that end was acknowledged to the
+    /// target.
+    pub fn started_after_acknowledged_end(&self) -> Vec<String> {
+        let mut done: BTreeMap<TaskKey, Now> = BTreeMap::new();
+        for record in self.records().filter(|r| r.end == Some(RunEnd::Done)) {
+            if let (Some(to), true) = (record.to, record.acknowledged.is_some()) {
+                done.insert(record.key.task, to);
+            }
+        }
+        let follows = |record: &&RunRecord| {
+            let done_at = done.get(&record.key.task);
+            done_at.is_some_and(|at| record.from >= *at)
+        };
+        let following = self.records().filter(follows);
+        following.map(|record| format!("{record:?}")).collect()
+    }
+
     fn records(&self) -> impl Iterator<Item = &RunRecord> {
         self.targets().flat_map(|t| t.records.iter())
     }
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -69,6 +69,8 @@
     pub to: Option<Now>,
     /// How it ended, as the target lists it; none if the target crashed.
     pub end: Option<RunEnd>,
+    /// When its end was acknowledged, if the lease had not lapsed between the two.
+    pub acknowledged: Option<Now>,
     /// Whether a delayed order started it.
     pub is_late: bool,
     /// Time from the acknowledgement of the target's leave to the start, if it was acknowledged.
@@ -143,6 +145,8 @@
     longest_lease: Duration,
     token_seen: FencingToken,
     lease_until: TargetMillis,
+    /// When the lease last lapsed before it was extended again.
+    lapsed_at: Now,
     running: BTreeMap<RunKey, Running>,
     highest_runs: BTreeMap<TaskKey, RunNumber>,
     ended: Vec<(EndNumber, RunKey, RunEnd)>,
@@ -179,6 +183,7 @@
             longest_lease: LONGEST_LEASE,
             token_seen: 0,
             lease_until: 0,
+            lapsed_at: Now::ZERO,
             running: BTreeMap::new(),
             highest_runs: BTreeMap::new(),
             ended: Vec::new(),
@@ -478,6 +483,7 @@
             from: now,
             to: None,
             end: None,
+            acknowledged: None,
             is_late: request.is_late,
             after_leave: self.leave_heard.map(|at| now.saturating_sub(at)),
             crashes,
@@ -496,6 +502,9 @@
     }
 
     fn extend_lease(&mut self, now: Now, until: TargetMillis) {
+        if self.lease_until < self.clock(now) {
+            self.lapsed_at = self.true_time(self.lease_until);
+        }
         let longest = self.clock(now) + self.longest_lease.as_millis() as u64;
         self.lease_until = self.lease_until.max(until.min(longest));
     }
@@ -534,6 +543,7 @@
         if let Some(until) = until {
             self.extend_lease(now, until);
         }
+        self.acknowledge_ends(now, last_seen);
         self.ended.retain(|(number, ..)| *number > last_seen);
         RenewalAnswer::Lists {
             born: Some(self.born_millis()),
@@ -543,6 +553,22 @@
         }
     }
 
+    fn acknowledge_ends(&mut self, now: Now, last_seen: EndNumber) {
+        let lapses_at = self.true_time(self.lease_until);
+        let last_lapse = if lapses_at <= now {
+            lapses_at
+        } else {
+            self.lapsed_at
+        };
+        for (_, key, _) in self.ended.iter().filter(|(n, ..)| *n <= last_seen) {
+            let mut records = self.records.iter_mut().rev();
+            let record = records.find(|r| r.key == *key);
+            if let Some(record) = record.filter(|r| r.to.is_some_and(|to| last_lapse < to)) {
+                record.acknowledged = Some(now);
+            }
+        }
+    }
+
     fn list(&self, now: Now) -> Vec<ListedRun> {
         let listed = self.running.iter().map(|(key, run)| {
             let elapsed = now.saturating_sub(run.began).as_secs_f64();
