--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -40,6 +40,10 @@
 /// Time without an answer before the target may count as silent.
 const MIN_SILENCE: Duration = Duration::from_millis(240);
 
+/// Age at which the target's clock is read again although nothing runs. By then the clock may be 40
+/// ms behind, by which the next lease is shorter on a sound clock.
+const MAX_CLOCK_AGE: Duration = Duration::from_secs(2);
+
 /// Extension of the lease that a call asks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Extension {
@@ -113,6 +117,8 @@
     first_number: u64,
     retry_at: Option<Now>,
     lapses_at: Now,
+    /// Whether a lease was asked of the target's current incarnation.
+    has_asked: bool,
     silent_calls: u32,
     /// When the target last answered.
     last_answer_at: Now,
@@ -140,6 +146,7 @@
             first_number: 1,
             retry_at: None,
             lapses_at: now,
+            has_asked: false,
             silent_calls: 0,
             last_answer_at: now,
             is_silent: false,
@@ -214,15 +221,31 @@
 
     /// Records a renewal now and returns the end of its lease on the target's clock. The runs must
     /// have ended by `ends_by`, if given. Returns none if the clock is unknown or no time is left.
+    ///
+    /// The lease counts from the earliest time that the target's clock may show. A slow clock that
+    /// was last read long ago would otherwise reach the end later than [`Self::lapses_at`].
     pub fn renew_until(&mut self, now: Now, ends_by: Option<Now>) -> Option<TargetMillis> {
         let (clock, at) = self.clock?;
         let length = self.length_until(now, ends_by);
         if length.is_zero() {
             return None;
         }
-        let elapsed = now.saturating_sub(at) + length;
+        let elapsed = now.saturating_sub(at);
+        let advance = self.timings.least_clock_advance(elapsed) + length;
         self.note_renewed(now, length);
-        Some(clock + elapsed.as_millis() as u64)
+        self.has_asked = true;
+        Some(clock + advance.as_millis() as u64)
+    }
+
+    /// When the target's clock is to be read again; none if it is unknown or a renewal is in flight.
+    pub fn clock_due_at(&self) -> Option<Now> {
+        let (_, at) = self.clock.filter(|_| self.in_flight.is_none())?;
+        let due_at = at + MAX_CLOCK_AGE;
+        Some(self.retry_at.map_or(due_at, |retry| retry.max(due_at)))
+    }
+
+    fn is_clock_old(&self, now: Now) -> bool {
+        self.clock.is_none_or(|(_, at)| at + MAX_CLOCK_AGE <= now)
     }
 
     fn length_until(&self, now: Now, ends_by: Option<Now>) -> Duration {
@@ -321,6 +344,17 @@
         is_new
     }
 
+    /// Records that another incarnation of the target has answered. Calls to the earlier one may have
+    /// reached it, and have asked for a lease by the earlier one's clock, which the target has cut to
+    /// the longest one. A higher token keeps out those that are still on their way.
+    pub fn incarnation_changed(&mut self, now: Now) {
+        if !std::mem::take(&mut self.has_asked) {
+            return;
+        }
+        self.raise_token();
+        self.note_renewed(now, self.timings.target_lease);
+    }
+
     /// Forgets the clock and the end numbers of an earlier incarnation of the target, after the
     /// current one answered renewal `number`. Answers to earlier renewals may be the earlier one's.
     pub fn forget_ends(&mut self, number: u64) {
@@ -355,9 +389,9 @@
         if self.in_flight.is_some() || self.retry_at.is_some_and(|at| at > now) {
             return None;
         }
-        // The first call reads the clock, and a call after an unanswered one tests the target.
-        // Neither waits for an end.
-        let wait = if self.clock.is_none() || self.silent_calls > 0 {
+        // A call that reads the clock and one that tests the target after an unanswered call don't
+        // wait for an end.
+        let wait = if self.is_clock_old(now) || self.silent_calls > 0 {
             Duration::ZERO
         } else if self.lossy_until > now {
             max_wait.clamp(MIN_WAIT, LOSSY_WAIT)
--- a/lib/testutils/src/run_fleet/invariants.rs
+++ b/lib/testutils/src/run_fleet/invariants.rs
@@ -37,6 +37,41 @@
         violations
     }
 
+    /// Describes runs that went on after an agent had reported them as over or not started. Valid if
+    /// every caller sends one request: a later request numbers its runs from 1 again.
+    pub fn ends_reported_too_soon(&self) -> Vec<String> {
+        let mut reported: BTreeMap<RunKey, Now> = BTreeMap::new();
+        for (at, key) in &self.reported_ends {
+            reported.entry(*key).or_insert(*at);
+        }
+        let goes_on = |record: &&RunRecord| {
+            let at = reported.get(&record.key);
+            at.is_some_and(|at| record.to.is_none_or(|to| to > *at))
+        };
+        let describe = |record: &RunRecord| {
+            let at = reported.get(&record.key);
+            format!("{} reported as over at {at:?}: {record:?}", record.key)
+        };
+        self.records().filter(goes_on).map(describe).collect()
+    }
+
+    /// Describes runs of tasks that had ended as done before, if that end was acknowledged to the
+    /// target.
+    pub fn started_after_acknowledged_end(&self) -> Vec<String> {
+        let mut done: BTreeMap<TaskKey, Now> = BTreeMap::new();
+        for record in self.records().filter(|r| r.end == Some(RunEnd::Done)) {
+            if let (Some(to), true) = (record.to, record.acknowledged.is_some()) {
+                done.insert(record.key.task, to);
+            }
+        }
+        let follows = |record: &&RunRecord| {
+            let done_at = done.get(&record.key.task);
+            done_at.is_some_and(|at| record.from >= *at)
+        };
+        let following = self.records().filter(follows);
+        following.map(|record| format!("{record:?}")).collect()
+    }
+
     fn records(&self) -> impl Iterator<Item = &RunRecord> {
         self.targets().flat_map(|t| t.records.iter())
     }
