lib: a run that goes on after it was taken for over is stopped

Symptom: an agent took a run for over, and its target listed it as running after that, as when its VM stood still and its lease lapsed later. The agent passed over it in silence: it was not stopped, its room counted as free, and the same task could start beside it.

Cause: a kept end outweighed the target's lists, so that a list from before the end does not bring the run back. The list's own age was not looked at. An adopted run would also have ended at once, since the lease had lapsed by the agent's reckoning.

Evidence: test_handle_run_that_is_listed_after_it_was_taken_for_over_is_stopped, before: no stop, the whole capacity is reported as free.

Change: a run in a list that was requested after its end was noted is adopted and stopped, and the lease may last for a whole lapse again. Lists requested before the end still bring nothing back.

--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -143,7 +143,7 @@
             return;
         };
         for listed in running {
-            self.note_listed_run(listed);
+            self.note_listed_run(listed, answered.sent_at);
         }
         if ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted(answered.sent_at, answered.token, running);
@@ -167,11 +167,20 @@
         }
     }
 
-    pub(super) fn note_listed_run(&mut self, listed: &ListedRun) {
+    /// Notes a run that the target listed as running in the answer to a request of `sent_at`.
+    pub(super) fn note_listed_run(&mut self, listed: &ListedRun, sent_at: Now) {
         let ListedRun { key, percent } = *listed;
         if self.runs.get(key).is_none() {
-            if self.runs.end_of(key).is_none() {
-                self.adopt(key);
+            match self.runs.ended_at(key) {
+                None => self.adopt(key),
+                // It was taken for over too soon, and its owner may have started the task elsewhere.
+                Some(ended_at) if ended_at < sent_at => {
+                    self.lease.note_outlasted(self.now);
+                    self.adopt(key);
+                    self.request_stop(key, Some(self.now));
+                }
+                // The list may be older than the end.
+                Some(_) => {}
             }
             return;
         }
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -285,6 +285,11 @@
         self.recent_ends.get(&key).map(|past| past.end)
     }
 
+    /// Returns when a run's end was noted, if the end is still kept.
+    pub fn ended_at(&self, key: RunKey) -> Option<Now> {
+        self.recent_ends.get(&key).map(|past| past.ended)
+    }
+
     /// Returns how an entry's run ended, if its end is still kept. A run of another entry may have
     /// had the same key.
     pub fn end_for(&self, key: RunKey, entry: Incarnation) -> Option<RunEnd> {
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -238,6 +238,12 @@
         self.lapses_at = self.lapses_at.max(lapses_at);
     }
 
+    /// Records that a run goes on although the lease should have lapsed: the target's clock stood still
+    /// for an unknown time.
+    pub fn note_outlasted(&mut self, now: Now) {
+        self.lapses_at = self.lapses_at.max(now + self.timings.lapse);
+    }
+
     /// When all runs on the target have lapsed if no more renewals are sent.
     pub fn lapses_at(&self) -> Now {
         self.lapses_at
--- a/lib/tests/test_run_agent/suspension.rs
+++ b/lib/tests/test_run_agent/suspension.rs
@@ -39,3 +39,60 @@
     assert!(now > ms(3_900), "given up at {now:?}");
     assert!(now < ms(3_012) + LAPSED_AFTER, "given up at {now:?}");
 }
+
+/// Whether the actions ask the target to stop the run.
+fn stops_run(actions: &[AgentAction]) -> bool {
+    let is_stop = |a: &AgentAction| matches!(a, AgentAction::Stop { key: k, .. } if *k == key(0));
+    actions.iter().any(is_stop)
+}
+
+/// An agent whose target stood still unnoticed, so that the run was taken for over. With the time,
+/// and the renewals that were sent before and after that.
+fn agent_whose_run_counts_as_lapsed() -> (RunAgentCore, Now, Vec<u64>, Vec<u64>) {
+    let mut agent = ready_agent();
+    let mut earlier = renewals(&agent.handle(ms(10), packet(60_000, vec![start(0, 5_000)])));
+    let started = AgentEvent::StartAnswered {
+        key: key(0),
+        token: 100,
+        answer: StartAnswer::Started { clock: 1_010 },
+    };
+    earlier.extend(renewals(&agent.handle(ms(12), started)));
+    let mut now = ms(12);
+    let mut later = Vec::new();
+    while later.is_empty() {
+        assert!(now < ms(6_000), "the target is asked again");
+        now += ms(5);
+        let is_over = agent.gauges().runs == 0;
+        let asked = renewals(&agent.handle(now, packet(60_000, Vec::new())));
+        match is_over {
+            true => later.extend(asked),
+            false => earlier.extend(asked),
+        }
+    }
+    (agent, now, earlier, later)
+}
+
+// Guards against a run that goes on unseen after it was taken for over: nobody would stop it, and
+// another run of the task could start beside it.
+#[test]
+fn test_handle_run_that_is_listed_after_it_was_taken_for_over_is_stopped() {
+    let (mut agent, now, _, later) = agent_whose_run_counts_as_lapsed();
+    let number = later[0];
+    let answer = running(&[key(0)]);
+    let actions = agent.handle(now + ms(1), AgentEvent::RenewalAnswered { number, answer });
+    assert!(stops_run(&actions), "{actions:?}");
+    assert_eq!(agent.gauges().runs, 1, "its room is taken");
+    let actions = agent.handle(now + ms(2), packet(60_000, vec![start(0, 60_000)]));
+    assert_eq!(starts(&actions), 0, "no other run of the task starts");
+}
+
+// Guards against a run that comes back to life by a list that was requested before its end.
+#[test]
+fn test_handle_run_in_a_list_that_was_requested_before_its_end_is_not_adopted() {
+    let (mut agent, at, earlier, _) = agent_whose_run_counts_as_lapsed();
+    for number in earlier {
+        let answer = running(&[key(0)]);
+        agent.handle(at, AgentEvent::RenewalAnswered { number, answer });
+        assert_eq!(agent.gauges().runs, 0);
+    }
+}
