--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -182,16 +182,21 @@
         }
     }
 
-    /// Handles a run that the target listed as running; `asked_at` is when the list was asked for.
-    pub(super) fn note_listed_run(&mut self, listed: &ListedRun, asked_at: Now) {
+    /// Notes a run that the target listed as running in the answer to a request of `sent_at`.
+    pub(super) fn note_listed_run(&mut self, listed: &ListedRun, sent_at: Now) {
         let ListedRun { key, percent } = *listed;
         if self.runs.get(key).is_none() {
-            if self.runs.end_of(key).is_none() {
-                self.adopt(key);
-            }
-            let inferred_end_at = self.runs.inferred_end_at(key);
-            if inferred_end_at.is_some_and(|at| at < asked_at) {
-                self.log(EventCode::RunOutlived, format!("run={key}"));
+            match self.runs.ended_at(key) {
+                None => self.adopt(key),
+                // It was taken for over too soon, and its owner may have started the task elsewhere.
+                Some(ended_at) if ended_at < sent_at => {
+                    self.log(EventCode::RunOutlived, format!("run={key}"));
+                    self.lease.note_outlasted(self.now);
+                    self.adopt(key);
+                    self.request_stop(key, Some(self.now));
+                }
+                // The list may be older than the end.
+                Some(_) => {}
             }
             return;
         }
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -285,11 +285,9 @@
         self.recent_ends.get(&key).map(|past| past.end)
     }
 
-    /// Returns when a run was taken for over without an end listed by the target; `None` if it wasn't, or
-    /// if that is forgotten.
-    pub fn inferred_end_at(&self, key: RunKey) -> Option<Now> {
-        let past = self.recent_ends.get(&key)?;
-        matches!(past.end, RunEnd::Lost | RunEnd::Crashed { .. }).then_some(past.ended)
+    /// Returns when a run's end was noted, if the end is still kept.
+    pub fn ended_at(&self, key: RunKey) -> Option<Now> {
+        self.recent_ends.get(&key).map(|past| past.ended)
     }
 
     /// Returns how an entry's run ended, if its end is still kept. A run of another entry may have
