--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -186,7 +186,10 @@
                     for e in news.unreadable {
                         me.log(LogEvent::new(EventCode::RecordUnreadable, e.to_string()));
                     }
-                    Some(Arc::new(EvacuationReader::default().read(news.evacuations)))
+                    // An incomplete read may lack a hall that is evacuated.
+                    let is_complete = news.evacuations.is_complete;
+                    let state = EvacuationReader::default().read(news.evacuations);
+                    is_complete.then(|| Arc::new(state))
                 }
                 Err(e) => {
                     log_store_failure(&e);
