lib, platform: lines about skipped input are bounded in length and rate

An unreadable record of the store was logged at each read again, with the whole of the key that another writer chose; rejected reports, requests and frames were logged with texts of theirs of any length, control characters included.

`SkippedInput` counts what is skipped: one line with a count and the first 160 bytes of the first cause, at most each 2 s; a record that is read again gives no other line. Evidence: test_skipped_input (100,000 records give one line; the same record at ten reads gives one).

--- a/lib/src/agent_node.rs
+++ b/lib/src/agent_node.rs
@@ -18,6 +18,7 @@
 use crate::run_agent::RunAgentCore;
 use crate::run_event::{AgentAction, AgentEvent, AgentOptions, StartCall};
 use crate::run_message::Packet;
+use crate::skipped_input::SkippedInput;
 use crate::target_incarnation::TargetName;
 use crate::target_lease::Renewal;
 
@@ -32,6 +33,8 @@
     registry: Rc<dyn EntryRegistry>,
     figures: NodeMetrics,
     suspensions: SuspensionWatch,
+    skipped_records: RefCell<SkippedInput>,
+    skipped_reports: RefCell<SkippedInput>,
     ended: Notify,
 }
 
@@ -55,6 +58,8 @@
             registry,
             figures: NodeMetrics::new(),
             suspensions: SuspensionWatch::start(),
+            skipped_records: RefCell::default(),
+            skipped_reports: RefCell::default(),
             ended: Notify::new(),
         });
         let node_to_wake = node.clone();
@@ -183,9 +188,7 @@
             let answer = me.operators.newest().await;
             let state = match answer {
                 Ok(news) => {
-                    for e in news.unreadable {
-                        me.log(LogEvent::new(EventCode::RecordUnreadable, e.to_string()));
-                    }
+                    me.log_skipped_records(&news.unreadable);
                     // An incomplete read may lack a hall that is evacuated.
                     let is_complete = news.evacuations.is_complete;
                     let state = EvacuationReader::default().read(news.evacuations);
@@ -200,6 +203,25 @@
         });
     }
 
+    fn log_skipped_records(&self, unreadable: &[PortError]) {
+        let mut skipped = self.skipped_records.borrow_mut();
+        for e in unreadable {
+            skipped.note_new(&e.to_string());
+        }
+        if let Some(detail) = skipped.take_line(self.timer.now()) {
+            self.log(LogEvent::new(EventCode::RecordUnreadable, detail));
+        }
+    }
+
+    /// Logs that a report or goodbye was rejected as unreadable.
+    pub fn log_skipped_report(&self, cause: &str) {
+        let mut skipped = self.skipped_reports.borrow_mut();
+        skipped.note(cause);
+        if let Some(detail) = skipped.take_line(self.timer.now()) {
+            self.log(LogEvent::new(EventCode::ReportUnreadable, detail));
+        }
+    }
+
     /// Renders the metrics page.
     pub fn metrics(&self) -> String {
         let gauges = self.core.borrow().gauges();
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -26,6 +26,7 @@
 use crate::node_metrics::NodeMetrics;
 use crate::platform_ports::{EntryRegistry, OperatorFeed, PortResult};
 use crate::run_message::Packet;
+use crate::skipped_input::SkippedInput;
 
 /// Pause after the first call to the store that failed.
 const INITIAL_PAUSE: Duration = Duration::from_millis(100);
@@ -203,12 +204,20 @@
     pub async fn follow_operators(self: Rc<Self>, feed: Rc<dyn OperatorFeed>) {
         let mut health = StoreHealth::default();
         let mut evacuations = EvacuationReader::default();
+        let mut skipped = SkippedInput::default();
         loop {
             match feed.next().await {
                 Ok(news) => {
                     health.answered();
-                    for e in news.unreadable {
-                        self.log(LogEvent::new(EventCode::RecordUnreadable, e.to_string()));
+                    for e in &news.unreadable {
+                        if news.evacuations.is_complete {
+                            skipped.note_new(&e.to_string());
+                        } else {
+                            skipped.note(&e.to_string());
+                        }
+                    }
+                    if let Some(detail) = skipped.take_line(self.timer.now()) {
+                        self.log(LogEvent::new(EventCode::RecordUnreadable, detail));
                     }
                     let evacuated = evacuations.read(news.evacuations);
                     self.tell(EntryEvent::Evacuations(Arc::new(evacuated)));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -124,6 +124,7 @@
 pub mod runs_notices;
 pub mod session_links;
 pub mod settings;
+pub mod skipped_input;
 pub mod slot_table;
 pub mod status;
 pub mod target_health;
--- a/lib/src/node_links.rs
+++ b/lib/src/node_links.rs
@@ -24,6 +24,7 @@
 use crate::ids::SessionId;
 use crate::run_message::Packet;
 use crate::session_links::socket_config;
+use crate::skipped_input::excerpt;
 
 /// Maximum number of packets that wait to be written on one link.
 const MAX_UNSENT_PACKETS: usize = 2_048;
@@ -231,7 +232,7 @@
                 match codec::decode_value(&bytes) {
                     Ok(packet) => sink.packet(link, packet),
                     Err(e) => {
-                        let detail = format!("link={link} {e}");
+                        let detail = format!("link={link} {}", excerpt(&e.to_string()));
                         LogEvent::new(EventCode::MalformedFrame, detail).emit();
                         return;
                     }
--- a/lib/src/session_links.rs
+++ b/lib/src/session_links.rs
@@ -34,6 +34,7 @@
 use crate::message::Frame;
 use crate::permit::FleetSecret;
 use crate::ring::{RingRx, RingTx, TaskWaker};
+use crate::skipped_input::excerpt;
 
 /// Frames that may be queued for sending on one session; the session is closed beyond that.
 const MAX_UNSENT_FRAMES: usize = 4_096;
@@ -324,7 +325,7 @@
                 let frame = match codec::decode(&bytes) {
                     Ok(frame) if rate_limit.allows() => frame,
                     Ok(_) => return log_malformed_frame(session, "too many frames per second"),
-                    Err(e) => return log_malformed_frame(session, &e.to_string()),
+                    Err(e) => return log_malformed_frame(session, &excerpt(&e.to_string())),
                 };
                 self.push_event(LinkEvent::Frame { session, frame }).await;
             }
