lib, platform: numbers at the ends of their ranges stop no process

A caller's batch of 1,100 steps in a chain, each with the largest estimate, stopped its entry ("overflow when adding durations"); so did any batch of a queue whose stretch is 1e300 or negative ("cannot convert float seconds to Duration").

--- a/lib/src/batch.rs
+++ b/lib/src/batch.rs
@@ -10,6 +10,9 @@
 
 /// Largest number of tasks in one batch.
 pub const MAX_TASKS: u32 = 1_100;
+/// Bound on the times that callers and configurations state. Sums with the present time then can't
+/// overflow.
+pub const MAX_STATED_TIME: Duration = Duration::from_secs(u32::MAX as u64);
 
 /// A step of a batch: a number of identical tasks.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -99,13 +102,14 @@
         Ok(())
     }
 
-    /// Returns the estimated duration of the critical path through the steps.
+    /// Returns the estimated duration of the critical path through the steps, at most
+    /// [`MAX_STATED_TIME`].
     pub fn critical_path(&self) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let before = step.after.iter().filter_map(|a| ends.get(usize::from(*a)));
             let begin = before.max().copied().unwrap_or_default();
-            ends.push(begin + step.estimate);
+            ends.push(begin.saturating_add(step.estimate).min(MAX_STATED_TIME));
         }
         ends.into_iter().max().unwrap_or_default()
     }
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -267,7 +267,7 @@
     ) -> BatchTimes {
         let arrived = self.now;
         let critical_path = spec.critical_path();
-        let objective = critical_path.mul_f64(queue.stretch) + queue.target_latency;
+        let objective = queue.objective(critical_path);
         let slack = objective.saturating_sub(critical_path.mul_f64(SLOWEST_HEALTHY_FACTOR));
         let mut wait = self.backlog.max_wait(arrived, slack);
         if self.targets.usable(self.now) == 0 {
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -143,7 +143,7 @@
             receiver: receiver.name.clone(),
             queue: queue.clone(),
             offered: now,
-            objective: spec.critical_path().mul_f64(queue.stretch) + queue.target_latency,
+            objective: queue.objective(spec.critical_path()),
             caller_deadline: now + submission.caller_timeout,
             submission,
         });
--- a/lib/src/config_chain.rs
+++ b/lib/src/config_chain.rs
@@ -366,17 +366,17 @@
             return None;
         }
         let head = state.stamp;
-        let stamp = stamp_of(head.version + 1, text);
+        let stamp = stamp_of(head.version.saturating_add(1), text);
         let next = ConfigState {
             stamp,
             text: text.clone(),
-            read_to: offset + 1,
+            read_to: offset.saturating_add(1),
         };
         if replaces == head && self.install(next) {
             return Some(ChangeOutcome::InForce(stamp));
         }
         if let Some(held) = &mut self.held {
-            held.state.read_to = offset + 1;
+            held.state.read_to = offset.saturating_add(1);
         }
         Some(ChangeOutcome::LostRace { head })
     }
--- a/lib/src/queue.rs
+++ b/lib/src/queue.rs
@@ -5,6 +5,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::batch::MAX_STATED_TIME;
+
 /// Version of a configuration. Versions increase and may skip numbers.
 pub type ConfigVersion = u64;
 
@@ -31,6 +33,17 @@
     pub needs_advice: bool,
 }
 
+impl Queue {
+    /// Returns the objective of a batch with this critical path, at most [`MAX_STATED_TIME`]. A
+    /// stretch below 0 counts as 0.
+    pub fn objective(&self, critical_path: Duration) -> Duration {
+        let stretched = critical_path.as_secs_f64() * self.stretch.max(0.0);
+        let stretched = Duration::try_from_secs_f64(stretched).unwrap_or(MAX_STATED_TIME);
+        let objective = stretched.saturating_add(self.target_latency);
+        objective.min(MAX_STATED_TIME)
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// Largest body in bytes.
--- a/lib/src/resources.rs
+++ b/lib/src/resources.rs
@@ -31,13 +31,13 @@
             && self.accelerators <= capacity.accelerators
     }
 
-    /// Returns the sum of both amounts.
+    /// Returns the sum of both amounts, saturating at the largest number.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
         Self {
-            cpu_millis: self.cpu_millis + other.cpu_millis,
-            memory_mib: self.memory_mib + other.memory_mib,
-            accelerators: self.accelerators + other.accelerators,
+            cpu_millis: self.cpu_millis.saturating_add(other.cpu_millis),
+            memory_mib: self.memory_mib.saturating_add(other.memory_mib),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -51,13 +51,13 @@
         }
     }
 
-    /// Multiplies each amount by `factor`.
+    /// Multiplies each amount by `factor`, saturating at the largest number.
     #[must_use]
     pub fn times(self, factor: u64) -> Self {
         Self {
-            cpu_millis: self.cpu_millis * factor,
-            memory_mib: self.memory_mib * factor,
-            accelerators: self.accelerators * factor,
+            cpu_millis: self.cpu_millis.saturating_mul(factor),
+            memory_mib: self.memory_mib.saturating_mul(factor),
+            accelerators: self.accelerators.saturating_mul(factor),
         }
     }
 
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -222,7 +222,7 @@
         }
         let elapsed = now.saturating_sub(at) + length;
         self.note_renewed(now, length);
-        Some(clock + elapsed.as_millis() as u64)
+        Some(clock.saturating_add(elapsed.as_millis() as u64))
     }
 
     fn length_until(&self, now: Now, ends_by: Option<Now>) -> Duration {
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -361,7 +361,7 @@
         }
         self.compared_at = Some(now);
         let compared = |v: &&TargetView| !v.is_evacuated && v.is_available(now);
-        let (mut free, mut capacity) = (0, 0);
+        let (mut free, mut capacity) = (0_u64, 0_u64);
         let mut least_open = f64::MAX;
         let mut slowdowns = Vec::with_capacity(self.views.len());
         for view in self.views.values().filter(compared) {
@@ -369,8 +369,9 @@
             if view.may_get_work(now) && !view.health.fails_too_often() {
                 least_open = least_open.min(view.slowdown());
             }
-            free += view.free_capacity().cpu_millis;
-            capacity += view.info.as_ref().map_or(0, |i| i.capacity.cpu_millis);
+            let of_target = view.info.as_ref().map_or(0, |i| i.capacity.cpu_millis);
+            free = free.saturating_add(view.free_capacity().cpu_millis);
+            capacity = capacity.saturating_add(of_target);
         }
         let free_share = free as f64 / capacity.max(1) as f64;
         self.speeds = SpeedComparison::of(slowdowns, free_share);
