lib: a report's number far from the last one doesn't hide the target's own

A report of another writer with a number at the top of its range was taken as the newest; all reports of the target itself then counted as late, for good.

A number more than 100,000 from the last one is ignored, unless the report before it was ignored for the same reason and this one follows it closely. So one odd report changes nothing, and if an odd one came first, the target's second own report is in force again. Late reports within that distance are ignored as before.

--- a/lib/src/run_agent/incarnations.rs
+++ b/lib/src/run_agent/incarnations.rs
@@ -24,6 +24,10 @@
                 let why = format!("why=\"number {last_number} was already reported\"");
                 self.log_ignored_report(&incarnation, number, leaving, &why);
             }
+            ReportOutcome::Distant(last_number) => {
+                let why = format!("why=\"number is far from {last_number}\"");
+                self.log_ignored_report(&incarnation, number, leaving, &why);
+            }
             ReportOutcome::PastIncarnation => {
                 self.log_ignored_report(
                     &incarnation,
--- a/lib/src/target_incarnations.rs
+++ b/lib/src/target_incarnations.rs
@@ -24,6 +24,9 @@
 const MAX_CANDIDATES: usize = 4;
 /// Most past incarnations that are remembered. A forgotten one that reports is checked again.
 const MAX_PAST: usize = 64;
+/// Largest difference between the numbers of two reports in a row of one sender. A target reports
+/// about once a second.
+const MAX_REPORT_GAP: u64 = 100_000;
 
 /// An incarnation that has reported and is not proven to be alive yet.
 #[derive(Debug)]
@@ -59,6 +62,10 @@
     /// Ignored: it is not newer than the last report of the current incarnation, which has this
     /// number.
     Late(u64),
+    /// Ignored: the number is far from that of the last report of the current incarnation, which is
+    /// this one, and the report before it wasn't just below it. One of the two came from another
+    /// writer; the next report tells which.
+    Distant(u64),
     /// Ignored: the incarnation is over.
     PastIncarnation,
     /// Ignored: the service differs from that of the current incarnation. An incarnation never
@@ -78,6 +85,9 @@
     /// flight may still state it.
     newest_name: Option<TargetName>,
     last_report_number: u64,
+    /// Number of the last report that was ignored as [`ReportOutcome::Distant`], until one is
+    /// accepted.
+    distant_number: Option<u64>,
     past: VecDeque<TargetIncarnation>,
     candidates: Vec<Candidate>,
 }
@@ -129,14 +139,20 @@
     }
 
     fn report_of_current(&mut self, report: TargetReport) -> ReportOutcome {
-        if report.sequence <= self.last_report_number {
-            return ReportOutcome::Late(self.last_report_number);
+        let last = self.last_report_number;
+        let is_distant = report.sequence.abs_diff(last) > MAX_REPORT_GAP;
+        if is_distant && !self.continues_distant(report.sequence) {
+            return ReportOutcome::Distant(last);
+        }
+        if !is_distant && report.sequence <= last {
+            return ReportOutcome::Late(last);
         }
         let service = self.current.as_ref().map(|t| &t.service);
         if service != Some(&report.info.service) {
             return ReportOutcome::OtherService;
         }
         self.last_report_number = report.sequence;
+        self.distant_number = None;
         if self.current.as_ref() == Some(&report.info) {
             return ReportOutcome::Known;
         }
@@ -144,6 +160,13 @@
         ReportOutcome::Changed
     }
 
+    /// Whether the number follows that of the last distant report. If another writer's number is in
+    /// force, the target's own reports are distant but follow one another.
+    fn continues_distant(&mut self, number: u64) -> bool {
+        let before = self.distant_number.replace(number);
+        before.is_some_and(|before| number > before && number - before <= MAX_REPORT_GAP)
+    }
+
     fn note_candidate(&mut self, now: Now, report: TargetReport) {
         let incarnation = &report.info.life;
         let known = self
@@ -201,6 +224,7 @@
         self.newest_name = Some(info.life.name.clone());
         self.current = Some(info);
         self.last_report_number = sequence;
+        self.distant_number = None;
         // An answer in flight to another check may have been sent before this incarnation started.
         for other in &mut self.candidates {
             other.check = CheckState::Due(now);
--- a/lib/tests/test_odd_numbers.rs
+++ b/lib/tests/test_odd_numbers.rs
@@ -1,4 +1,5 @@
-//! Numbers of other writers at the ends of their ranges: no panic, no wrapped sum.
+//! Numbers of other writers at the ends of their ranges: no panic, no wrapped sum, and a target's
+//! own reports still count.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,9 +15,11 @@
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run_event::TargetReport;
 use trestleknot_lib::run_message::TargetInfo;
 use trestleknot_lib::target_health::HealthReport;
 use trestleknot_lib::target_incarnation::TargetIncarnation;
+use trestleknot_lib::target_incarnations::{ReportOutcome, TargetIncarnations};
 use trestleknot_lib::target_lease::TargetLease;
 use trestleknot_lib::target_registry::{LoadReport, TargetRegistry};
 use trestleknot_lib::timings::Timings;
@@ -220,7 +223,74 @@
     assert_eq!(chain.read(&batch, ms(1)).len(), 1);
 }
 
+fn report(sequence: u64, leaving: bool) -> TargetReport {
+    let info = TargetInfo {
+        leaving,
+        ..target_info(ALL)
+    };
+    TargetReport { info, sequence }
+}
+
+/// A target whose current report has this number.
+fn current(sequence: u64) -> TargetIncarnations {
+    let mut incarnations = TargetIncarnations::default();
+    let first = report(sequence, false);
+    let life = first.info.life.clone();
+    assert_eq!(incarnations.report(ms(1), first), ReportOutcome::NeedsCheck);
+    incarnations.make_current(ms(2), &life);
+    incarnations
+}
+
+fn is_leaving(incarnations: &TargetIncarnations) -> bool {
+    incarnations.current().expect("a target").leaving
+}
+
+// Guards against another writer's number at the top of its range, after which the target's own
+// reports would count as late for good.
+#[test]
+fn test_report_numbers_at_the_top_leave_the_targets_own_reports_in_force() {
+    for odd in [u64::MAX, u64::MAX - 1, u64::MAX / 2, 10_000_000] {
+        let mut incarnations = current(4);
+        incarnations.report(ms(3), report(odd, true));
+        assert!(!is_leaving(&incarnations), "{odd} is in force");
+        let outcome = incarnations.report(ms(4), report(5, true));
+        assert_eq!(outcome, ReportOutcome::Changed, "after {odd}");
+        // The odd report came first, before the target's own.
+        let mut incarnations = current(odd);
+        incarnations.report(ms(3), report(5, true));
+        incarnations.report(ms(4), report(6, true));
+        assert!(is_leaving(&incarnations), "after {odd} as the first");
+        let outcome = incarnations.report(ms(5), report(7, false));
+        assert_eq!(outcome, ReportOutcome::Changed, "after {odd} as the first");
+    }
+}
+
+// Guards against a late report that is taken for a new one.
+#[test]
+fn test_report_late_ones_stay_ignored() {
+    let mut incarnations = current(100);
+    for late in [100, 98, 99, 1, 2, 3] {
+        let outcome = incarnations.report(ms(3), report(late, true));
+        assert_eq!(outcome, ReportOutcome::Late(100), "{late}");
+    }
+    assert!(!is_leaving(&incarnations));
+}
+
 proptest! {
+    // Guards against any odd numbers among a target's reports that hide the target's own.
+    #[test]
+    fn test_report_odd_numbers_between_own_ones_hide_none_for_long(
+        odd in prop::collection::vec(1_000_000..=u64::MAX, 1..20),
+    ) {
+        let mut incarnations = current(4);
+        for (own, odd) in (5_u64..).zip(&odd) {
+            incarnations.report(ms(own), report(*odd, true));
+            prop_assert!(!is_leaving(&incarnations));
+            let outcome = incarnations.report(ms(own), report(own, false));
+            prop_assert_eq!(outcome, ReportOutcome::Known);
+        }
+    }
+
     // Guards against amounts whose sum depends on their order, or is less than each.
     #[test]
     fn test_resources_any_amounts_add_without_wrapping(a: u64, b: u64, factor: u64) {
