lib: an odd record of the VM list or the log doesn't hide the others

Both lists were decoded at once, so that one record in an unknown format, or one nested too deeply, lost the list. They are decoded record by record. An odd record of the VM list that has a name still shows that its VM exists: without it the VM would count as gone, which ends its agent's incarnation. An odd log record counts as one that is not trestleknot's.

Evidence: test_platform_lists. It was not run on the former code, which lacks the functions that it calls.

--- a/lib/src/entry_platform.rs
+++ b/lib/src/entry_platform.rs
@@ -238,6 +238,7 @@
                     }
                 }
             }
+            VmRole::Unknown => {}
         }
     }
 
--- a/lib/src/http_platform.rs
+++ b/lib/src/http_platform.rs
@@ -1,5 +1,6 @@
 //! HTTP clients of the platform's services and of the target.
 
+use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 
@@ -11,13 +12,17 @@
 use serde::{Deserialize, Serialize};
 
 use crate::agent::{Renewal, RunEnd, RunId, Start};
+use crate::clock::BootInstant;
 use crate::config_chain::{LogBatch, LogOffset, LogRecord};
+use crate::events::{EventCode, LogEvent};
 use crate::ids::Incarnation;
 use crate::job::TaskOutcome;
 use crate::platform::{
     LogService, NoAnswerSnafu, PlatformError, PlatformResult, TargetService, UnreadableSnafu,
     VmListService,
 };
+use crate::platform_lists::{Decoded, decode_log_batch, decode_vm_list};
+use crate::skipped_input::SkippedInput;
 use crate::vm_list::VmRecord;
 
 /// Response timeout of the platform's services.
@@ -96,6 +101,8 @@
     client: Client,
     log_url: Rc<str>,
     vm_list_url: Rc<str>,
+    started: BootInstant,
+    skipped: Rc<RefCell<SkippedInput>>,
 }
 
 impl HttpPlatform {
@@ -105,13 +112,16 @@
             client: unpooled_client(PLATFORM_TIMEOUT).await,
             log_url: Rc::from(log_url),
             vm_list_url: Rc::from(vm_list_url),
+            started: BootInstant::now(),
+            skipped: Rc::default(),
         }
     }
 
-    async fn get<T: serde::de::DeserializeOwned>(
+    async fn get<T>(
         &self,
         service: &'static str,
         url: String,
+        decode: fn(&[u8]) -> Result<Decoded<T>, serde_json::Error>,
     ) -> PlatformResult<T> {
         let sent = self.client.get(url).force_close().send().await;
         let response = sent.map_err(|e| no_answer(service, &e))?;
@@ -121,10 +131,26 @@
         }
         let body = response.body().limit(MAX_RESPONSE_BYTES).await;
         let body = body.map_err(|e| no_answer(service, &e))?;
-        serde_json::from_slice(&body).or_else(|e| {
-            let cause = e.to_string();
-            UnreadableSnafu { service, cause }.fail()
-        })
+        match decode(&body) {
+            Ok(decoded) => {
+                self.log_skipped(service, &decoded.unreadable);
+                Ok(decoded.list)
+            }
+            Err(e) => {
+                let cause = e.to_string();
+                UnreadableSnafu { service, cause }.fail()
+            }
+        }
+    }
+
+    fn log_skipped(&self, service: &str, unreadable: &[String]) {
+        let mut skipped = self.skipped.borrow_mut();
+        for cause in unreadable {
+            skipped.note_new(&format!("{service}: {cause}"));
+        }
+        if let Some(detail) = skipped.take_line(self.started.elapsed()) {
+            LogEvent::new(EventCode::RecordUnreadable, detail).emit();
+        }
     }
 
     async fn post_record(&self, record: LogRecord) -> PlatformResult<LogOffset> {
@@ -157,7 +183,7 @@
 impl LogService for HttpPlatform {
     fn read(&self, from: LogOffset) -> LocalBoxFuture<'_, PlatformResult<LogBatch>> {
         let url = format!("{}/v1/records?from={from}", self.log_url);
-        self.get(LOG_SERVICE, url).boxed_local()
+        self.get(LOG_SERVICE, url, decode_log_batch).boxed_local()
     }
 
     fn append(&self, record: LogRecord) -> LocalBoxFuture<'_, PlatformResult<LogOffset>> {
@@ -168,7 +194,7 @@
 impl VmListService for HttpPlatform {
     fn list(&self) -> LocalBoxFuture<'_, PlatformResult<Vec<VmRecord>>> {
         let url = format!("{}/v1/vms", self.vm_list_url);
-        self.get(VM_LIST, url).boxed_local()
+        self.get(VM_LIST, url, decode_vm_list).boxed_local()
     }
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -104,6 +104,7 @@
 pub mod permit;
 pub mod placement;
 pub mod platform;
+pub mod platform_lists;
 pub mod platform_ports;
 pub mod platform_thread;
 pub mod preferred_entries;
--- a/lib/src/vm_list.rs
+++ b/lib/src/vm_list.rs
@@ -4,11 +4,14 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Name of the entry or agent on a VM, as in that process's settings.
+pub type VmName = Arc<str>;
+
 /// A VM in the list.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VmRecord {
-    /// Name of the entry or agent on the VM, as in that process's settings.
-    pub name: Arc<str>,
+    /// Name of the entry or agent on the VM.
+    pub name: VmName,
     /// What runs on the VM.
     pub role: VmRole,
     /// Whether the VM is about to be stopped.
@@ -26,6 +29,9 @@
     Entry,
     /// Runs a target and its agent.
     Target,
+    /// What the VM runs is not known; the record only shows that the VM exists.
+    #[serde(other)]
+    Unknown,
 }
 
 /// Whether a VM is about to be stopped.
