--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -69,6 +69,7 @@
 pub struct StoreStandIn {
     topics: Arc<Mutex<Vec<Topic>>>,
     newest: Arc<Mutex<Vec<NewestRecord>>>,
+    odd_records: Arc<Mutex<Vec<String>>>,
     fault: Arc<Mutex<Fault>>,
     calls: Arc<Mutex<u64>>,
 }
@@ -84,6 +85,11 @@
         *lock(&self.calls)
     }
 
+    /// Leaves records of another writer, as raw JSON, among the newest of every topic.
+    pub fn leave_odd_records(&self, records: Vec<String>) {
+        *lock(&self.odd_records) = records;
+    }
+
     /// Publishes a configuration, as an operator does.
     pub fn publish(&self, table: &QueueTable) {
         let value = stand_in_format::encode_config(table).into_bytes();
@@ -140,7 +146,11 @@
         let items: Vec<(String, Vec<u8>)> = items.map(|(_, k, v)| (k.clone(), v.clone())).collect();
         let topics = lock(&self.topics);
         let found = topics.iter().find(|t| t.name == topic)?;
-        Some(stand_in_format::encode_newest(&items, found.end()))
+        Some(stand_in_format::encode_newest_among(
+            &items,
+            &lock(&self.odd_records),
+            found.end(),
+        ))
     }
 
     /// Records from `from` on. Fails with the first retained offset if `from` precedes it.
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -21,6 +21,7 @@
 use trestleknot_lib::resources::Resources;
 
 use crate::fault_proxy::FaultProxy;
+use crate::foreign_writer;
 use crate::platform_stand_ins::{self, Running, StandIn, StoreStandIn, TargetStandIn};
 use crate::run_target::{RunTarget, SERVICE};
 
@@ -151,6 +152,7 @@
         fs::create_dir_all(folder)?;
         let origin = Instant::now();
         let store = StoreStandIn::default();
+        store.leave_odd_records(foreign_writer::odd_records());
         let mut stand_ins = vec![platform_stand_ins::start(
             address(network, STORE_HOST, STAND_IN_PORT),
             StandIn::Store(store.clone()),
