lib: a target whose report numbers rise in large steps is still heard

A distant number was accepted only if it followed the ignored one closely; a target that counts in steps above 100,000 would never have been heard again. Any higher number confirms the ignored one now. Evidence: test_report_numbers_in_large_steps_count_after_two_reports.

--- a/lib/src/target_incarnations.rs
+++ b/lib/src/target_incarnations.rs
@@ -24,8 +24,8 @@
 const MAX_CANDIDATES: usize = 4;
 /// Most past incarnations that are remembered. A forgotten one that reports is checked again.
 const MAX_PAST: usize = 64;
-/// Largest difference between the numbers of two reports in a row of one sender. A target reports
-/// about once a second.
+/// Difference to the last number from which on a report must be confirmed by a later one. A target
+/// counts its reports, about one a second.
 const MAX_REPORT_GAP: u64 = 100_000;
 
 /// An incarnation that has reported and is not proven to be alive yet.
@@ -63,8 +63,8 @@
     /// number.
     Late(u64),
     /// Ignored: the number is far from that of the last report of the current incarnation, which is
-    /// this one, and the report before it wasn't just below it. One of the two came from another
-    /// writer; the next report tells which.
+    /// this one, and the report before it was not ignored for the same reason with a lower number.
+    /// One of the two came from another writer; the next report tells which.
     Distant(u64),
     /// Ignored: the incarnation is over.
     PastIncarnation,
@@ -160,11 +160,11 @@
         ReportOutcome::Changed
     }
 
-    /// Whether the number follows that of the last distant report. If another writer's number is in
-    /// force, the target's own reports are distant but follow one another.
+    /// Whether the number exceeds that of the last distant report. If another writer's number is in
+    /// force, the target's own reports are distant but rise.
     fn continues_distant(&mut self, number: u64) -> bool {
         let before = self.distant_number.replace(number);
-        before.is_some_and(|before| number > before && number - before <= MAX_REPORT_GAP)
+        before.is_some_and(|before| number > before)
     }
 
     fn note_candidate(&mut self, now: Now, report: TargetReport) {
--- a/lib/tests/test_odd_numbers.rs
+++ b/lib/tests/test_odd_numbers.rs
@@ -265,6 +265,19 @@
     }
 }
 
+// Guards against a target that counts in large steps and whose state is then never taken over.
+#[test]
+fn test_report_numbers_in_large_steps_count_after_two_reports() {
+    let mut incarnations = current(4);
+    for (turn, leaving) in (1_u64..).zip([true, true, false, false, true, true]) {
+        let number = turn * 1_000_000_000;
+        incarnations.report(ms(turn), report(number, leaving));
+        if turn % 2 == 0 {
+            assert_eq!(is_leaving(&incarnations), leaving, "{number}");
+        }
+    }
+}
+
 // Guards against a late report that is taken for a new one.
 #[test]
 fn test_report_late_ones_stay_ignored() {
