--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -234,7 +234,7 @@
         let advance = self.timings.least_clock_advance(elapsed) + length;
         self.note_renewed(now, length);
         self.has_asked = true;
-        Some(clock + advance.as_millis() as u64)
+        Some(clock.saturating_add(advance.as_millis() as u64))
     }
 
     /// When the target's clock is to be read again; none if it is unknown or a renewal is in flight.
