--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -7,6 +7,7 @@
 mod incarnations;
 mod leases;
 mod owners;
+mod proofs;
 mod room;
 mod starts;
 mod suspension;
