lib: the lease of a run that its entry stops ends before its caller returns

What callers saw: two runs of one task at once. A caller's connection breaks at an entry that goes on; its stops are lost (targets carry orders out late), and the entry that the caller reaches 1.3 s later hears neither from the first entry nor from the agent (links that are silent, cut or not formed yet).

Cause: the target's lease was bounded by the owner's last packet only. An owner that has closed the batch goes on sending, so each of its packets extended the lease of the run that it wanted stopped, without a limit.

Why it works: a stop notes when its run was last wanted, and the lease of the target ends unheld_run_bound (1.2 s) after that. The entry wrote the stop after its former packet, so that packet's time is a safe one for stops that arrive at once, with a new link, after a cut, or after an entry stood still, without a new field on the wire. It is at most a heartbeat old on a sound link. A new life of an agent can't know when its former one was told, so it extends nothing until the run has ended. A run whose entry fell silent counts from the last packet before, also when that entry speaks again.

Other runs on that target: the lease is one for all of them, so they lapse too if all stops of a run are lost for about a second (some nine attempts).

--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -76,6 +76,8 @@
     until: Now,
     /// When the entry wrote its last packet, at the earliest.
     renewed_at: Now,
+    /// When it wrote the packet before that one; none if it wrote no other.
+    renewed_before: Option<Now>,
 }
 
 /// The links to the entries, with the entries' leases and shares of the free capacity.
@@ -128,7 +130,9 @@
         found.heard = now;
         found.waiting = waiting;
         if let Some(entry) = found.entry {
-            let lease = self.leases.entry(entry).or_default();
+            let lease = self.leases.entry(entry);
+            let lease = lease.and_modify(|l| l.renewed_before = Some(l.renewed_at));
+            let lease = lease.or_default();
             lease.until = lease.until.max(lease_until);
             let renewed_at = lease_until.saturating_sub(self.timings.entry_lease);
             lease.renewed_at = lease.renewed_at.max(renewed_at);
@@ -150,6 +154,12 @@
         self.leases.get(&entry).map_or(Now::ZERO, |l| l.renewed_at)
     }
 
+    /// When an entry wrote the packet before its last one, at the earliest; none if no such packet is
+    /// known.
+    pub fn lease_renewed_before(&self, entry: Incarnation) -> Option<Now> {
+        self.leases.get(&entry)?.renewed_before
+    }
+
     /// Whether an entry has sent packets here. Entries are forgotten a while after their lease.
     pub fn knows(&self, entry: Incarnation) -> bool {
         self.leases.contains_key(&entry)
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -402,8 +402,9 @@
             .filter(|(key, run)| run.owner == Some(entry) && claims.iter().all(|(k, _)| k != key))
             .map(|(key, _)| key)
             .collect();
+        let last_wanted = self.entry_links.lease_renewed_before(entry);
         for key in unclaimed {
-            self.request_stop(key, None);
+            self.request_stop(key, last_wanted, None);
         }
     }
 
@@ -429,9 +430,12 @@
         let Some(entry) = self.entry_links.get(link).and_then(|l| l.entry) else {
             return;
         };
+        // The order may have waited for a new link or for the end of a cut. The entry wanted the runs
+        // when it wrote its former packet.
+        let last_wanted = self.entry_links.lease_renewed_before(entry);
         for key in keys {
             if self.knows_runs || self.runs.get(key).is_some() {
-                self.stop_or_report_end(entry, key);
+                self.stop_or_report_end(entry, key, last_wanted);
             } else {
                 // The run may have been started by an earlier incarnation of this agent and still
                 // be running. Reporting it as over could make its task run twice.
@@ -441,9 +445,9 @@
     }
 
     /// Stops a run, or tells the entry that it is over.
-    fn stop_or_report_end(&mut self, entry: Incarnation, key: RunKey) {
+    fn stop_or_report_end(&mut self, entry: Incarnation, key: RunKey, last_wanted: Option<Now>) {
         if self.runs.get(key).is_some() {
-            self.request_stop(key, None);
+            self.request_stop(key, last_wanted, None);
             return;
         }
         let end = self.runs.end_of(key).unwrap_or(RunEnd::Lost);
@@ -452,9 +456,10 @@
         self.entry_links.tell(entry, news);
     }
 
-    /// Requests that a run be stopped. A run is orphaned if its owner's lease has lapsed. If it then
-    /// doesn't end within `timings.stop_bound`, the target's lease is no longer renewed.
-    fn request_stop(&mut self, key: RunKey, orphaned_since: Option<Now>) {
+    /// Requests that a run be stopped. Its entries still wanted it at `last_wanted`, so that callers may
+    /// have left since then. A run is orphaned if its owner's lease has lapsed. If it then doesn't end
+    /// within `timings.stop_bound`, the target's lease is no longer renewed.
+    fn request_stop(&mut self, key: RunKey, last_wanted: Option<Now>, orphaned_since: Option<Now>) {
         let now = self.now;
         let Some(run) = self.runs.get_mut(key) else {
             return;
@@ -462,8 +467,10 @@
         let stopping = run.stopping.get_or_insert(Stopping {
             requested_at: now,
             resend_at: now,
+            last_wanted,
             orphaned_since,
         });
+        stopping.last_wanted = stopping.last_wanted.min(last_wanted);
         stopping.orphaned_since = stopping.orphaned_since.or(orphaned_since);
     }
 
@@ -520,12 +527,13 @@
         for (key, run) in self.runs.iter() {
             let owned_until = self.run_owned_until(run);
             if owned_until <= now && run.stopping.is_none_or(|s| s.orphaned_since.is_none()) {
-                orphans.push((key, owned_until));
+                let last_wanted = self.guaranteed_at(run);
+                orphans.push((key, last_wanted, owned_until));
             }
         }
-        for (key, owned_until) in orphans {
+        for (key, last_wanted, owned_until) in orphans {
             self.log(EventCode::RunOrphaned, format!("run={key}"));
-            self.request_stop(key, Some(owned_until));
+            self.request_stop(key, last_wanted, Some(owned_until));
         }
         // Entries are forgotten a minute after their leases have lapsed.
         self.entry_links
--- a/lib/src/run_agent/announcements.rs
+++ b/lib/src/run_agent/announcements.rs
@@ -1,10 +1,10 @@
 //! Announces to the entries that runs may outlast their owner, and limits the target's lease until
 //! other entries hold their batches.
 //!
-//! Callers whose entry is lost return to another one. By then, every run of the lost entry has
-//! ended, or the other entries hold its batch. The agent itself may fail at any time, so the target's
-//! lease keeps this promise: it is extended beyond the callers' return only for runs whose batches
-//! are held.
+//! Callers whose entry is lost, or whose connection broke, return to another entry. By then, every run
+//! of their batches has ended, or the other entries hold these. The agent itself may fail at any time, so
+//! the target's lease keeps this promise: it is extended beyond the callers' return only for runs that
+//! their entries want, or whose batches are held.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -29,15 +29,26 @@
         }
         let runs = self.runs.iter();
         let unheld = runs.filter(|(key, run)| !self.is_held(*key, run));
-        let earliest = unheld.filter_map(|(_, run)| self.guaranteed_at(run)).min();
-        earliest.map_or(Extension::Full, |at| {
-            Extension::EndsBy(at + self.options.timings.unheld_run_bound)
-        })
+        let bound = self.options.timings.unheld_run_bound;
+        match unheld.map(|(_, run)| self.last_wanted(run)).min() {
+            None => Extension::Full,
+            Some(None) => Extension::None,
+            Some(Some(at)) => Extension::EndsBy(at + bound),
+        }
+    }
+
+    /// When the entries still wanted a run, at the latest known time; none if unknown.
+    fn last_wanted(&self, run: &Run) -> Option<Now> {
+        let guaranteed_at = self.guaranteed_at(run)?;
+        match run.stopping {
+            Some(stopping) => Some(stopping.last_wanted?.min(guaranteed_at)),
+            None => Some(guaranteed_at),
+        }
     }
 
     /// When the entries on which a run depends wrote their last packets, at the earliest. None if the
     /// run has no owner.
-    fn guaranteed_at(&self, run: &Run) -> Option<Now> {
+    pub(super) fn guaranteed_at(&self, run: &Run) -> Option<Now> {
         let renewed_at = |entry| self.entry_links.lease_renewed_at(entry);
         let owner_at = renewed_at(run.owner?);
         let guarantor_at = run.guarantor.map(renewed_at);
--- a/lib/src/run_agent/guarantors.rs
+++ b/lib/src/run_agent/guarantors.rs
@@ -50,8 +50,9 @@
             |key: &RunKey, run: &Run| key.task.batch == batch && run.guarantor == Some(guarantor);
         let runs = self.runs.iter().filter(|(key, run)| is_released(key, run));
         let keys: Vec<RunKey> = runs.map(|(key, _)| key).collect();
+        let last_wanted = self.entry_links.lease_renewed_before(guarantor);
         for key in keys {
-            self.stop_released(key, guarantor);
+            self.stop_released(key, guarantor, last_wanted);
         }
     }
 
@@ -61,16 +62,16 @@
         if let Some(guarantor) = guarantor
             && self.released.contains(self.now, key.task.batch, guarantor)
         {
-            self.stop_released(key, guarantor);
+            self.stop_released(key, guarantor, None);
         }
     }
 
-    fn stop_released(&mut self, key: RunKey, guarantor: Incarnation) {
+    fn stop_released(&mut self, key: RunKey, guarantor: Incarnation, last_wanted: Option<Now>) {
         self.log(
             EventCode::RunReleased,
             format!("run={key} guarantor={guarantor:x}"),
         );
         // The owner may be lost too, so the stop has the bound of an orphaned run.
-        self.request_stop(key, Some(self.now));
+        self.request_stop(key, last_wanted, Some(self.now));
     }
 }
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -163,7 +163,8 @@
             self.answer_claim(key, &claim);
         }
         for (entry, key) in std::mem::take(&mut self.early_stops) {
-            self.stop_or_report_end(entry, key);
+            // An earlier incarnation of this agent may have missed the order.
+            self.stop_or_report_end(entry, key, None);
         }
     }
 
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -48,6 +48,9 @@
     pub requested_at: Now,
     /// When to send it next.
     pub resend_at: Now,
+    /// When the entries still wanted the run, at the latest known time; none if unknown. Its caller may
+    /// have left since then.
+    pub last_wanted: Option<Now>,
     /// When the owner's lease lapsed, if it has. The stop must succeed within the stop bound after
     /// that. The time of the detection would be too late: an agent that was stalled in between would
     /// renew a lease that must lapse.
--- a/lib/tests/test_fleet_returning_callers.rs
+++ b/lib/tests/test_fleet_returning_callers.rs
@@ -103,9 +103,9 @@
     ]
 }
 
-/// Runs the batch at the first entry, which is lost while its caller's connection breaks. The caller
-/// returns to the second entry. `more` returns further faults for the agent that has the run.
-fn lose_entry(loss: FleetFault, more: impl Fn(usize) -> Vec<(Now, FleetFault)>) -> RunFleet {
+/// Runs the batch at the first entry. The caller's connection breaks at `broken_at`, and the caller
+/// returns to the second entry. `faults` returns the faults for the agent that has the run.
+fn break_connection(broken_at: Now, faults: impl Fn(usize) -> Vec<(Now, FleetFault)>) -> RunFleet {
     let mut fleet = fleet_with_batch();
     let caller = fleet.callers.get_mut(&BATCH).expect("the batch was added");
     caller.entry = Some(0);
@@ -114,15 +114,24 @@
     let agent = fleet.targets().position(has_run).expect("the task runs");
     let caller = fleet.callers.get_mut(&BATCH).expect("the batch was added");
     caller.entry = Some(1);
-    fleet.inject(LOST_AT, loss);
-    fleet.add_disconnect(LOST_AT, BATCH);
-    for (at, fault) in more(agent) {
+    for (at, fault) in faults(agent) {
         fleet.inject(at, fault);
     }
+    fleet.add_disconnect(broken_at, BATCH);
     fleet.run_until(ms(20_000));
     fleet
 }
 
+/// Like [`break_connection`], with the first entry lost as the connection breaks. `more` returns
+/// further faults.
+fn lose_entry(loss: FleetFault, more: impl Fn(usize) -> Vec<(Now, FleetFault)>) -> RunFleet {
+    break_connection(LOST_AT, |agent| {
+        let mut faults = vec![(LOST_AT, loss)];
+        faults.extend(more(agent));
+        faults
+    })
+}
+
 fn assert_no_overlap(fleet: &RunFleet, scenario: &str) {
     let violations = fleet.violations();
     assert!(
@@ -170,3 +179,54 @@
         }
     }
 }
+
+/// Cuts the second entry off from the first one and from this agent. Links stay open, and packets
+/// wait until the cut ends.
+fn cut_off_second_entry(agent: usize) -> Vec<(Now, FleetFault)> {
+    let second = Node::Entry(1);
+    let others = [Node::Entry(0), Node::Agent(agent)];
+    let cuts = others.map(|node| FleetFault::CutBetween(node, second, ms(4_000)));
+    cuts.map(|cut| (LOST_AT - ms(100), cut)).to_vec()
+}
+
+// Guards against a task that runs twice at once: its entry stops it, the stops are lost and no other
+// entry hears of it, but each packet of the entry extends the lease of the run.
+#[test]
+fn test_run_until_entry_that_goes_on_stops_runs_whose_stops_are_late() {
+    for since in (0..300).step_by(10).map(ms) {
+        let fleet = break_connection(LOST_AT + since, |agent| {
+            let mut faults = late_stops(agent);
+            faults.extend(cut_off_second_entry(agent));
+            faults
+        });
+        assert_no_overlap(&fleet, &format!("{since:?}"));
+        assert!(fleet.callers[&BATCH].succeeded.is_some(), "{since:?}");
+    }
+}
+
+// Guards against the same overlap if the agent's link breaks with the stop, if the stop is on its way
+// until a cut ends, and if the agent is started anew: it then learns late that the run must end.
+#[test]
+fn test_run_until_stop_that_reaches_the_agent_late_ends_the_run_in_time() {
+    let offsets = (0..800).step_by(20).map(ms);
+    let first = Node::Entry(0);
+    type Loss = fn(Node, Node) -> FleetFault;
+    let losses: [Loss; 5] = [
+        |agent, _| FleetFault::Reset(agent),
+        |agent, first| FleetFault::CutBetween(agent, first, ms(300)),
+        |agent, first| FleetFault::CutBetween(agent, first, ms(700)),
+        |agent, _| FleetFault::Kill(agent),
+        |agent, _| FleetFault::Freeze(agent, ms(600)),
+    ];
+    for (offset, loss) in offsets.flat_map(|o| losses.into_iter().map(move |l| (o, l))) {
+        let fault_of = |agent| loss(Node::Agent(agent), first);
+        let fleet = break_connection(LOST_AT + ms(100), |agent| {
+            let mut faults = late_stops(agent);
+            faults.extend(cut_off_second_entry(agent));
+            faults.push((LOST_AT + offset, fault_of(agent)));
+            faults
+        });
+        let scenario = format!("{:?} after {offset:?}", fault_of(0));
+        assert_no_overlap(&fleet, &scenario);
+    }
+}
--- a/lib/tests/test_run_agent/announcements.rs
+++ b/lib/tests/test_run_agent/announcements.rs
@@ -29,11 +29,15 @@
 }
 
 fn welcome(life: u64, protocol: u32) -> Order {
+    welcome_with(life, protocol, Vec::new())
+}
+
+fn welcome_with(life: u64, protocol: u32, claims: Vec<(RunKey, Resources)>) -> Order {
     Order::Welcome(Welcome {
         name: format!("entry-{life}").into(),
         life,
         entries: Vec::new(),
-        claims: Vec::new(),
+        claims,
         guarantors: Vec::new(),
         evacuations: Arc::default(),
         protocol,
@@ -75,6 +79,27 @@
         fixture
     }
 
+    /// An agent that has just found the run in its target's lists, and knows no entry but the second.
+    fn adopting() -> Self {
+        let mut agent = RunAgentCore::new(Now::ZERO, options());
+        let actions = agent.handle(ms(1), report("life-1", false, 1));
+        let (number, _) = incarnation_checks(&actions)[0];
+        let alive = incarnation_checked(number, IncarnationAnswer::Alive(None));
+        let actions = agent.handle(ms(1), alive);
+        let mut fixture = Self {
+            agent,
+            now: ms(2),
+            open: renewals(&actions),
+            has_run: true,
+            actions: Vec::new(),
+        };
+        fixture.answer_renewals();
+        fixture.handle(AgentEvent::LinkUp(SECOND, address(2)));
+        fixture.handle(welcome_packet(SECOND, ms(2), OTHER, 2));
+        fixture.handle(AgentEvent::LinkUp(LINK, address(1)));
+        fixture
+    }
+
     fn handle(&mut self, event: AgentEvent) {
         let actions = self.agent.handle(self.now, event);
         self.open.extend(renewals(&actions));
@@ -240,6 +265,64 @@
     assert_eq!(fixture.take_notices(SECOND), [(notice(1), true)]);
 }
 
+/// Orders a stop that the target never carries out, on a new link if `relinked`, and returns when the
+/// owner wrote the packet before that order. The owner goes on sending.
+fn order_lost_stop(fixture: &mut Fixture, relinked: bool) -> Now {
+    let wanted_at = fixture.now;
+    let mut link = LINK;
+    let mut orders = vec![Order::Stop(vec![key(0)])];
+    fixture.pass_until(wanted_at + ms(200));
+    if relinked {
+        link = 3;
+        fixture.handle(AgentEvent::LinkDown(LINK));
+        fixture.handle(AgentEvent::LinkUp(link, address(1)));
+        let claim = welcome_with(OWNER, 2, vec![(key(0), SIZE)]);
+        orders.insert(0, claim);
+    }
+    fixture.hear(link, orders);
+    fixture.actions.clear();
+    while fixture.now < wanted_at + ms(2_500) {
+        fixture.pass_until(fixture.now + ms(10));
+        fixture.hear(link, Vec::new());
+    }
+    wanted_at
+}
+
+// Guards against a run that its entry stops because its caller has left, but whose lease each packet
+// of that entry extends while the stops are lost.
+#[test]
+fn test_handle_lease_of_run_to_stop_ends_before_its_caller_returns() {
+    for relinked in [false, true] {
+        let mut fixture = Fixture::new(2);
+        let wanted_at = order_lost_stop(&mut fixture, relinked);
+        let latest = fixture.latest_lease().expect("the lease is renewed");
+        let ends_by = wanted_at + timings().unheld_run_bound;
+        assert!(
+            latest + timings().lapse_overhead <= ends_by,
+            "relinked: {relinked}, {latest:?}"
+        );
+        assert_eq!(fixture.agent.gauges().runs, 0, "the run must have lapsed");
+    }
+}
+
+// Guards against a lease that an agent extends although its former incarnation may have been told to
+// stop the run: nothing shows since when the caller has been gone.
+#[test]
+fn test_handle_lease_of_adopted_run_to_stop_is_not_extended() {
+    let mut fixture = Fixture::adopting();
+    fixture.take_notices(SECOND);
+    let orders = vec![
+        welcome_with(OWNER, 2, vec![(key(0), SIZE)]),
+        Order::Stop(vec![key(0)]),
+    ];
+    fixture.hear(LINK, orders);
+    for _ in 0..50 {
+        fixture.pass_until(fixture.now + ms(10));
+        fixture.hear(LINK, Vec::new());
+    }
+    assert_eq!(fixture.latest_lease(), None);
+}
+
 #[test]
 fn test_handle_entry_of_an_older_protocol_gets_no_announcement() {
     let mut fixture = Fixture::new(1);
