--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -178,7 +178,8 @@
             self.answer_claim(key, &claim);
         }
         for (entry, key) in std::mem::take(&mut self.early_stops) {
-            self.stop_or_report_end(entry, key);
+            // An earlier incarnation of this agent may have missed the order.
+            self.stop_or_report_end(entry, key, None);
         }
     }
 
@@ -193,7 +194,7 @@
                     self.log(EventCode::RunOutlived, format!("run={key}"));
                     self.lease.note_outlasted(self.now);
                     self.adopt(key);
-                    self.request_stop(key, Some(self.now));
+                    self.request_stop(key, None, Some(self.now));
                 }
                 // The list may be older than the end.
                 Some(_) => {}
