testutils: silent connections, one-way cuts and lossy paths in the virtual fleet

Open connections may go silent for good, without a reset, while new ones work; the virtual fleet could only cut all of a path for a time. It now silences one link, a share or all links of a process, or all links at once, both ways or one way, cuts a path one way, and loses packets, which arrive after a retransmission.

--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -163,6 +163,10 @@
         FleetFault::Freeze(n, t) => FleetFault::Freeze(pick(n), t),
         FleetFault::Cut(n, t) => FleetFault::Cut(pick(n), t),
         FleetFault::CutBetween(a, b, t) => FleetFault::CutBetween(pick(a), pick(b), t),
+        FleetFault::CutOneWay(a, b, t) => FleetFault::CutOneWay(pick(a), pick(b), t),
+        FleetFault::Lossy(n, percent, t) => FleetFault::Lossy(pick(n), percent, t),
+        FleetFault::SilenceBetween(a, b, s) => FleetFault::SilenceBetween(pick(a), pick(b), s),
+        FleetFault::SilenceLinks(n, percent, s) => FleetFault::SilenceLinks(pick(n), percent, s),
         FleetFault::Reset(n) => FleetFault::Reset(pick(n)),
         FleetFault::Drain(n) => FleetFault::Drain(pick(n)),
         FleetFault::Crash(_) => FleetFault::Crash(index),
@@ -180,6 +184,7 @@
         | FleetFault::ClockBack
         | FleetFault::Evacuate(_)
         | FleetFault::GiveBack(_)
+        | FleetFault::SilenceAll(_)
         | FleetFault::StoreDown(_)) => other,
     }
 }
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -18,7 +18,7 @@
 
 pub use callers::Caller;
 pub use entry_traffic::Traffic;
-pub use fault::FleetFault;
+pub use fault::{FleetFault, Silence};
 pub use fault_injection::POWER_OFF;
 pub use fleet_config::{FleetConfig, Node};
 pub use processor::ProcessorModel;
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -5,6 +5,17 @@
 use super::Node;
 use crate::run_target::TargetImpairment;
 
+/// Directions in which a connection goes silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    /// In both directions.
+    BothWays,
+    /// Towards the entry that accepted the connection.
+    ToEntry,
+    /// From the entry that accepted the connection.
+    FromEntry,
+}
+
 /// A fault; a `Duration` is its length.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum FleetFault {
@@ -22,6 +33,16 @@
     Cut(Node, Duration),
     /// Two processes are partitioned from each other.
     CutBetween(Node, Node, Duration),
+    /// Packets from one process to another wait, and new connections fail; the other way works.
+    CutOneWay(Node, Node, Duration),
+    /// This percentage of a process's packets arrives only after a retransmission.
+    Lossy(Node, u32, Duration),
+    /// The open connections between two processes go silent for good, while new ones work.
+    SilenceBetween(Node, Node, Silence),
+    /// This percentage of a process's open connections goes silent for good, while new ones work.
+    SilenceLinks(Node, u32, Silence),
+    /// All open connections go silent for good, while new ones work.
+    SilenceAll(Silence),
     /// All connections of a process are reset, including its callers'.
     Reset(Node),
     /// A process drains and exits, then restarts.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -35,6 +35,19 @@
             }
             FleetFault::Cut(node, length) => self.cut(node, length),
             FleetFault::CutBetween(a, b, length) => self.links.cut(a, b, self.now + length),
+            FleetFault::CutOneWay(from, to, length) => {
+                self.links.cut_one_way(from, to, self.now + length);
+            }
+            FleetFault::Lossy(node, percent, length) => {
+                self.links.lose_packets(node, percent, self.now + length);
+            }
+            FleetFault::SilenceBetween(a, b, silence) => {
+                self.silence(silence, 100, |link| link.connects(a) && link.connects(b));
+            }
+            FleetFault::SilenceLinks(node, percent, silence) => {
+                self.silence(silence, percent, |link| link.connects(node));
+            }
+            FleetFault::SilenceAll(silence) => self.silence(silence, 100, |_| true),
             FleetFault::Reset(node) => {
                 self.reset_links(node);
                 if let Node::Entry(i) = node {
--- a/lib/testutils/src/run_fleet/links.rs
+++ b/lib/testutils/src/run_fleet/links.rs
@@ -4,28 +4,38 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use rand::Rng as _;
 use trestleknot_lib::batch_event::EntryEvent;
 use trestleknot_lib::ids::{Now, SessionId};
 use trestleknot_lib::run::NotStarted;
 use trestleknot_lib::run_event::AgentEvent;
 use trestleknot_lib::run_message::{AgentNews, Order, Packet};
 
-use super::{Event, Node, RunFleet};
+use super::{Event, Node, RunFleet, Silence};
 
 /// Default one-way latency between two processes.
 pub(super) const DELAY: Duration = Duration::from_micros(500);
 const DIAL_EVERY: Duration = Duration::from_millis(60);
 
+/// Time after which a lost packet is sent again.
+const RETRANSMISSION: Duration = Duration::from_millis(200);
+
 #[derive(Debug, Clone, Copy)]
-struct Link {
+pub(super) struct Link {
     dialler: Node,
     entry: usize,
     dialler_open: bool,
     entry_open: bool,
+    /// Whether nothing arrives at the dialler any more.
+    is_dialler_deaf: bool,
+    /// Whether nothing arrives at the entry any more.
+    is_entry_deaf: bool,
+    /// When the last packets arrive at the dialler and at the entry: TCP keeps the order.
+    last_arrivals: (Now, Now),
 }
 
 impl Link {
-    fn connects(&self, node: Node) -> bool {
+    pub(super) fn connects(&self, node: Node) -> bool {
         node == self.dialler || node == Node::Entry(self.entry)
     }
 
@@ -37,6 +47,30 @@
         }
     }
 
+    fn is_deaf(&self, node: Node) -> bool {
+        if node == self.dialler {
+            self.is_dialler_deaf
+        } else {
+            self.is_entry_deaf
+        }
+    }
+
+    fn silence(&mut self, silence: Silence) {
+        self.is_dialler_deaf |= silence != Silence::ToEntry;
+        self.is_entry_deaf |= silence != Silence::FromEntry;
+    }
+
+    /// Returns when a packet that is sent to `to` arrives, if it would arrive at `at` by itself.
+    fn arrival(&mut self, to: Node, at: Now) -> Now {
+        let last = if to == self.dialler {
+            &mut self.last_arrivals.0
+        } else {
+            &mut self.last_arrivals.1
+        };
+        *last = at.max(*last);
+        *last
+    }
+
     fn other(&self, node: Node) -> Node {
         if node == self.dialler {
             Node::Entry(self.entry)
@@ -55,6 +89,10 @@
     next: SessionId,
     /// Pairs of processes that are partitioned from each other, and until when.
     cuts: BTreeMap<(Node, Node), Now>,
+    /// Pairs of processes between which packets from the first to the second wait, and until when.
+    one_way_cuts: BTreeMap<(Node, Node), Now>,
+    /// Percentage of the packets of processes that are lost once, and until when.
+    losses: BTreeMap<Node, (u32, Now)>,
 }
 
 impl Links {
@@ -69,6 +107,29 @@
         until.copied().unwrap_or_default()
     }
 
+    /// Holds up all packets from one process to another.
+    pub(super) fn cut_one_way(&mut self, from: Node, to: Node, until: Now) {
+        self.one_way_cuts.insert((from, to), until);
+    }
+
+    /// Loses packets from and to a process.
+    pub(super) fn lose_packets(&mut self, node: Node, percent: u32, until: Now) {
+        self.losses.insert(node, (percent, until));
+    }
+
+    /// When packets from one process to another no longer wait.
+    fn held_up_until(&self, from: Node, to: Node) -> Now {
+        let until = self.one_way_cuts.get(&(from, to)).copied();
+        until.unwrap_or_default().max(self.cut_until(from, to))
+    }
+
+    /// Percentage of the packets between two processes that are lost.
+    fn loss(&self, now: Now, a: Node, b: Node) -> u32 {
+        let lossy = [a, b].into_iter().filter_map(|node| self.losses.get(&node));
+        let current = lossy.filter(|(_, until)| *until > now);
+        current.map(|(percent, _)| *percent).max().unwrap_or(0)
+    }
+
     /// Closes a process's side of its links without notifying the other side, as a power loss does.
     pub(super) fn lose_power(&mut self, node: Node) {
         for link in self.links.values_mut().filter(|l| l.connects(node)) {
@@ -125,7 +186,8 @@
         let can_reach = self.entries[entry].core.is_some()
             && !self.is_cut(Node::Entry(entry))
             && !self.is_cut(dialler)
-            && self.links.cut_until(dialler, Node::Entry(entry)) <= self.now;
+            && self.links.held_up_until(dialler, Node::Entry(entry)) <= self.now
+            && self.links.held_up_until(Node::Entry(entry), dialler) <= self.now;
         if is_linked || !can_reach {
             return;
         }
@@ -136,6 +198,9 @@
             entry,
             dialler_open: true,
             entry_open: true,
+            is_dialler_deaf: false,
+            is_entry_deaf: false,
+            last_arrivals: (Now::ZERO, Now::ZERO),
         };
         self.links.links.insert(id, link);
         self.links.newest.insert((dialler, entry), id);
@@ -155,14 +220,24 @@
         }
         let to = link.other(from);
         self.packets += 1;
+        if link.is_deaf(to) {
+            return;
+        }
         count_orders(&packet, &mut self.orders, &mut self.full);
         // TCP delivers packets in order once a partition ends, here at `connected_at`.
         let connected_at = self
             .cut_until(from)
             .max(self.cut_until(to))
-            .max(self.links.cut_until(from, to));
+            .max(self.links.held_up_until(from, to));
         let transmitted_at = self.traffic.packet(self.now, from, to, &packet);
-        let at = connected_at.max(transmitted_at) + self.fleet_config.one_way;
+        let mut at = connected_at.max(transmitted_at) + self.fleet_config.one_way;
+        let loss = self.links.loss(self.now, from, to);
+        if loss > 0 && self.rng.random_range(0..100) < loss {
+            at += RETRANSMISSION;
+        }
+        if let Some(link) = self.links.links.get_mut(&id) {
+            at = link.arrival(to, at);
+        }
         self.schedule_at(at, Event::Deliver(to, id, packet));
     }
 
@@ -184,6 +259,20 @@
         }
     }
 
+    /// Silences for good this percentage of the open links that are selected.
+    pub(super) fn silence(
+        &mut self,
+        silence: Silence,
+        percent: u32,
+        is_selected: impl Fn(&Link) -> bool,
+    ) {
+        for link in self.links.links.values_mut() {
+            if is_selected(link) && self.rng.random_range(0..100) < percent {
+                link.silence(silence);
+            }
+        }
+    }
+
     /// Closes one side; the other side is notified unless a partition separates them.
     pub(super) fn close(&mut self, by: Node, id: SessionId) {
         let Some(link) = self.links.links.get_mut(&id) else {
@@ -191,7 +280,8 @@
         };
         *link.open_side(by) = false;
         let other = link.other(by);
-        let is_cut = self.links.cut_until(by, other) > self.now;
+        let is_deaf = link.is_deaf(other);
+        let is_cut = is_deaf || self.links.held_up_until(by, other) > self.now;
         if !self.is_cut(by) && !self.is_cut(other) && !is_cut {
             self.schedule_after(self.fleet_config.one_way, Event::LinkDown(other, id));
         }
@@ -216,9 +306,13 @@
     /// just this process.
     pub(super) fn reset_links(&mut self, node: Node) {
         let links = self.links.links.iter().filter(|(_, l)| l.connects(node));
-        let ids: Vec<(SessionId, Node)> = links.map(|(id, l)| (*id, l.other(node))).collect();
-        for (id, other) in ids {
-            if self.links.cut_until(node, other) <= self.now {
+        let of_link = |(id, link): (&SessionId, &Link)| {
+            let other = link.other(node);
+            (*id, other, link.is_deaf(other))
+        };
+        let ids: Vec<(SessionId, Node, bool)> = links.map(of_link).collect();
+        for (id, other, is_deaf) in ids {
+            if !is_deaf && self.links.held_up_until(node, other) <= self.now {
                 self.schedule_after(self.fleet_config.one_way, Event::LinkDown(other, id));
             }
             self.schedule_after(self.fleet_config.one_way, Event::LinkDown(node, id));
