--- a/lib/tests/test_fleet_silence.rs
+++ b/lib/tests/test_fleet_silence.rs
@@ -5,8 +5,12 @@
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
-use testutils::run_fleet::{AGENTS, ENTRIES, FleetConfig, FleetFault, Node, RunFleet, Silence};
+use testutils::run_fleet::{
+    AGENTS, Caller, ENTRIES, FleetConfig, FleetFault, Node, RunFleet, Silence,
+};
+use testutils::run_target::RunTarget;
 use trestleknot_lib::ids::Now;
+use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::BatchId;
 
 const fn ms(millis: u64) -> Now {
@@ -150,3 +154,62 @@
     let fleets = (0..300).map(|seed| simulate(seed, true));
     assert_links_time_out(fleets);
 }
+
+const BATCH: BatchId = 0x51e7;
+/// When the first entry is lost and its caller's connection breaks.
+const LOST_AT: Now = ms(2_500);
+
+/// The first of three entries is lost while it runs a long task, whose stops are lost. The third one,
+/// to which the caller returns, hears nothing on its old connections. The second one hears of the run.
+fn lose_entry_beside_silent_links(agent_fault: Option<(Duration, Duration)>) -> RunFleet {
+    let size = Resources {
+        cpu_millis: 2_000,
+        memory_mib: 64,
+        accelerators: 0,
+    };
+    let fleet_config = FleetConfig {
+        capacity: size,
+        entries_meet: true,
+        ..FleetConfig::default()
+    };
+    let mut fleet = RunFleet::with_config(1, fleet_config, testutils::run_fleet::config());
+    let mut caller = Caller::new(LOST_AT - ms(500), 1, 4_000, size);
+    caller.guess = Some(1.0);
+    caller.reply_timeout = ms(9_000);
+    caller.entry = Some(0);
+    fleet.add_caller(BATCH, caller);
+    fleet.run_until(LOST_AT - ms(200));
+    let has_run = |target: &RunTarget| target.running() > 0;
+    let agent = fleet.targets().position(has_run).expect("the task runs");
+    fleet.callers.get_mut(&BATCH).expect("was added").entry = Some(2);
+    fleet.add_disconnect(LOST_AT, BATCH);
+    let third = Node::Entry(2);
+    let faults = [
+        FleetFault::LateStops(agent, ms(3_000)),
+        FleetFault::SilenceLinks(third, 100, Silence::BothWays),
+    ];
+    for fault in faults {
+        fleet.inject(LOST_AT - ms(100), fault);
+    }
+    fleet.inject(LOST_AT, FleetFault::PowerOffFor(Node::Entry(0), ms(3_000)));
+    if let Some((after, length)) = agent_fault {
+        fleet.inject(
+            LOST_AT + after,
+            FleetFault::Freeze(Node::Agent(agent), length),
+        );
+    }
+    fleet.run_until(ms(20_000));
+    fleet
+}
+
+// Guards against a task that runs twice at once: one entry confirms that it knows of the run, which
+// lengthens the run's lease, but it can't tell the entry to which the caller returns.
+#[test]
+fn test_run_until_confirming_entry_cannot_pass_notices_on() {
+    let freezes = (600..1_300).step_by(50).map(|at| Some((ms(at), ms(3_000))));
+    let overlaps: Vec<String> = std::iter::once(None)
+        .chain(freezes)
+        .flat_map(|agent_fault| lose_entry_beside_silent_links(agent_fault).violations())
+        .collect();
+    assert!(overlaps.is_empty(), "{overlaps:#?}");
+}
