lib: stops that keep a lease from being extended are repeated sooner

Found by review: an agent that restarts beside an open stop extends no lease until that run has ended, but repeated the stop at the slow interval. If the few attempts within the rest of the lease are lost, all runs on the target lapse.

test_handle_stop_that_keeps_the_lease_from_being_extended_is_repeated_soon.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -585,8 +585,9 @@
             // The bound of an orphaned run leaves time for few attempts, and if all are lost, the lease
             // of all runs on the target lapses.
             let retry_interval = self.options.timings.stop_retry_interval;
-            let is_orphaned = stopping.orphaned_since.is_some();
-            stopping.resend_at = now + retry_interval / if is_orphaned { 2 } else { 1 };
+            // The same holds while the lease isn't extended because of the stop.
+            let is_urgent = stopping.orphaned_since.is_some() || stopping.last_wanted.is_none();
+            stopping.resend_at = now + retry_interval / if is_urgent { 2 } else { 1 };
             let target_name = target_name.clone();
             self.actions.push(AgentAction::Stop {
                 key,
--- a/lib/tests/test_run_agent/announcements.rs
+++ b/lib/tests/test_run_agent/announcements.rs
@@ -200,7 +200,7 @@
         let latest = fixture.latest_lease().expect("the lease is renewed");
         assert!(latest > suspect_at(), "{latest:?}");
         // The target's clock may be 2% slow from the last renewal on.
-        let ends_by = LAST_PACKET + timings().unheld_run_bound;
+        let ends_by = LAST_PACKET + timings().unrenewed_run_bound;
         let lapsed_by = latest + timings().lapse_overhead;
         assert!(lapsed_by <= ends_by, "noted: {is_noted}, {latest:?}");
         assert_eq!(fixture.agent.gauges().runs, 0, "the run must have lapsed");
@@ -214,7 +214,7 @@
 fn test_handle_stops_of_orphaned_run_are_sent_more_often() {
     let mut fixture = Fixture::new(2);
     let orphaned_at = LAST_PACKET + timings().entry_lease;
-    fixture.pass_until(LAST_PACKET + timings().unheld_run_bound - timings().lapse_overhead);
+    fixture.pass_until(LAST_PACKET + timings().unrenewed_run_bound - timings().lapse_overhead);
     let is_stop = |a: &&AgentAction| matches!(a, AgentAction::Stop { .. });
     let stops = fixture.actions.iter().filter(is_stop).count() as u32;
     let time = fixture.now - orphaned_at;
@@ -252,7 +252,7 @@
     fixture.hear(LINK, Vec::new());
     fixture.pass_until(heard + timings().suspect_after - ms(10));
     let latest = fixture.latest_lease().expect("the lease is renewed");
-    assert!(latest < heard + timings().unheld_run_bound, "{latest:?}");
+    assert!(latest < heard + timings().unrenewed_run_bound, "{latest:?}");
     assert_eq!(fixture.take_notices(SECOND), []);
     fixture.pass_until(heard + timings().suspect_after);
     assert_eq!(fixture.take_notices(SECOND), [(notice(2), true)]);
@@ -298,7 +298,7 @@
         let mut fixture = Fixture::new(2);
         let wanted_at = order_lost_stop(&mut fixture, relinked);
         let latest = fixture.latest_lease().expect("the lease is renewed");
-        let ends_by = wanted_at + timings().unheld_run_bound;
+        let ends_by = wanted_at + timings().unrenewed_run_bound;
         assert!(
             latest + timings().lapse_overhead <= ends_by,
             "relinked: {relinked}, {latest:?}"
@@ -331,3 +331,24 @@
     fixture.pass_until(suspect_at() + ms(50));
     assert_eq!(fixture.take_notices(SECOND), []);
 }
+
+// Guards against the lapse of all runs on a target: while a run must be stopped and nobody knows since
+// when, no lease is extended, and lost stops have to be repeated soon.
+#[test]
+fn test_handle_stop_that_keeps_the_lease_from_being_extended_is_repeated_soon() {
+    let mut fixture = Fixture::adopting();
+    let orders = vec![
+        welcome_with(OWNER, 2, vec![(key(0), SIZE)]),
+        Order::Stop(vec![key(0)]),
+    ];
+    fixture.hear(LINK, orders);
+    let from = fixture.now;
+    let is_stop = |a: &&AgentAction| matches!(a, AgentAction::Stop { .. });
+    let before = fixture.actions.iter().filter(is_stop).count();
+    while fixture.now < from + ms(500) {
+        fixture.pass_until(fixture.now + ms(10));
+        fixture.hear(LINK, Vec::new());
+    }
+    let repeated = fixture.actions.iter().filter(is_stop).count() - before;
+    assert!(repeated >= 8, "{repeated} in 0.5 s");
+}
