lib: a run that goes on after it was reported as over is announced again

Found by review: such a run was adopted without an owner, so no entry heard of it, while its owner had been told of its end and no entry held the batch. It is adopted with the owner that it had. The event is named for what the agent sees.

test_handle_run_that_is_listed_after_it_was_taken_for_over_is_announced_again.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -140,7 +140,7 @@
     TargetCallFailed = 2107, Info, "call to the target got no answer";
     RunReleased = 2108, Info, "run stopped, its guarantor released the batch";
     RunsAnnounced = 2109, Info, "entries told that runs of a batch may outlast their entry";
-    RunOutlived = 2110, Error, "target lists a run as running that was taken for over";
+    EndedRunListed = 2110, Error, "target lists a run that was reported as ended";
     AnswerWithheld = 2111, Warn, "answer about a run withheld, another run of its task goes on";
 }
 
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -191,9 +191,14 @@
                 None => self.adopt(key),
                 // It was taken for over too soon, and its owner may have started the task elsewhere.
                 Some(ended_at) if ended_at < sent_at => {
-                    self.log(EventCode::RunOutlived, format!("run={key}"));
+                    self.log(EventCode::EndedRunListed, format!("run={key}"));
                     self.lease.note_outlasted(self.now);
+                    let owner = self.runs.past_owner(key);
                     self.adopt(key);
+                    // With its owner, the run is announced to the entries again.
+                    if let Some(run) = self.runs.get_mut(key) {
+                        run.owner = owner;
+                    }
                     self.request_stop(key, None, Some(self.now));
                 }
                 // The list may be older than the end.
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -293,6 +293,11 @@
         self.recent_ends.get(&key).map(|past| past.ended)
     }
 
+    /// Returns the owner that a run had when its end was noted, if the end is still kept.
+    pub fn past_owner(&self, key: RunKey) -> Option<Incarnation> {
+        self.recent_ends.get(&key)?.owner
+    }
+
     /// Returns how an entry's run ended, if its end is still kept. A run of another entry may have
     /// had the same key.
     pub fn end_for(&self, key: RunKey, entry: Incarnation) -> Option<RunEnd> {
--- a/lib/tests/test_run_agent/leases.rs
+++ b/lib/tests/test_run_agent/leases.rs
@@ -331,7 +331,7 @@
         _ => None,
     });
     let logged: Vec<EventCode> = logged.collect();
-    assert!(logged.contains(&EventCode::RunOutlived), "{logged:?}");
+    assert!(logged.contains(&EventCode::EndedRunListed), "{logged:?}");
 }
 
 /// Rate of the slowest clock that a target may have.
--- a/lib/tests/test_run_agent/suspension.rs
+++ b/lib/tests/test_run_agent/suspension.rs
@@ -1,6 +1,7 @@
 //! Suspended VMs: the agent's clock goes on while the target's stops.
 
 use super::*;
+use trestleknot_lib::events::EventCode;
 
 /// Silence of the target after which all of its leases must have lapsed.
 const LAPSED_AFTER: Duration = ms(1_400);
@@ -96,3 +97,18 @@
         assert_eq!(agent.gauges().runs, 0);
     }
 }
+
+// Guards against a run that goes on while no entry holds its batch: its owner was told of its end, and
+// the stop may be lost.
+#[test]
+fn test_handle_run_that_is_listed_after_it_was_taken_for_over_is_announced_again() {
+    let (mut agent, now, _, later) = agent_whose_run_counts_as_lapsed();
+    let (number, answer) = (later[0], running(&[key(0)]));
+    agent.handle(now + ms(1), AgentEvent::RenewalAnswered { number, answer });
+    let is_announced = |actions: Vec<AgentAction>| {
+        let is_log = |a: &AgentAction| matches!(a, AgentAction::Log(e) if e.code == EventCode::RunsAnnounced);
+        actions.iter().any(is_log)
+    };
+    let mut wakes = (2..400).map(|after| agent.handle(now + ms(after), AgentEvent::Wake));
+    assert!(wakes.any(is_announced));
+}
