lib: an entry whose input marks stand still goes on sending to its agents

Found by review: packets were due only when the input mark had moved, so an entry whose marks stand still for the time-out of a link lost all of its agents. They are now also due after a heartbeat; their leases still count from the last mark.

test_handle_entry_whose_input_marks_stand_still_goes_on_sending. The names of what was called a word are those of the leases that it grants.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -13,8 +13,8 @@
 mod callers;
 mod crashes;
 mod handover;
+mod lease_renewals;
 mod starvation;
-mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -108,7 +108,7 @@
     /// take an entry for lost, its callers may be gone without its having read that.
     unread_until: Option<Now>,
     /// How far the input is read.
-    input: words::InputProgress,
+    input: lease_renewals::InputProgress,
     /// Load of this VM's network link.
     link_load: LinkLoad,
     /// Tasks that crashes point at, with the time when it is decided whether to give them up.
@@ -149,7 +149,7 @@
             declined: None,
             resumed_until: Now::ZERO,
             unread_until: None,
-            input: words::InputProgress::default(),
+            input: lease_renewals::InputProgress::default(),
             link_load: LinkLoad::new(options.link_rate),
             verdicts: BTreeSet::new(),
             capacity_lacked_at: None,
@@ -165,7 +165,7 @@
         if let EntryEvent::InputRead(until) = event {
             self.input.note_read(until);
             // Unless input is read late, agents' packets are answered in time.
-            if now <= until + self.options.timings.max_word_lead {
+            if now <= until + self.options.timings.max_lease_lead {
                 return Vec::new();
             }
         }
@@ -307,7 +307,7 @@
                 self.actions.push(EntryAction::Close(link))
             }
             EntryEvent::LoopLoad(_) => {}
-            EntryEvent::InputRead(_) => self.renew_words(),
+            EntryEvent::InputRead(_) => self.renew_leases(),
             EntryEvent::Drain => self.begin_drain(),
         }
     }
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -73,7 +73,7 @@
         for news in packet.news {
             self.handle_news(link, news);
         }
-        if self.is_word_due(link) {
+        if self.is_renewal_due(link) {
             self.send_orders(link);
         }
     }
@@ -368,13 +368,13 @@
             self.table.waiting_tasks()
         };
         let waiting = waiting.min(MAX_REPORTED_WAITING);
-        let vouched = self.vouched_time();
+        let lease_basis = self.lease_basis();
         let (Some(outbox), Some(view)) = (self.outboxes.get_mut(&link), self.targets.get_mut(link))
         else {
             return;
         };
         view.sent = now;
-        view.vouched = vouched;
+        view.lease_basis = lease_basis;
         let lease = self.options.timings.entry_lease.as_millis() as AgentMillis;
         let agent_clock = view.agent_clock(now);
         let store_age = self.directory.store_age(now);
@@ -386,7 +386,7 @@
             outbox.orders.push(Order::Entries(entries));
         }
         let packet = EntryPacket {
-            lease_until: view.agent_clock_at(now, vouched) + lease,
+            lease_until: view.agent_clock_at(now, lease_basis) + lease,
             store_heard,
             waiting,
             orders: std::mem::take(&mut outbox.orders),
--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -1,13 +1,13 @@
-//! The time that an entry vouches for in its packets to agents.
+//! The leases on its runs that an entry grants in its packets to agents.
 //!
-//! A packet tells an agent until when the entry's runs may go on. The break of a caller's connection
-//! may be among the input that the entry has not read yet, and the caller returns to another entry a
-//! fixed time after the break. So a packet vouches for no later time than the input that was read,
-//! give or take `Timings::max_word_lead`.
+//! The break of a caller's connection may be among the input that the entry has not read yet, and the
+//! caller returns to another entry a fixed time after the break. So a lease counts from the time until
+//! which the input is read, plus at most `Timings::max_lease_lead`.
 
 use super::BatchEntryCore;
 use crate::ids::{Now, SessionId};
 use crate::run::BatchId;
+use crate::target_registry::TargetView;
 
 /// How far an entry has read its input.
 #[derive(Debug, Default)]
@@ -31,34 +31,38 @@
 }
 
 impl BatchEntryCore {
-    /// The time that packets to agents may vouch for now. Until the other entries are told of a
+    /// The time from which leases in packets to agents may count now. Until the other entries are told of a
     /// closed batch, its runs depend on this entry alone, which may be lost.
-    pub(super) fn vouched_time(&self) -> Now {
+    pub(super) fn lease_basis(&self) -> Now {
         let Some(read_until) = self.input.read_until else {
             return self.now;
         };
         let untold_since = self.directory.untold_since();
         let settled_until = untold_since.map_or(read_until, |since| since.min(read_until));
         self.now
-            .min(settled_until + self.options.timings.max_word_lead)
+            .min(settled_until + self.options.timings.max_lease_lead)
     }
 
-    /// Whether a packet to an agent would vouch for a time that is later by enough to send one.
-    pub(super) fn is_word_due(&self, link: SessionId) -> bool {
+    /// Whether to send a packet to an agent: its lease would count from a time that is later by enough, or
+    /// the agent would take the link for silent without one.
+    pub(super) fn is_renewal_due(&self, link: SessionId) -> bool {
         let pause = self.options.timings.max_answer_delay();
         let view = self.targets.get(link);
-        self.unread_until.is_none()
-            && view.is_some_and(|v| v.vouched + pause <= self.vouched_time())
+        let heartbeat = self.options.timings.heartbeat;
+        let is_due = |v: &TargetView| {
+            v.lease_basis + pause <= self.lease_basis() || v.sent + heartbeat <= self.now
+        };
+        self.unread_until.is_none() && view.is_some_and(is_due)
     }
 
-    /// Sends packets to the agents that have runs, without waiting for theirs to be read.
-    pub(super) fn renew_words(&mut self) {
+    /// Renews the leases at the agents that have runs, without waiting for their packets to be read.
+    pub(super) fn renew_leases(&mut self) {
         let has_runs = |link: &SessionId| {
             let view = self.targets.get(*link);
             view.is_some_and(|v| !self.table.runs_at(&v.agent).is_empty())
         };
         let links = self.outboxes.keys().copied();
-        let due = links.filter(|link| self.is_word_due(*link) && has_runs(link));
+        let due = links.filter(|link| self.is_renewal_due(*link) && has_runs(link));
         for link in due.collect::<Vec<SessionId>>() {
             self.send_orders(link);
         }
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -231,13 +231,12 @@
         std::mem::take(&mut self.pending_actions)
     }
 
-    /// Records that the last notice is on a batch that was closed on input read until `since`.
+    /// Records that the batch of the last notice was closed at the input mark `since`.
     pub fn note_untold(&mut self, since: Now) {
         self.peers.note_untold(since);
     }
 
-    /// Until when the input was read on which a batch was closed whose notice waits to be sent; the
-    /// earliest.
+    /// The input mark at which a batch was closed whose notice waits to be sent; the earliest one.
     pub fn untold_since(&self) -> Option<Now> {
         self.peers.untold_since()
     }
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -29,9 +29,8 @@
 use crate::run_message::Packet;
 use crate::skipped_input::SkippedInput;
 
-/// Tasks that wake each other, one after the other, until what was read from a socket has reached the
-/// core.
-const WAKES_FROM_SOCKET: u32 = 4;
+/// Most tasks through which input passes from a socket to the core, each waking the next.
+const MAX_WAKES_TO_CORE: u32 = 4;
 /// Shortest time between two marks of the input that is read.
 const INPUT_MARK_PAUSE: Duration = Duration::from_millis(30);
 /// Pause after the first call to the store that failed.
@@ -289,7 +288,7 @@
     // All tasks whose sockets are ready come before this one.
     tokio::task::yield_now().await;
     // So do those that they wake.
-    for _ in 0..WAKES_FROM_SOCKET {
+    for _ in 0..MAX_WAKES_TO_CORE {
         requeue().await;
     }
 }
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -55,8 +55,8 @@
     pub news: Vec<PeerNews>,
     /// When the waiting news must be sent.
     news_due: Now,
-    /// Until when the input was read on which this entry closed a batch whose notice waits among the
-    /// news; the earliest.
+    /// The input mark at which this entry closed a batch whose notice waits among the news; the
+    /// earliest one.
     untold_since: Option<Now>,
     /// Incarnation of the entry.
     pub life: Incarnation,
--- a/lib/src/restart_gaps.rs
+++ b/lib/src/restart_gaps.rs
@@ -13,7 +13,8 @@
 pub struct RestartCause {
     /// End of the earlier run, as its agent logged it.
     pub end: String,
-    /// Whether the run number did not rise, because the batch was submitted again.
+    /// Whether the run number did not rise, because the batch was submitted again at another entry or
+    /// process. An entry that it comes back to continues its numbers.
     pub is_resubmitted: bool,
 }
 
--- a/lib/src/run_agent/announcements.rs
+++ b/lib/src/run_agent/announcements.rs
@@ -27,7 +27,7 @@
         if !self.may_renew() {
             return Extension::None;
         }
-        let bound = self.options.timings.unheld_run_bound;
+        let bound = self.options.timings.unrenewed_run_bound;
         let last_wanted = self.runs.iter().map(|(_, run)| self.last_wanted(run));
         match last_wanted.min() {
             None => Extension::Full,
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -257,8 +257,8 @@
     /// stopped, and no others start. Only for agents of protocol 1 or later.
     #[serde(rename = "R")]
     Release(BatchId),
-    /// The sender has noted the [`AgentNews::RunsLeft`] with these numbers. Only earlier builds send
-    /// and heed it.
+    /// The sender has noted the [`AgentNews::RunsLeft`] with these numbers. Ignored; kept so that
+    /// packets of entries of older protocols decode.
     #[serde(rename = "H")]
     RunsNoted(Vec<NoticeNumber>),
 }
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -75,12 +75,12 @@
     pub heard: Now,
     /// When a packet was last sent to the agent.
     pub sent: Now,
-    /// The time that the last packet to the agent vouches for.
-    pub vouched: Now,
+    /// The time from which the lease in the last packet to the agent counts.
+    pub lease_basis: Now,
     /// The agent's clock in its last packet.
     clock: AgentMillis,
     /// The agent's clock in the packet that was read with the least delay, and when it was read.
-    prompt_clock: (AgentMillis, Now),
+    least_delayed_clock: (AgentMillis, Now),
     /// Free resources in the agent's last packet.
     free: Resources,
     /// Number of starts sent on this link.
@@ -152,9 +152,9 @@
             is_evacuated: false,
             heard: now,
             sent: now,
-            vouched: now,
+            lease_basis: now,
             clock: 0,
-            prompt_clock: (0, now),
+            least_delayed_clock: (0, now),
             free: Resources::NONE,
             starts_sent: 0,
             unconfirmed_starts: VecDeque::new(),
@@ -187,12 +187,12 @@
         if at >= now {
             return self.agent_clock(now);
         }
-        self.prompt_clock_at(at).min(self.agent_clock(now))
+        self.least_delayed_clock_at(at).min(self.agent_clock(now))
     }
 
     /// The agent's clock by the packet that was read with the least delay. Either clock may run slow.
-    fn prompt_clock_at(&self, at: Now) -> AgentMillis {
-        let (clock, read) = self.prompt_clock;
+    fn least_delayed_clock_at(&self, at: Now) -> AgentMillis {
+        let (clock, read) = self.least_delayed_clock;
         let since = at.saturating_sub(read).div_f64(CLOCK_SLOWDOWN);
         let before = read.saturating_sub(at).mul_f64(CLOCK_SLOWDOWN);
         let clock = clock + since.as_millis() as AgentMillis;
@@ -202,8 +202,8 @@
     fn note_clock(&mut self, now: Now, clock: AgentMillis) {
         self.heard = now;
         self.clock = clock;
-        if self.prompt_clock_at(now) <= clock {
-            self.prompt_clock = (clock, now);
+        if self.least_delayed_clock_at(now) <= clock {
+            self.least_delayed_clock = (clock, now);
         }
     }
 
--- a/lib/src/timings.rs
+++ b/lib/src/timings.rs
@@ -25,8 +25,8 @@
 const STOPS_PER_BOUND: u32 = 10;
 /// Allowance for scheduling delays on a busy VM, added to the time that a lease takes to lapse.
 const LAPSE_SLACK: Duration = Duration::from_millis(70);
-/// Longest time by which an entry's last word to an agent may be newer than the break of a caller's
-/// connection, unless the entry has told the other entries that runs of the batch may be left.
+/// Longest time by which the start of the last lease that an entry grants may be later than the break of
+/// a caller's connection, unless the entry has told the other entries that runs of the batch may be left.
 const MAX_CLOSING_DELAY: Duration = Duration::from_millis(100);
 /// Share of the closing delay that is left for the news of a break on its way to the entry.
 const BREAK_TRANSIT_SHARE: f64 = 0.3;
@@ -135,9 +135,10 @@
     pub suspect_after: Duration,
     /// Time from an entry's last packet, or from the packet before the one with a stop, until the runs
     /// must have ended (agent).
-    pub unheld_run_bound: Duration,
-    /// Time by which an entry's words may be newer than the input that it has handled (entry).
-    pub max_word_lead: Duration,
+    pub unrenewed_run_bound: Duration,
+    /// Longest time by which the start of a lease that an entry grants may be later than the input that it
+    /// has handled (entry).
+    pub max_lease_lead: Duration,
     /// How long the target may wait before it answers a renewal; leaves time to repeat a lost one
     /// (agent).
     pub renewal_wait: Duration,
@@ -189,8 +190,8 @@
             lapse,
             lapse_overhead,
             suspect_after: heartbeat * SUSPECT_HEARTBEATS,
-            unheld_run_bound: caller_return - closing_delay,
-            max_word_lead: closing_delay.mul_f64(1.0 - BREAK_TRANSIT_SHARE),
+            unrenewed_run_bound: caller_return - closing_delay,
+            max_lease_lead: closing_delay.mul_f64(1.0 - BREAK_TRANSIT_SHARE),
             renewal_wait: target_lease.mul_f64(0.33),
             lost_agent_bound: entry_lease + stop_bound + lapse + PROOF_SLACK + MAX_SUSPENSION,
             drain_serve_time: MAX_SERVE_ON.min(shutdown_grace.mul_f64(0.54)),
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -965,3 +965,34 @@
     actions = entry.handle(ms(50), agent_tells(ended(1, RunEnd::Done)));
     assert_eq!(replies(&actions), [(7, Reply::Succeeded)]);
 }
+
+// Guards against a link that an agent takes for silent: the input marks of an overloaded entry stand
+// still, so that it could renew no lease.
+#[test]
+fn test_handle_entry_whose_input_marks_stand_still_goes_on_sending() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "maadi");
+    entry.handle(ms(5), EntryEvent::InputRead(ms(5)));
+    entry.handle(ms(6), batch_of_tasks(5, 1));
+    let mut leases = Vec::new();
+    for at in (1..15).map(|n| ms(6 + n * 100)) {
+        let packet = AgentPacket {
+            clock: at.as_millis() as u64,
+            free: Resources::NONE,
+            starts_seen: 1,
+            health: HealthReport::default(),
+            news: Vec::new(),
+        };
+        let actions = entry.handle(at, EntryEvent::Packet(1, Packet::FromAgent(packet)));
+        leases.extend(actions.iter().filter_map(|a| match a {
+            EntryAction::Send(1, Packet::FromEntry(packet)) => Some(packet.lease_until),
+            _ => None,
+        }));
+    }
+    assert!(leases.len() >= 4, "{leases:?}");
+    // The leases still count from the last mark.
+    let longest = ms(5) + Timings::default().max_lease_lead + Timings::default().entry_lease;
+    let is_short = |until: &u64| *until <= longest.as_millis() as u64 + 10;
+    assert!(leases.iter().all(is_short), "{leases:?}, {longest:?}");
+}
--- a/lib/tests/test_timings.rs
+++ b/lib/tests/test_timings.rs
@@ -55,18 +55,18 @@
         // This also holds if the target fell silent at the same moment.
         prop_assert!(t.reconnect_grace + slow(t.target_lease) < caller_return);
         // The lease of a lost entry's runs ends before its callers return.
-        prop_assert!(t.unheld_run_bound < caller_return);
+        prop_assert!(t.unrenewed_run_bound < caller_return);
         // A word that is newer than the input by the most leaves time for the news of a break.
-        prop_assert!(t.unheld_run_bound + t.max_word_lead * 5 / 4 <= caller_return);
-        let last_lease = t.longest_lease_within(t.unheld_run_bound);
-        prop_assert!(slow(last_lease) + stop <= t.unheld_run_bound);
-        prop_assert!(t.lapse_of(last_lease) <= t.unheld_run_bound + ms(1));
+        prop_assert!(t.unrenewed_run_bound + t.max_lease_lead * 5 / 4 <= caller_return);
+        let last_lease = t.longest_lease_within(t.unrenewed_run_bound);
+        prop_assert!(slow(last_lease) + stop <= t.unrenewed_run_bound);
+        prop_assert!(t.lapse_of(last_lease) <= t.unrenewed_run_bound + ms(1));
         // Announcements reach all entries before then, also if entries pass them on.
         prop_assert!(t.suspect_after + HEARD_EVERYWHERE < caller_return);
         // A sound entry, whose packets may come late by a heartbeat, is not suspected.
         prop_assert!(t.heartbeat + t.max_answer_delay() < t.suspect_after);
         // Until it is, there is time for a lease.
-        prop_assert!(t.longest_lease_within(t.unheld_run_bound - t.suspect_after) > Duration::ZERO);
+        prop_assert!(t.longest_lease_within(t.unrenewed_run_bound - t.suspect_after) > Duration::ZERO);
         // An adopted run without a claim is stopped well within the lease it was found with.
         prop_assert!(t.claim_grace * 2 < t.target_lease);
         // Planned stops end before the platform kills the process.
