--- a/lib/src/run_numbers.rs
+++ b/lib/src/run_numbers.rs
@@ -2,7 +2,7 @@
 //!
 //! News of a run may arrive after its batch has ended and has come again. The numbers of a batch that
 //! comes again therefore continue after those of its earlier attempts. Invariant: within one
-//! incarnation of an entry, a task and a number identify one run.
+//! incarnation of an entry, and as long as news of a run may arrive, a task and a number identify it.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
--- a/lib/src/target_incarnations.rs
+++ b/lib/src/target_incarnations.rs
@@ -63,8 +63,8 @@
     /// number.
     Late(u64),
     /// Ignored: the number is far from that of the last report of the current incarnation, which is
-    /// this one, and the report before it was not ignored for the same reason with a lower number.
-    /// One of the two came from another writer; the next report tells which.
+    /// this one. One of the two came from another writer. If the next report continues from the
+    /// ignored one, that writer is the target.
     Distant(u64),
     /// Ignored: the incarnation is over.
     PastIncarnation,
--- a/lib/tests/test_fleet_custody.rs
+++ b/lib/tests/test_fleet_custody.rs
@@ -1,4 +1,4 @@
-//! Tasks in the custody of one entry: their agents and targets fail, nothing that asks for them does.
+//! Batches that stay at one entry while agents and targets fail.
 
 use std::time::Duration;
 
