run_agent: withhold the end of a run while another run of its task goes on

Callers would see: a task that runs twice at once. Found by reading; not seen in a fleet.

Cause: an answer to a claim, a stop or a start is withheld while the target has a run of the task, but an end that the target lists, or that a lapse proves, was told to the owner at once. If an earlier run of the task, which was taken for over too soon, goes on there, the owner starts the task elsewhere beside it. In one list, ends were handled before the runs that the same list shows.

Change: all ends but `Done`, after which nothing starts, go the way of the other answers, and the runs of a list are noted before its ends. `Done` is no longer withheld either when a claim asks for it.

Evidence: test_handle_end_beside_another_run_of_the_task_is_told_when_that_is_over (an end of each kind, the other run known before or first shown by the same list) printed before the change `left: [(1, ... run: 1 }, Ok(Failed))] right: []`: the owner is told at once. Now it passes. test_handle_done_beside_another_run_of_the_task_is_told_at_once held before and holds now. test_run_agent: 86 of 86 pass.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -431,9 +431,11 @@
         self.answer(entry, key, AgentNews::Ended { key, end, ran_ms });
     }
 
-    /// Gives an entry a final answer about a run, at once or when no run of its task is left.
+    /// Gives an entry a final answer about a run, which is not in the table any more. An answer that
+    /// lets the entry start the task elsewhere waits until no run of the task is left.
     fn answer(&mut self, entry: Incarnation, key: RunKey, answer: AgentNews) {
-        if !self.runs.has_task(key.task) {
+        let is_done = matches!(answer, AgentNews::Ended { end, .. } if end == RunEnd::Done);
+        if is_done || !self.runs.has_task(key.task) {
             self.entry_links.tell(entry, answer);
         } else if self.withheld.add(entry, key, answer) {
             self.log(
@@ -519,8 +521,7 @@
             format!("run={key} end={end:?} ran_ms={ran_ms} still_running={running}"),
         );
         if let Some(owner) = run.owner {
-            self.entry_links
-                .tell(owner, AgentNews::Ended { key, end, ran_ms });
+            self.answer(owner, key, AgentNews::Ended { key, end, ran_ms });
             if let RunEnd::Crashed { alone } = end {
                 self.notify_crash(key, owner, alone);
             }
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -146,6 +146,14 @@
         ended: &[(EndNumber, RunKey, RunEnd)],
     ) {
         self.lease.learn_clock(self.now, clock);
+        let answered = self.lease.answered(number);
+        // The runs that go on come first: the end of a run is told only if no other run of its task
+        // is among them.
+        if let Some(answered) = answered {
+            for listed in running {
+                self.note_listed_run(listed, answered.sent_at);
+            }
+        }
         for &(end_number, key, end) in ended {
             if self.lease.mark_end_seen(end_number) {
                 self.end_run(key, end);
@@ -154,12 +162,9 @@
                 self.log(EventCode::EndPassedOver, detail);
             }
         }
-        let Some(answered) = self.lease.answered(number) else {
+        let Some(answered) = answered else {
             return;
         };
-        for listed in running {
-            self.note_listed_run(listed, answered.sent_at);
-        }
         if ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted(answered.sent_at, answered.token, running);
         }
--- a/lib/tests/test_run_agent/owners.rs
+++ b/lib/tests/test_run_agent/owners.rs
@@ -166,3 +166,74 @@
     let actions = agent.handle(ms(31), packet_on(LINK, vec![Order::Stop(vec![key(0)])]));
     assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Failed))]);
 }
+
+/// An answer that lists these runs and ends.
+fn listed(running: &[RunKey], ended: &[(u64, RunKey, RunEnd)]) -> RenewalAnswer {
+    let running = running.iter().map(|key| ListedRun {
+        key: *key,
+        percent: 1,
+    });
+    RenewalAnswer::Lists {
+        born: None,
+        clock: 1_000,
+        running: running.collect(),
+        ended: ended.to_vec(),
+    }
+}
+
+/// Lets the target answer renewals until the agent sends one that waits, and returns its number.
+fn waiting_renewal(agent: &mut RunAgentCore, now: Now, running: &[RunKey]) -> u64 {
+    let mut last = 0;
+    // The number of the renewal that is on its way is not known here.
+    for number in 1..10 {
+        let answer = listed(running, &[]);
+        let actions = agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+        last = renewals(&actions).last().copied().unwrap_or(last);
+    }
+    last
+}
+
+/// Ends the owner's run while its target has another run of the same task, known before or not.
+fn agent_with_end_beside_a_run(end: RunEnd, is_known: bool) -> (RunAgentCore, Vec<AgentAction>) {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let known = [key(0), later_key()];
+    let number = waiting_renewal(&mut agent, ms(20), &known[..1 + usize::from(is_known)]);
+    let answer = listed(&[later_key()], &[(1, key(0), end)]);
+    let actions = agent.handle(ms(21), AgentEvent::RenewalAnswered { number, answer });
+    assert_eq!(agent.gauges().runs, 1);
+    (agent, actions)
+}
+
+// Guards against a task that runs twice at once: told of the end of its run, the entry would start the
+// task elsewhere while another run of it, which was taken for over too soon, goes on.
+#[test]
+fn test_handle_end_beside_another_run_of_the_task_is_told_when_that_is_over() {
+    let ends = [
+        RunEnd::Failed,
+        RunEnd::Stopped,
+        RunEnd::Lapsed,
+        RunEnd::Lost,
+        RunEnd::Crashed { alone: false },
+    ];
+    for (end, is_known) in ends.into_iter().flat_map(|end| [(end, false), (end, true)]) {
+        let (mut agent, mut actions) = agent_with_end_beside_a_run(end, is_known);
+        actions.extend(agent.handle(ms(30), packet_on(LINK, Vec::new())));
+        assert_eq!(told(&actions), [], "{end:?}, {is_known}");
+        let mut actions = Vec::new();
+        for number in 1..20 {
+            let answer = listed(&[], &[(2, later_key(), RunEnd::Stopped)]);
+            actions.extend(agent.handle(ms(40), AgentEvent::RenewalAnswered { number, answer }));
+        }
+        assert_eq!(agent.gauges().runs, 0);
+        assert_eq!(told(&actions), [(LINK, key(0), Ok(end))]);
+    }
+}
+
+// Guards against a caller that waits longer for work that is done: nothing starts after such an end.
+#[test]
+fn test_handle_done_beside_another_run_of_the_task_is_told_at_once() {
+    for is_known in [false, true] {
+        let (_, actions) = agent_with_end_beside_a_run(RunEnd::Done, is_known);
+        assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Done))]);
+    }
+}
