batch_entry: news of a run counts only from the agent that has it

What callers would see: a batch answered as done while a task of it runs, or a task started again beside its run.

Cause: each entry numbers the runs of its own attempts, so runs of two entries may have the same key. An adopted run has no owner, and its agent may tell any entry how it ended. The entry applied ends, refused starts and reports of slowness by the key alone, whichever agent they came from.

Change: news about a run that is open at another agent than the one on the link is dropped. Its own agent tells of it, or it is over by time.

Evidence: test_handle_news_of_an_agent_without_the_run_changes_nothing, an end told by an agent that was never ordered the run. Before the change it printed, for link 2 and Ended Done of run 1, "left: [(6, Succeeded)] right: []".

--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -155,6 +155,12 @@
     }
 
     pub(super) fn handle_news(&mut self, link: SessionId, news: AgentNews) {
+        if news
+            .run()
+            .is_some_and(|key| self.is_of_another_agent(link, key))
+        {
+            return;
+        }
         match news {
             AgentNews::Hello(_) => {}
             AgentNews::RunsLeft(notice) => {
@@ -187,6 +193,12 @@
         }
     }
 
+    /// Whether a run is open at another agent than the one on this link, which proves nothing about it.
+    fn is_of_another_agent(&self, link: SessionId, key: RunKey) -> bool {
+        let agent = self.targets.get(link).map(|v| &*v.agent);
+        self.table.is_at_another(key, agent)
+    }
+
     /// Logs that a batch was started here before this entry heard that runs of another entry may be
     /// left. A giver's notice is about the runs that this entry has for it.
     pub(super) fn check_for_late_notice(&mut self, notice: RunsNotice) {
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -360,6 +360,15 @@
         (task.run == key.run).then_some(task)
     }
 
+    /// Returns whether a run is open at another agent than this one. Runs of several entries may have the
+    /// same key.
+    pub fn is_at_another(&self, key: RunKey, agent: Option<&str>) -> bool {
+        match self.task(key).map(|task| &task.state) {
+            Some(TaskState::Assigned { agent: at, .. }) => agent != Some(&**at),
+            _ => false,
+        }
+    }
+
     /// Returns whether an agent has an open run of a task suspected of crashing targets.
     pub fn has_suspect_at(&self, agent: &str) -> bool {
         let keys = self.by_agent.get(agent);
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -173,6 +173,18 @@
     RunsOver(RunsNotice),
 }
 
+impl AgentNews {
+    /// The run of the receiver that this is about, if any.
+    pub fn run(&self) -> Option<RunKey> {
+        match self {
+            Self::Ended { key, .. } | Self::NotStarted { key, .. } | Self::Slow { key, .. } => {
+                Some(*key)
+            }
+            _ => None,
+        }
+    }
+}
+
 /// Lowest protocol version that has [`CrashNotice`].
 pub const CRASH_NOTICE_PROTOCOL: ProtocolVersion = 1;
 
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -848,6 +848,47 @@
     }
 }
 
+// Guards against a task that runs twice at once, or is answered as done while it runs: a run of another
+// entry has the same key, and its agent tells this entry how it ended.
+#[test]
+fn test_handle_news_of_an_agent_without_the_run_changes_nothing() {
+    let key = run_of_task(1);
+    let lacks_the_run = [
+        ended(1, RunEnd::Done),
+        ended(1, RunEnd::Failed),
+        ended(1, RunEnd::Lost),
+        ended(1, RunEnd::Crashed { alone: true }),
+        AgentNews::NotStarted {
+            key,
+            reason: NotStarted::Late,
+        },
+        AgentNews::Slow {
+            key,
+            ran_ms: 400,
+            percent: 1,
+        },
+    ];
+    for news in lacks_the_run {
+        let mut entry = entry();
+        entry.handle(ms(1), config());
+        join(&mut entry, ms(2), 1, "hall");
+        assert_eq!(starts(&entry.handle(ms(10), attempt(6))).len(), 1);
+        join(&mut entry, ms(20), 2, "hall");
+        // The link of an agent that has not said who it is, and of one that has.
+        entry.handle(ms(30), EntryEvent::LinkUp(3, None));
+        for link in [2, 3] {
+            let mut actions = entry.handle(ms(40), packet_of(link, vec![news.clone()]));
+            actions.extend(entry.handle(ms(60), EntryEvent::Wake));
+            assert_eq!(starts(&actions), [], "link {link}: {news:?}");
+            assert_eq!(replies(&actions), [], "link {link}: {news:?}");
+            let stops = orders(&actions).filter(|o| matches!(o, Order::Stop(_)));
+            assert_eq!(stops.count(), 0, "link {link}: {news:?}");
+        }
+        let actions = entry.handle(ms(80), agent_tells(ended(1, RunEnd::Done)));
+        assert_eq!(replies(&actions), [(6, Reply::Succeeded)], "{news:?}");
+    }
+}
+
 /// All orders among the actions.
 fn orders(actions: &[EntryAction]) -> impl Iterator<Item = &Order> {
     let packets = actions.iter().filter_map(|a| match a {
