batch_entry: callers' timeouts count from before a request was read

What callers would see: a task that runs twice at once. An entry that stands still or reads its input late reads a request some time after it arrived, and wanted its runs for the caller's whole timeout from then on. The caller counts from when it sent the request; without a reply it ends the connection and is at another entry 1.3 s later. If the end of its connection does not arrive at the first entry, nothing else bounds what that entry grants.

Cause: the timeout counted from the time at which the core handled the request; for a batch that waited for the first configuration, from the time at which it was admitted.

Change: it counts from the input mark before the request was read, since all that had arrived by then was handled. For 20 ms after a mark the one before counts, because another thread accepts connections. The driver marks its input also while no batch is held, every 250 ms. The time in which a request's body is read counts as well, and a receiver is offered what is left. A request whose time is over is refused, and starts nothing. No promise becomes longer.

The simulated fleet has callers that end their requests by themselves, unnoticed by their entry.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -163,7 +163,7 @@
     /// Handles an event and returns the resulting actions in order.
     pub fn handle(&mut self, now: Now, event: EntryEvent) -> Vec<EntryAction> {
         if let EntryEvent::InputRead(until) = event {
-            self.input.note_read(until);
+            self.input.note_mark(now, until);
             // Unless input is read late, agents' packets are answered in time.
             if now <= until + self.options.timings.max_lease_lead {
                 return Vec::new();
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -12,7 +12,7 @@
 use crate::batch_event::{BatchQuery, EntryAction, Refusal, Reply, Submission};
 use crate::events::EventCode;
 use crate::handover_receiver::is_giver;
-use crate::ids::RequestId;
+use crate::ids::{Now, RequestId};
 use crate::queue::Queue;
 use crate::run::BatchId;
 use crate::wait_forecast;
@@ -41,11 +41,12 @@
     }
 
     pub(super) fn submit(&mut self, submission: Submission) {
+        let deadline = self.caller_deadline(submission.caller_timeout);
         let has_config = self.directory.config().table().is_some();
         if !has_config && self.deferred.has_capacity() {
-            self.deferred.hold(self.now, submission);
+            self.deferred.hold(self.now, (submission, deadline));
         } else {
-            self.admit_or_refuse(submission);
+            self.admit_or_refuse(submission, deadline);
         }
     }
 
@@ -58,16 +59,16 @@
         } else {
             self.deferred.take_expired(self.now)
         };
-        for submission in ready {
-            self.admit_or_refuse(submission);
+        for (submission, deadline) in ready {
+            self.admit_or_refuse(submission, deadline);
         }
     }
 
-    pub(super) fn admit_or_refuse(&mut self, submission: Submission) {
+    pub(super) fn admit_or_refuse(&mut self, submission: Submission, deadline: Now) {
         let request = submission.request;
         let id = submission.spec.id;
         let caller_request = submission.caller_request.clone();
-        match self.admit(submission) {
+        match self.admit(submission, deadline) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
                 let version = self.directory.config().version();
@@ -82,7 +83,7 @@
         }
     }
 
-    pub(super) fn admit(&mut self, submission: Submission) -> Result<(), Reply> {
+    fn admit(&mut self, submission: Submission, deadline: Now) -> Result<(), Reply> {
         let Submission {
             request,
             host,
@@ -112,7 +113,11 @@
         let is_retry = self
             .retry_detector
             .is_retry(&queue.name, caller_timeout, caller_return);
-        let times = self.batch_times(&spec, &queue, caller_timeout, is_retry);
+        if deadline <= self.now {
+            // Its caller has left, and may be back at another entry.
+            return Err(self.busy_reply());
+        }
+        let times = self.batch_times(&spec, &queue, deadline, is_retry);
         if self.table.get(spec.id).is_some() {
             self.resubmit(&spec, request, &queue, times, &caller_request);
             return Ok(());
@@ -125,7 +130,7 @@
             caller_timeout,
             caller_request,
         };
-        let Some(kept) = self.keep_or_hand_over(submission, &queue, is_retry) else {
+        let Some(kept) = self.keep_or_hand_over(submission, &queue, deadline, is_retry) else {
             return Ok(());
         };
         let (spec, caller_request) = (kept.spec, kept.caller_request);
@@ -267,7 +272,7 @@
         &self,
         spec: &BatchSpec,
         queue: &Queue,
-        caller_timeout: Duration,
+        caller_deadline: Now,
         is_retry: bool,
     ) -> BatchTimes {
         let arrived = self.now;
@@ -284,14 +289,14 @@
             Duration::ZERO
         };
         // A batch that starts later can't be answered before the caller leaves.
-        let last_start = caller_timeout.saturating_sub(critical_path);
+        let last_start = caller_deadline.saturating_sub(arrived + critical_path);
         let left = objective.saturating_sub(age);
         let is_overdue = left.is_zero();
         BatchTimes {
             arrived,
             due: arrived + if is_overdue { objective } else { left },
             is_overdue,
-            caller_deadline: arrived + caller_timeout,
+            caller_deadline,
             latest_on_time_start: arrived + slack,
             placement_deadline: arrived + wait.min(last_start),
         }
@@ -485,8 +490,8 @@
     /// Answers all open requests, so that no connection ends without a reply. Agents stop the open
     /// runs of a process that has exited and doesn't reconnect in time.
     pub(super) fn answer_open_requests(&mut self) {
-        for submission in self.deferred.take_all() {
-            self.admit_or_refuse(submission);
+        for (submission, deadline) in self.deferred.take_all() {
+            self.admit_or_refuse(submission, deadline);
         }
         self.give_up_handed();
         for id in self.table.ids() {
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -49,12 +49,13 @@
         &mut self,
         submission: Submission,
         queue: &Arc<Queue>,
+        deadline: Now,
         is_retry: bool,
     ) -> Option<Submission> {
         let id = submission.spec.id;
         if let Some(service) = self.giver.service_of(id) {
             if *service == queue.service {
-                self.replace_handed_request(id, submission);
+                self.replace_handed_request(id, submission, deadline);
                 return None;
             }
             // The receiver runs the batch at the service that its queue had before.
@@ -63,7 +64,8 @@
         let Some((receiver, clock)) = self.choose_receiver(id) else {
             return Some(submission);
         };
-        self.offer(submission, queue, &receiver, clock, is_retry);
+        let recipient = (&receiver, clock);
+        self.offer(submission, queue, recipient, deadline, is_retry);
         None
     }
 
@@ -98,8 +100,8 @@
         &mut self,
         submission: Submission,
         queue: &Arc<Queue>,
-        receiver: &NeighbourLoad,
-        clock: EntryMillis,
+        (receiver, clock): (&NeighbourLoad, EntryMillis),
+        deadline: Now,
         is_retry: bool,
     ) {
         let now = self.now;
@@ -118,7 +120,7 @@
             path: submission.path.clone(),
             steps: spec.steps.clone(),
             payload,
-            timeout_ms: submission.caller_timeout.as_millis() as u32,
+            timeout_ms: deadline.saturating_sub(now).as_millis() as u32,
             age_ms: age.as_millis() as u32,
             request: submission.caller_request.clone(),
             start_by: clock + OFFER_WINDOW.as_millis() as EntryMillis,
@@ -148,7 +150,7 @@
             queue: queue.clone(),
             offered: now,
             objective: queue.objective(spec.critical_path()),
-            caller_deadline: now + submission.caller_timeout,
+            caller_deadline: deadline,
             submission,
         });
     }
@@ -165,9 +167,8 @@
 
     /// Answers the request of a caller that returned while its batch is handed over; the receiver's
     /// answer goes to the new request.
-    fn replace_handed_request(&mut self, id: BatchId, submission: Submission) {
+    fn replace_handed_request(&mut self, id: BatchId, submission: Submission, deadline: Now) {
         let caller_request = submission.caller_request.clone();
-        let deadline = self.now + submission.caller_timeout;
         if let Some(before) = self.giver.replace_request(id, submission, deadline) {
             self.actions.push(EntryAction::Reply(before, Reply::GaveUp));
         }
@@ -227,7 +228,7 @@
         );
         submission.caller_timeout = batch.caller_deadline.saturating_sub(self.now);
         self.declined = Some(id);
-        self.admit_or_refuse(submission);
+        self.admit_or_refuse(submission, batch.caller_deadline);
         self.declined = None;
     }
 
@@ -358,7 +359,7 @@
         let timeout = Duration::from_millis(u64::from(offer.timeout_ms));
         let is_retry =
             u128::from(offer.age_ms) >= self.options.timings.caller_retry_interval.as_millis();
-        let times = self.batch_times(&spec, &queue, timeout, is_retry);
+        let times = self.batch_times(&spec, &queue, self.now + timeout, is_retry);
         if let Err(reply) = self.refuse_if_unplaceable(&spec, times) {
             return Err(outcome_of(&reply));
         }
--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -4,7 +4,9 @@
 //! caller returns to another entry a fixed time after the break. So a lease counts from the time until
 //! which the input is read, plus at most `Timings::max_lease_lead`.
 
-use super::BatchEntryCore;
+use std::time::Duration;
+
+use super::{BatchEntryCore, UNREAD_INPUT_GRACE};
 use crate::ids::{Now, SessionId};
 use crate::run::BatchId;
 use crate::target_registry::TargetView;
@@ -14,11 +16,31 @@
 pub(super) struct InputProgress {
     /// All input that had arrived by this time is handled; none if the driver does not report it.
     read_until: Option<Now>,
+    /// The latest mark of the driver: when it came, and until when all input is handled.
+    mark: Option<(Now, Now)>,
+    /// Until when all input was handled by the mark before.
+    marked_before: Option<Now>,
 }
 
 impl InputProgress {
     /// Records that all input that had arrived by this time is handled.
-    pub(super) fn note_read(&mut self, until: Now) {
+    pub(super) fn note_mark(&mut self, now: Now, until: Now) {
+        self.marked_before = self.mark.map(|(_, until)| until).or(Some(until));
+        self.mark = Some((now, until));
+        self.note_read(until);
+    }
+
+    /// Until when all requests that had arrived are handled; none if the driver does not report it.
+    /// Another thread accepts connections, and may be a little later than the one that marks.
+    fn requests_read_until(&self, now: Now) -> Option<Now> {
+        let (at, until) = self.mark?;
+        if at + UNREAD_INPUT_GRACE <= now {
+            return Some(until);
+        }
+        self.marked_before
+    }
+
+    fn note_read(&mut self, until: Now) {
         self.read_until = self.read_until.max(Some(until));
     }
 
@@ -31,6 +53,19 @@
 }
 
 impl BatchEntryCore {
+    /// A request that is read at `now` arrived after this time; none if the driver does not report how
+    /// far the input is read.
+    pub fn requests_read_until(&self, now: Now) -> Option<Now> {
+        self.input.requests_read_until(now)
+    }
+
+    /// When the caller of a request that is read now stops waiting, at the latest. A request may wait in
+    /// the socket; its caller counts from when it sent it.
+    pub(super) fn caller_deadline(&self, timeout: Duration) -> Now {
+        let arrived_after = self.requests_read_until(self.now);
+        arrived_after.unwrap_or(self.now).min(self.now) + timeout
+    }
+
     /// The time from which leases in packets to agents may count now. Until the other entries are told of a
     /// closed batch, its runs depend on this entry alone, which may be lost.
     pub(super) fn lease_basis(&self) -> Now {
--- a/lib/src/deferred_batches.rs
+++ b/lib/src/deferred_batches.rs
@@ -16,10 +16,13 @@
 /// Largest number of held batches. Twice what the busiest entry gets in that time.
 const MAX_HELD: usize = 200;
 
+/// A batch and when its caller stops waiting.
+pub type TimedSubmission = (Submission, Now);
+
 /// Held batches with the time at which each expires, in order of arrival.
 #[derive(Debug, Default)]
 pub struct DeferredBatches {
-    held: VecDeque<(Now, Submission)>,
+    held: VecDeque<(Now, TimedSubmission)>,
 }
 
 impl DeferredBatches {
@@ -29,25 +32,25 @@
     }
 
     /// Holds a batch. The caller must check `has_capacity` first.
-    pub fn hold(&mut self, now: Now, submission: Submission) {
+    pub fn hold(&mut self, now: Now, submission: TimedSubmission) {
         self.held.push_back((now + MAX_HOLD_TIME, submission));
     }
 
     /// Drops the batch of a caller that has disconnected; returns whether it was held.
     pub fn remove(&mut self, request: RequestId) -> bool {
         let before = self.held.len();
-        self.held.retain(|(_, s)| s.request != request);
+        self.held.retain(|(_, (s, _))| s.request != request);
         self.held.len() < before
     }
 
     /// Removes and returns all batches.
-    pub fn take_all(&mut self) -> Vec<Submission> {
+    pub fn take_all(&mut self) -> Vec<TimedSubmission> {
         let held = std::mem::take(&mut self.held);
         held.into_iter().map(|(_, submission)| submission).collect()
     }
 
     /// Removes and returns the batches whose hold time is over.
-    pub fn take_expired(&mut self, now: Now) -> Vec<Submission> {
+    pub fn take_expired(&mut self, now: Now) -> Vec<TimedSubmission> {
         let expired = self.held.partition_point(|(until, _)| *until <= now);
         let expired = self.held.drain(..expired);
         expired.map(|(_, submission)| submission).collect()
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -33,6 +33,9 @@
 const MAX_WAKES_TO_CORE: u32 = 4;
 /// Shortest time between two marks of the input that is read.
 const INPUT_MARK_PAUSE: Duration = Duration::from_millis(30);
+/// Shortest time between two marks while no batch is held. A request that arrives then may be taken for
+/// older by that much.
+const IDLE_INPUT_MARK_PAUSE: Duration = Duration::from_millis(250);
 /// Pause after the first call to the store that failed.
 const INITIAL_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two calls to a failing store. It is short because a configuration must be
@@ -48,8 +51,10 @@
     replies: RefCell<HashMap<RequestId, oneshot::Sender<Reply>>>,
     next_request: Cell<RequestId>,
     figures: NodeMetrics,
-    /// Whether a task tells the core how far the input is read.
-    marks_input: Cell<bool>,
+    /// Whether batches were held when the input was marked last, or are since.
+    marks_often: Cell<bool>,
+    /// Wakes the task that marks the input.
+    batch_held: Notify,
     /// Samples the event loop; `None` if the process's share of a core is not limited.
     sampler: Option<RefCell<LoopSampler>>,
     ended: Notify,
@@ -68,7 +73,8 @@
             replies: RefCell::default(),
             next_request: Cell::new(1),
             figures: NodeMetrics::new(),
-            marks_input: Cell::new(false),
+            marks_often: Cell::new(false),
+            batch_held: Notify::new(),
             sampler,
             ended: Notify::new(),
         });
@@ -78,6 +84,7 @@
         ntex::rt::spawn(timer.run(move || woken.tell(EntryEvent::Wake)));
         node.tell(EntryEvent::InputRead(Now::ZERO));
         node.tell(EntryEvent::Wake);
+        ntex::rt::spawn(node.clone().mark_input());
         node
     }
 
@@ -108,8 +115,8 @@
             let mut core = self.core.borrow_mut();
             let actions = core.handle(now, event);
             self.timer.set(core.next_wake());
-            if core.holds_batches() && !self.marks_input.replace(true) {
-                self.spawn_input_marks();
+            if core.holds_batches() && !self.marks_often.replace(true) {
+                self.batch_held.notify_one();
             }
             actions
         };
@@ -118,24 +125,27 @@
         }
     }
 
-    fn spawn_input_marks(&self) {
-        if let Some(me) = self.me.upgrade() {
-            ntex::rt::spawn(me.mark_input());
-        }
-    }
-
-    /// Tells the core how far the input is read, while it holds batches.
+    /// Tells the core how far the input is read, less often while it holds no batches. Never returns.
     async fn mark_input(self: Rc<Self>) {
-        while self.core.borrow().holds_batches() {
+        loop {
             let begun = self.timer.now();
             handle_arrived_input().await;
             self.tell(EntryEvent::InputRead(begun));
             let took = self.timer.now().saturating_sub(begun);
-            if took < INPUT_MARK_PAUSE {
-                tokio::time::sleep(INPUT_MARK_PAUSE - took).await;
+            if self.core.borrow().holds_batches() {
+                tokio::time::sleep(INPUT_MARK_PAUSE.saturating_sub(took)).await;
+            } else {
+                self.marks_often.set(false);
+                let held = self.batch_held.notified();
+                let _ = tokio::time::timeout(IDLE_INPUT_MARK_PAUSE, held).await;
             }
         }
-        self.marks_input.set(false);
+    }
+
+    /// A request that is read now arrived after this time.
+    pub fn requests_read_until(&self) -> Now {
+        let now = self.timer.now();
+        self.core.borrow().requests_read_until(now).unwrap_or(now)
     }
 
     fn execute(&self, action: EntryAction) {
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -1037,3 +1037,74 @@
     let is_short = |until: &u64| *until <= longest.as_millis() as u64 + 10;
     assert!(leases.iter().all(is_short), "{leases:?}, {longest:?}");
 }
+
+/// An entry that reported at 100 and 130 ms that it had read its input until 90 and 120 ms, and reads
+/// nothing until `now`.
+fn entry_that_reads_late() -> BatchEntryCore {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    entry.handle(ms(100), EntryEvent::InputRead(ms(90)));
+    entry.handle(ms(130), EntryEvent::InputRead(ms(120)));
+    entry
+}
+
+/// Lets agent 1 send packets until shortly before `until`.
+fn hear_agent(entry: &mut BatchEntryCore, from: Now, until: Now) {
+    let mut at = from;
+    while at + ms(50) < until {
+        entry.handle(at, packet_of(1, Vec::new()));
+        at += ms(50);
+    }
+}
+
+// Guards against runs that an entry wants while their caller is back at another one: the request waited in
+// the socket, and its caller counts from when it sent it.
+#[test]
+fn test_handle_request_read_late_is_given_up_when_its_caller_may_leave() {
+    let given_up_before = |read_at: Now, deadline: Now| {
+        let mut entry = entry_that_reads_late();
+        assert_eq!(starts(&entry.handle(read_at, attempt(6))).len(), 1);
+        let is_stop = |o: &&Order| matches!(o, Order::Stop(_));
+        hear_agent(&mut entry, read_at, deadline);
+        let actions = entry.handle(deadline - ms(1), EntryEvent::Wake);
+        assert_eq!(orders(&actions).filter(is_stop).count(), 0, "{read_at:?}");
+        let actions = entry.handle(deadline, EntryEvent::Wake);
+        assert_eq!(orders(&actions).filter(is_stop).count(), 1, "{read_at:?}");
+    };
+    given_up_before(ms(400), ms(120 + 2_000));
+    // Connections may be accepted a little later than the input of others is read.
+    given_up_before(ms(140), ms(90 + 2_000));
+}
+
+// Guards against runs for a caller that has left already.
+#[test]
+fn test_handle_request_read_after_its_callers_timeout_starts_nothing() {
+    let mut entry = entry_that_reads_late();
+    hear_agent(&mut entry, ms(150), ms(2_121));
+    let mut actions = entry.handle(ms(2_121), attempt(6));
+    actions.extend(entry.handle(ms(2_200), EntryEvent::Wake));
+    assert_eq!(starts(&actions), []);
+    let replies = replies(&actions);
+    assert!(
+        matches!(&replies[..], [(6, reply)] if is_refused(reply, Refusal::Busy)),
+        "{replies:?}"
+    );
+}
+
+// Guards against a wait for the first configuration that a caller's timeout doesn't contain.
+#[test]
+fn test_handle_batch_that_waited_for_the_configuration_is_given_up_in_time() {
+    let mut entry = entry();
+    join(&mut entry, ms(2), 1, "hall");
+    entry.handle(ms(10), attempt(6));
+    assert_eq!(starts(&entry.handle(ms(100), config())).len(), 1);
+    hear_agent(&mut entry, ms(110), ms(2_010));
+    let actions = entry.handle(ms(2_010), EntryEvent::Wake);
+    assert_eq!(
+        orders(&actions)
+            .filter(|o| matches!(o, Order::Stop(_)))
+            .count(),
+        1
+    );
+}
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -576,6 +576,25 @@
     assert_eq!(pair.own_replies()[1..], [(101, Reply::Succeeded)]);
 }
 
+// Guards against runs that a receiver wants while their caller is back at another entry: the giver read
+// the request late.
+#[test]
+fn test_handle_request_read_late_is_offered_for_the_rest_of_its_time() {
+    let mut pair = Pair::new();
+    let read_until = pair.now - ms(200);
+    pair.give(EntryEvent::InputRead(read_until));
+    pair.pass(ms(40));
+    let late = pair.now - read_until;
+    pair.give(submission(100, BATCH));
+    let offer = pair.offer().expect("an offer");
+    let left = ms(3_000) - late;
+    assert_eq!(u128::from(offer.timeout_ms), left.as_millis());
+    pair.deliver();
+    pair.forget();
+    pair.pass(left);
+    assert_eq!(pair.own_replies(), [(100, Reply::GaveUp)]);
+}
+
 // Guards against a request that an old configuration's service runs although it was sent later.
 #[test]
 fn test_handle_caller_that_returns_after_its_queue_moved_is_served_anew() {
--- a/lib/tests/test_fleet_slow_entries.rs
+++ b/lib/tests/test_fleet_slow_entries.rs
@@ -192,3 +192,68 @@
     }
     assert!(handed > 2_000, "only {handed} were handed over");
 }
+
+/// How long the caller of [`fleet_with_leaving_caller`] waits for a reply.
+const PATIENCE: Duration = ms(1_000);
+/// When it sends its first request.
+const SENT_AT: Now = ms(2_000);
+
+/// A fleet whose caller ends its request at the first entry by itself and returns to the second one. The
+/// end of its connection never reaches the first entry. Stops are lost.
+fn fleet_with_leaving_caller(seed: u64) -> RunFleet {
+    let fleet_config = FleetConfig {
+        entries: 2,
+        agents: AGENTS,
+        capacity: TASK,
+        entries_meet: true,
+        processor: Some(SLOW_FIRST_ENTRY),
+        ..FleetConfig::default()
+    };
+    let mut fleet = RunFleet::with_config(seed, fleet_config, testutils::run_fleet::config());
+    let mut caller = Caller::new(SENT_AT, 1, WORK_MS, TASK);
+    caller.guess = Some(0.1);
+    caller.reply_timeout = PATIENCE;
+    caller.entry = Some(0);
+    caller.leaves_unnoticed = true;
+    fleet.add_caller(BATCH, caller);
+    for agent in 0..AGENTS {
+        fleet.inject(ms(1_000), FleetFault::LateStops(agent, ms(6_000)));
+    }
+    fleet
+}
+
+// Guards against a task that runs twice at once: its entry reads the request late and wants the run for as
+// long as the caller would wait from then on, while the caller is back at another entry.
+#[test]
+fn test_run_until_caller_times_out_before_its_late_entry_does() {
+    let mut runs = 0;
+    let mut overlaps = Vec::new();
+    for seed in 0..400 {
+        let mut rng = ChaCha8Rng::seed_from_u64(72_000 + seed);
+        let mut fleet = fleet_with_leaving_caller(seed);
+        let from = SENT_AT - ms(rng.random_range(0..200));
+        let late = ms(rng.random_range(100..900));
+        fleet.inject(from, FleetFault::Freeze(Node::Entry(0), late));
+        fleet.run_until(SENT_AT + ms(1));
+        let caller = fleet.callers.get_mut(&BATCH).expect("the batch was added");
+        caller.entry = Some(1);
+        // The entry stops the run at some time before this; the agent announces it to nobody.
+        let given_up_at = SENT_AT.max(from + late) + PATIENCE;
+        let lost_at = between(&mut rng, given_up_at - ms(100), given_up_at + ms(120));
+        fleet.run_until(lost_at);
+        let has_run = |target: &RunTarget| target.running() > 0;
+        let agent = fleet.targets().position(has_run);
+        if let Some(agent) = agent {
+            runs += 1;
+            let fault = FleetFault::Freeze(Node::Agent(agent), ms(3_000));
+            fleet.inject(lost_at, fault);
+        }
+        fleet.run_until(ms(9_000));
+        if !fleet.violations().is_empty() {
+            overlaps.push((seed, fleet.violations()));
+        }
+    }
+    let count = overlaps.len();
+    assert!(overlaps.is_empty(), "{count} of {runs}: {overlaps:#?}");
+    assert!(runs > 300, "only {runs} ran");
+}
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -101,6 +101,8 @@
     RequestArrived(usize, u64, Submission),
     /// An entry's reply reached the caller.
     ReplyArrived(usize, RequestId, Reply),
+    /// A caller has waited for the reply to a request as long as it does.
+    ReplyTimedOut(BatchId, RequestId),
     Cancel(BatchId),
     /// An entry notices that a caller closed its connection.
     CallerGone(usize, u64, RequestId),
@@ -458,6 +460,7 @@
                 self.request_arrived(entry, incarnation, submission)
             }
             Event::ReplyArrived(entry, request, reply) => self.reply_arrived(entry, request, reply),
+            Event::ReplyTimedOut(id, request) => self.reply_timed_out(id, request),
             Event::Cancel(id) => self.cancel(id),
             Event::CallerGone(i, incarnation, request) => {
                 if self.entries[i].incarnation == incarnation {
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -43,6 +43,8 @@
     pub max_requests: usize,
     /// Longest time that it waits for the reply to one request.
     pub reply_timeout: Duration,
+    /// Whether it ends its requests itself after `reply_timeout`, which its entry does not notice.
+    pub leaves_unnoticed: bool,
     /// Replies received, by request.
     pub replies: Vec<(RequestId, Reply)>,
     /// Requests sent, in order.
@@ -77,6 +79,7 @@
             entry: None,
             max_requests: 3,
             reply_timeout: REPLY_TIMEOUT,
+            leaves_unnoticed: false,
             replies: Vec::new(),
             requests: Vec::new(),
             sent,
@@ -134,6 +137,7 @@
         let preferred = caller.entry.filter(|entry| alive.contains(entry));
         let entry = preferred.unwrap_or_else(|| alive[self.rng.random_range(0..alive.len())]);
         caller.open_request = Some((entry, self.entries[entry].incarnation, request));
+        let leaves_unnoticed = caller.leaves_unnoticed;
         // Most estimates are within 40% of the work; every 16th is far too low.
         let ratio = match caller.guess {
             Some(ratio) => ratio,
@@ -166,6 +170,13 @@
             caller_timeout: time_left,
             caller_request: "".into(),
         };
+        if leaves_unnoticed {
+            self.schedule_after(time_left, Event::ReplyTimedOut(id, request));
+            // The system accepts the connection to a stalled entry.
+            let incarnation = self.entries[entry].incarnation;
+            let event = Event::RequestArrived(entry, incarnation, submission);
+            return self.schedule_after(Duration::ZERO, event);
+        }
         if self.stalled_until(Node::Entry(entry)) > self.now {
             // A stalled entry would not accept the connection; the caller gives up.
             return;
@@ -173,6 +184,21 @@
         self.send_request(entry, submission);
     }
 
+    /// Ends a request that has had no reply. The caller retries.
+    pub(super) fn reply_timed_out(&mut self, id: BatchId, request: RequestId) {
+        let Some(caller) = self.callers.get_mut(&id) else {
+            return;
+        };
+        if caller
+            .open_request
+            .take_if(|(_, _, r)| *r == request)
+            .is_some()
+            && caller.requests.len() < caller.max_requests
+        {
+            self.schedule_after(self.timings.caller_retry_interval, Event::Submit(id));
+        }
+    }
+
     /// Cancels a batch at the entry where its caller waits; does nothing if no request is open.
     pub(super) fn cancel(&mut self, id: BatchId) {
         let open_request = self.callers.get(&id).and_then(|caller| caller.open_request);
