test_run_fleet: a test for each fault that the fleet recovers from

`test_run_until_each_fault_is_recovered_from` played 26 faults with four seeds each.

Each fault now has a test of its own with the same four seeds, the same times of the fault and the same bound (over .95 served from 7.5 s on). A macro lists the faults once, so that the list for random faults and the tests can't differ; the order of the list, and with it every seed, is as before. The test for the loop over all faults is replaced by these 26; none of its plays or assertions is gone.

--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -52,36 +52,62 @@
     }
 }
 
-fn faults() -> Vec<FleetFault> {
-    let (entry, agent) = (Node::Entry(0), Node::Agent(0));
-    vec![
-        FleetFault::Kill(entry),
-        FleetFault::Kill(agent),
-        FleetFault::PowerOff(entry),
-        FleetFault::PowerOff(agent),
-        FleetFault::Freeze(entry, ms(600)),
-        FleetFault::Freeze(entry, ms(2_500)),
-        FleetFault::Freeze(agent, ms(600)),
-        FleetFault::Freeze(agent, ms(2_500)),
-        FleetFault::Cut(entry, ms(900)),
-        FleetFault::Cut(entry, ms(3_000)),
-        FleetFault::Cut(agent, ms(900)),
-        FleetFault::Cut(agent, ms(3_000)),
-        FleetFault::Reset(entry),
-        FleetFault::Reset(agent),
-        FleetFault::Drain(entry),
-        FleetFault::Drain(agent),
-        FleetFault::Crash(0),
-        FleetFault::Trouble(0, mute(), ms(800)),
-        FleetFault::Trouble(0, mute(), ms(3_000)),
-        FleetFault::Trouble(0, sheds(), ms(1_500)),
-        FleetFault::Trouble(0, fails(), ms(2_000)),
-        FleetFault::Trouble(0, slow(6.0), ms(2_000)),
+/// The entry and the agent at which a fault of [`faults`] is injected.
+const ENTRY: Node = Node::Entry(0);
+const AGENT: Node = Node::Agent(0);
+
+/// Faults by name: `faults` lists them all, and each has a test of its own that the fleet recovers.
+macro_rules! each_fault {
+    ($($name:ident: $fault:expr,)*) => {
+        fn faults() -> Vec<FleetFault> {
+            vec![$($fault),*]
+        }
+
+        /// Positions in [`faults`]; a fault's seeds depend on its position.
+        #[expect(non_camel_case_types, reason = "variants have the names of tests")]
+        #[derive(Clone, Copy)]
+        enum FaultIndex {
+            $($name),*
+        }
+
+        $(
+            // Guards against a fleet that serves less than before long after a fault.
+            #[test]
+            fn $name() {
+                assert_recovers_from(FaultIndex::$name as usize);
+            }
+        )*
+    };
+}
+
+each_fault! {
+    test_run_until_killed_entry_is_recovered_from: FleetFault::Kill(ENTRY),
+    test_run_until_killed_agent_is_recovered_from: FleetFault::Kill(AGENT),
+    test_run_until_entry_without_power_is_recovered_from: FleetFault::PowerOff(ENTRY),
+    test_run_until_agent_without_power_is_recovered_from: FleetFault::PowerOff(AGENT),
+    test_run_until_briefly_frozen_entry_is_recovered_from: FleetFault::Freeze(ENTRY, ms(600)),
+    test_run_until_long_frozen_entry_is_recovered_from: FleetFault::Freeze(ENTRY, ms(2_500)),
+    test_run_until_briefly_frozen_agent_is_recovered_from: FleetFault::Freeze(AGENT, ms(600)),
+    test_run_until_long_frozen_agent_is_recovered_from: FleetFault::Freeze(AGENT, ms(2_500)),
+    test_run_until_briefly_cut_entry_is_recovered_from: FleetFault::Cut(ENTRY, ms(900)),
+    test_run_until_long_cut_entry_is_recovered_from: FleetFault::Cut(ENTRY, ms(3_000)),
+    test_run_until_briefly_cut_agent_is_recovered_from: FleetFault::Cut(AGENT, ms(900)),
+    test_run_until_long_cut_agent_is_recovered_from: FleetFault::Cut(AGENT, ms(3_000)),
+    test_run_until_reset_entry_is_recovered_from: FleetFault::Reset(ENTRY),
+    test_run_until_reset_agent_is_recovered_from: FleetFault::Reset(AGENT),
+    test_run_until_drained_entry_is_recovered_from: FleetFault::Drain(ENTRY),
+    test_run_until_drained_agent_is_recovered_from: FleetFault::Drain(AGENT),
+    test_run_until_crashed_target_is_recovered_from: FleetFault::Crash(0),
+    test_run_until_briefly_mute_target_is_recovered_from: FleetFault::Trouble(0, mute(), ms(800)),
+    test_run_until_long_mute_target_is_recovered_from: FleetFault::Trouble(0, mute(), ms(3_000)),
+    test_run_until_shedding_target_is_recovered_from: FleetFault::Trouble(0, sheds(), ms(1_500)),
+    test_run_until_failing_target_is_recovered_from: FleetFault::Trouble(0, fails(), ms(2_000)),
+    test_run_until_slow_target_is_recovered_from: FleetFault::Trouble(0, slow(6.0), ms(2_000)),
+    test_run_until_stuck_target_is_recovered_from:
         FleetFault::Trouble(0, slow(f64::INFINITY), ms(2_000)),
-        FleetFault::LateOrders(0, ms(2_500)),
-        FleetFault::LateReports(0, ms(2_500)),
-        FleetFault::ClockBack,
-    ]
+    test_run_until_late_orders_are_recovered_from: FleetFault::LateOrders(0, ms(2_500)),
+    test_run_until_late_reports_are_recovered_from: FleetFault::LateReports(0, ms(2_500)),
+    test_run_until_clock_set_back_is_recovered_from: FleetFault::ClockBack,
 }
 
 fn simulate(seed: u64, faults: &[(Now, FleetFault)]) -> RunFleet {
@@ -131,30 +157,27 @@
     assert!(fleet.served(LOAD_FROM, LOAD_TO) > 0.995);
 }
 
-/// Fleets with one fault each, four for each kind.
-fn fleets_with_one_fault() -> impl Iterator<Item = (String, RunFleet)> {
-    let faults = faults().into_iter().enumerate();
-    faults.flat_map(|(index, fault)| {
-        (0..4).map(move |seed| {
-            let fleet = simulate(
-                seed * 100 + index as u64,
-                &[(ms(2_200 + 130 * seed), fault)],
-            );
-            (format!("{fault:?}, seed {seed}"), fleet)
-        })
+/// Four fleets with this fault each.
+fn fleets_with_fault(index: usize) -> impl Iterator<Item = (String, RunFleet)> {
+    let fault = faults()[index];
+    (0..4).map(move |seed| {
+        let fleet = simulate(
+            seed * 100 + index as u64,
+            &[(ms(2_200 + 130 * seed), fault)],
+        );
+        (format!("{fault:?}, seed {seed}"), fleet)
     })
 }
 
 #[test]
 fn test_run_until_each_fault_keeps_invariants() {
-    for (scenario, fleet) in fleets_with_one_fault() {
+    for (scenario, fleet) in (0..faults().len()).flat_map(fleets_with_fault) {
         assert_invariants(&fleet, &scenario);
     }
 }
 
-#[test]
-fn test_run_until_each_fault_is_recovered_from() {
-    for (scenario, fleet) in fleets_with_one_fault() {
+fn assert_recovers_from(index: usize) {
+    for (scenario, fleet) in fleets_with_fault(index) {
         let late = fleet.served(ms(7_500), LOAD_TO);
         assert!(late > 0.95, "{scenario}: only {late} served after it");
     }
