entry_permits: wait for an answer that is on its way to the registrar

What callers saw: a caller that has its whole answer and submits the same request under the same permit at another entry is told `earlier_submission_running` (409). Seen twice in `test_submit_with_permit_to_another_entry_gets_same_answer` beside other load.

Cause: the entry sends the answer to its caller and to the permit's registrar at once, on two links, and nothing orders the two. The second entry asks the registrar, which may not have heard yet and says "running". Not shown by load but by a delayed frame: `test_run_for_answer_on_its_way_to_the_registrar_is_waited_for` delays the frame to the registrar by 0.7 s in the virtual fleet.

But "running" is untrue, and the entry can find out: it repeats its claim, after 20 ms and then at doubling pauses up to 0.5 s, until the registrar knows the end, for at most the time after which a silent link counts as lost (3.5 heartbeats), or until 20 ms before the caller's deadline. The registrar's decisions are unchanged, so a permit still lets one request run. A claim is repeated by the same job, which the registrar already allowed.

--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -5,7 +5,7 @@
 //! frames of a session may be lost, duplicated or late, and every action may fail without an
 //! answer.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -261,6 +261,8 @@
     pub(crate) counters: Counters,
     pub(crate) platform: crate::entry_platform::PlatformState,
     pub(crate) deferred_releases: BTreeMap<Incarnation, Vec<crate::message::Claim>>,
+    /// Jobs whose claims are to be repeated, by time.
+    pub(crate) claim_repeats: BTreeSet<(Now, JobSeq)>,
     pub(crate) draining_since: Option<Now>,
     pub(crate) stopped: bool,
 }
@@ -290,6 +292,7 @@
             counters: Counters::default(),
             platform: crate::entry_platform::PlatformState::default(),
             deferred_releases: BTreeMap::new(),
+            claim_repeats: BTreeSet::new(),
             draining_since: None,
             stopped: false,
             options,
@@ -333,6 +336,7 @@
 
     fn tick(&mut self) {
         self.fail_expired_jobs();
+        self.repeat_claims();
         self.tick_targets();
         self.tick_peers();
         self.tick_platform();
--- a/lib/src/entry_permits.rs
+++ b/lib/src/entry_permits.rs
@@ -5,7 +5,8 @@
 use rand::Rng as _;
 
 use crate::entry::{EntryCore, PermitRequest, Reply};
-use crate::ids::{Incarnation, JobSeq, TeamName};
+use crate::entry_targets::{HEARTBEAT_EVERY, SILENT_HEARTBEATS};
+use crate::ids::{Incarnation, JobSeq, Now, TeamName};
 use crate::job::{Answer, Failure, RefusalReason};
 use crate::job_history::StepKind;
 use crate::job_table::{Job, Phase};
@@ -14,6 +15,8 @@
 
 /// Maximum number of permits per request.
 const MAX_PERMITS: u32 = 100;
+/// Shortest pause before a claim is repeated; pauses double up to [`CLAIM_RETRY_AFTER`].
+const MIN_CLAIM_PAUSE: Duration = Duration::from_millis(20);
 /// Retry time given to callers whose permit is in use or whose registrar can't be reached.
 const CLAIM_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -86,6 +89,7 @@
             job.claim = Some(ClaimTicket {
                 registrar,
                 claim: claim.clone(),
+                waits_since: None,
             });
         }
         self.send_agent(registrar, EntryMessage::Claim(claim));
@@ -105,6 +109,9 @@
             self.jobs.open(seq);
             return;
         }
+        if answer == ClaimAnswer::Running && self.wait_for_earlier(seq) {
+            return;
+        }
         if let Some(job) = self.jobs.get_mut(seq) {
             job.claim = None;
         }
@@ -125,6 +132,41 @@
         self.answer(seq, answer);
     }
 
+    /// Lets a job wait for the end of an earlier one under its permit; returns false once it has waited
+    /// long enough, or its caller would leave.
+    fn wait_for_earlier(&mut self, seq: JobSeq) -> bool {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(seq) else {
+            return false;
+        };
+        let Some(ticket) = &mut job.claim else {
+            return false;
+        };
+        let since = *ticket.waits_since.get_or_insert(now);
+        let last = job.deadline.saturating_sub(MIN_CLAIM_PAUSE);
+        let until = last.min(since + longest_wait_for_earlier());
+        if now >= until {
+            return false;
+        }
+        let pause = (now - since).clamp(MIN_CLAIM_PAUSE, CLAIM_RETRY_AFTER);
+        self.claim_repeats.insert((until.min(now + pause), seq));
+        true
+    }
+
+    /// Repeats the claims of jobs that wait for the end of an earlier one.
+    pub(crate) fn repeat_claims(&mut self) {
+        while let Some((at, seq)) = self.claim_repeats.first().copied()
+            && at <= self.now
+        {
+            self.claim_repeats.pop_first();
+            let job = self.jobs.get(seq);
+            let waiting = job.filter(|job| job.phase == Phase::Claiming);
+            if let Some(ticket) = waiting.and_then(|job| job.claim.clone()) {
+                self.send_agent(ticket.registrar, EntryMessage::Claim(ticket.claim));
+            }
+        }
+    }
+
     /// Refuses the jobs that wait for a registrar that can't be reached. None of their tasks ran.
     pub(crate) fn refuse_claims_at(&mut self, registrar: Incarnation) {
         for seq in self.jobs.seqs() {
@@ -176,9 +218,17 @@
     }
 }
 
+/// Longest time that a request waits for the end of an earlier one under its permit. The answer may be
+/// on its way to the registrar; it arrives, or its link counts as silent, within this time.
+fn longest_wait_for_earlier() -> Duration {
+    HEARTBEAT_EVERY.mul_f64(SILENT_HEARTBEATS)
+}
+
 /// A claim that was sent to a registrar.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ClaimTicket {
     pub registrar: Incarnation,
     pub claim: Claim,
+    /// Since when the job waits for the end of an earlier one under its permit.
+    pub waits_since: Option<Now>,
 }
