target_lease: count each end by its number, acknowledge up to the first gap

Callers would see: tasks that are done run again. Found by reading; not seen in a fleet.

Cause: an end counted as new if its number was above the highest one listed so far, and that one was acknowledged. After a number at the top of its range in a target's own lists, all later ends counted as seen: their runs were missing from the lists, ended as `Lost` and started again. The acknowledgement also told the target to forget ends that it had not listed yet.

Change: `EndNumbers` keeps the numbers that were listed, so that an end counts once whatever others there were, and an acknowledgement covers a list up to the first gap. While a list holds an end that can't be acknowledged, the target answers renewals at once: the lists are read each 20 ms then. An idle agent no longer wakes for the retry of a renewal that it doesn't need.

Evidence, test_run_agent/ends.rs. Failed before the change: test_handle_ends_after_one_with_an_odd_number_count (`assertion failed:`, the first odd number tried) and test_handle_acknowledgement_ends_before_a_gap (`right: Some(59)`). Passed before and after: one call for each end in calm operation, 52 calls a second at most beside a list that stays, a list that doesn't fill.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -142,6 +142,7 @@
     RunsAnnounced = 2109, Info, "entries told that runs of a batch may outlast their entry";
     EndedRunListed = 2110, Error, "target lists a run that was reported as ended";
     AnswerWithheld = 2111, Warn, "answer about a run withheld, another run of its task goes on";
+    EndsForced = 2112, Warn, "ends acknowledged before their time, too many are listed";
 }
 
 impl EventCode {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod crash_history;
 pub mod crash_notices;
 pub mod deferred_batches;
+pub mod end_numbers;
 pub mod entry;
 pub mod entry_daemon;
 pub mod entry_directory;
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -153,7 +153,7 @@
     pub fn next_wake(&self) -> Option<Now> {
         let mut times = vec![
             self.entry_links.next_wake(),
-            self.lease.retry_at(),
+            self.lease.retry_at().filter(|_| !self.is_idle()),
             self.incarnations.next_wake(),
             self.clock_due_at(),
             self.ask_evacuations_at(),
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -1,5 +1,6 @@
 //! Renewals of the target's lease, and the lists in their answers: running, ended and slow runs.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -66,7 +67,7 @@
     }
 
     /// Whether nothing runs and the target has answered the last call.
-    fn is_idle(&self) -> bool {
+    pub(super) fn is_idle(&self) -> bool {
         self.runs.is_empty() && self.knows_runs && !self.lease.has_unanswered_call()
     }
 
@@ -165,6 +166,7 @@
         let Some(answered) = answered else {
             return;
         };
+        self.note_listed_ends(ended);
         if ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted(answered.sent_at, answered.token, running);
         }
@@ -177,6 +179,19 @@
         }
     }
 
+    fn note_listed_ends(&mut self, ended: &[(EndNumber, RunKey, RunEnd)]) {
+        let numbers = ended.iter().map(|(number, ..)| *number);
+        let numbers: BTreeSet<EndNumber> = numbers.collect();
+        let acknowledgement = self.lease.note_listed_ends(self.now, &numbers);
+        if acknowledgement.is_forced {
+            let (up_to, listed) = (acknowledgement.up_to, numbers.len());
+            self.log(
+                EventCode::EndsForced,
+                format!("up_to={up_to} listed={listed}"),
+            );
+        }
+    }
+
     /// Answers claims and stops that entries sent before the lists were read.
     pub(super) fn answer_early_orders(&mut self) {
         for (key, claim) in std::mem::take(&mut self.early_claims) {
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -3,16 +3,17 @@
 //! One renewal extends the lease of all runs on the target. Its answer lists the current runs and
 //! the ended ones, and is the only authority on both.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+pub use crate::end_numbers::EndNumber;
+use crate::end_numbers::{Acknowledgement, EndNumbers};
 use crate::ids::Now;
 use crate::run::RunKey;
 use crate::run_table::FencingToken;
 use crate::target_incarnation::StartMillis;
 use crate::timings::Timings;
 
-/// Sequence number of a run's end within one incarnation of a target.
-pub type EndNumber = u64;
 /// Milliseconds on a target's clock.
 pub type TargetMillis = u64;
 
@@ -35,6 +36,9 @@
 const MAX_PAUSES: u32 = 7;
 /// Least number of renewals in the time of a lease.
 const RENEWALS_PER_LEASE: u32 = 3;
+/// Pause before the lists are read again while they hold ends that can't be acknowledged yet. The
+/// target does not wait then, but answers at once.
+const UNACKNOWLEDGED_PAUSE: Duration = Duration::from_millis(20);
 /// Consecutive unanswered renewals before the target may count as silent.
 const MIN_SILENT_CALLS: u32 = 2;
 /// Time without an answer before the target may count as silent.
@@ -108,9 +112,13 @@
     clock: Option<(TargetMillis, Now)>,
     /// When the incarnation whose lists were last read began.
     born: Option<StartMillis>,
-    last_seen: EndNumber,
+    ends: EndNumbers,
     /// When the lists were last read.
     listed_at: Option<Now>,
+    /// What those lists allow to acknowledge.
+    acknowledgement: EndNumber,
+    /// When the lists are read again, if they hold ends that were not acknowledged.
+    relist_at: Option<Now>,
     in_flight: Option<InFlight>,
     next_number: u64,
     /// First number of a renewal to the target's current incarnation.
@@ -139,8 +147,10 @@
             token,
             clock: None,
             born: None,
-            last_seen: 0,
+            ends: EndNumbers::default(),
             listed_at: None,
+            acknowledgement: 0,
+            relist_at: None,
             in_flight: None,
             next_number: 1,
             first_number: 1,
@@ -192,6 +202,7 @@
     pub fn note_incarnation(&mut self, now: Now, born: Option<StartMillis>) {
         self.born = born.or(self.born);
         self.listed_at = Some(now);
+        self.acknowledgement = 0;
     }
 
     /// Records that the target answered.
@@ -241,7 +252,7 @@
     pub fn clock_due_at(&self) -> Option<Now> {
         let (_, at) = self.clock.filter(|_| self.in_flight.is_none())?;
         let due_at = at + MAX_CLOCK_AGE;
-        Some(self.retry_at.map_or(due_at, |retry| retry.max(due_at)))
+        Some(self.retry_at().map_or(due_at, |retry| retry.max(due_at)))
     }
 
     fn is_clock_old(&self, now: Now) -> bool {
@@ -345,9 +356,22 @@
 
     /// Whether an end was not seen before; marks it as seen.
     pub fn mark_end_seen(&mut self, number: EndNumber) -> bool {
-        let is_new = number > self.last_seen;
-        self.last_seen = self.last_seen.max(number);
-        is_new
+        self.ends.note(number)
+    }
+
+    /// Records the numbers of all ends in lists that were read now. The next renewal acknowledges them
+    /// if it is sent now.
+    pub fn note_listed_ends(&mut self, now: Now, listed: &BTreeSet<EndNumber>) -> Acknowledgement {
+        let acknowledgement = self.ends.acknowledge(listed);
+        self.acknowledgement = acknowledgement.up_to;
+        self.relist_at = if acknowledgement.is_complete {
+            None
+        } else if acknowledgement.up_to > 0 {
+            Some(now)
+        } else {
+            Some(now + UNACKNOWLEDGED_PAUSE)
+        };
+        acknowledgement
     }
 
     /// Records that another incarnation of the target has answered. Calls to the earlier one may have
@@ -366,15 +390,21 @@
     pub fn forget_ends(&mut self, number: u64) {
         self.clock = None;
         self.born = None;
-        self.last_seen = 0;
+        self.forget_end_numbers();
         self.first_number = number;
     }
 
+    fn forget_end_numbers(&mut self) {
+        self.ends = EndNumbers::default();
+        self.acknowledgement = 0;
+        self.relist_at = None;
+    }
+
     /// Forgets all state of an earlier incarnation of the target, renewals in flight included.
     pub fn reset_incarnation(&mut self) {
         self.clock = None;
         self.born = None;
-        self.last_seen = 0;
+        self.forget_end_numbers();
         self.first_number = self.next_number;
         self.in_flight = None;
         self.retry_at = None;
@@ -392,12 +422,14 @@
         max_wait: Duration,
         extension: Extension,
     ) -> Option<Renewal> {
-        if self.in_flight.is_some() || self.retry_at.is_some_and(|at| at > now) {
+        if self.in_flight.is_some() || self.retry_at().is_some_and(|at| at > now) {
             return None;
         }
         // A call that reads the clock and one that tests the target after an unanswered call don't
-        // wait for an end.
-        let wait = if self.is_clock_old(now) || self.silent_calls > 0 {
+        // wait for an end. The target doesn't wait either while it lists ends.
+        let reads_at_once =
+            self.is_clock_old(now) || self.silent_calls > 0 || self.relist_at.is_some();
+        let wait = if reads_at_once {
             Duration::ZERO
         } else if self.lossy_until > now {
             max_wait.clamp(MIN_WAIT, LOSSY_WAIT)
@@ -414,6 +446,7 @@
 
     fn send(&mut self, now: Now, extension: Extension, wait: Duration) -> Renewal {
         self.retry_at = None;
+        self.relist_at = None;
         // A target that may be lost is only queried: its leases must lapse to end its runs.
         let until = match extension {
             Extension::None => None,
@@ -439,7 +472,7 @@
         // After a silence or a pause a new incarnation may answer. The number would make it forget
         // its own ends, and the runs that it finished would count as lost.
         let last_seen = if self.listed_at == Some(now) {
-            self.last_seen
+            self.acknowledgement
         } else {
             0
         };
@@ -475,8 +508,8 @@
         }
     }
 
-    /// When a failed renewal is to be retried.
+    /// When a failed renewal is to be retried, or lists with unacknowledged ends are read again.
     pub fn retry_at(&self) -> Option<Now> {
-        self.retry_at
+        self.retry_at.max(self.relist_at)
     }
 }
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -2,6 +2,7 @@
 
 mod announcements;
 mod crashes;
+mod ends;
 mod evacuation;
 mod guarantors;
 mod incarnations;
