run_agent: a life's tokens exceed all that its predecessor used

What callers could see: a task that runs twice at once. The token of a new life of the agent is the time of day. If that stepped back so that it is no higher than a token that the predecessor used and the target has not seen yet, the target accepts the new life, which reads the lists and reports the predecessor's runs as over; then a late start of the predecessor is carried out. Shown at the core only, with the model of the target; no fleet showed it.

Cause: that a token is higher than the predecessor's rested on the time of day alone. The target bounds what it has seen, not what was used.

Change: a start is sent only with a token that exceeds what the target is known to have seen by 16 at most. A new life first has a token accepted, by the check of the target's name or by a first read of the lists, and then goes on with one that is higher by 17; only lists that are answered under such a token make the runs known. Claims of runs that are in the table are answered at once, as stops were already.

The unit of the tokens stays: an older build that replaces this one still overtakes it by its steps.

Evidence, test_handle_start_of_the_former_life_is_kept_out_by_any_token before the change: starts were carried out at the offsets 0 and -20000 (one start on the way), 0, 1 and -20000 (two of them), and -9999 (refused token; of a first form of that case, in which the lists under the raised token reached the target; now they don't, and that form was not run before the change). After it: none at 595 offsets in each of the three cases, with at least as many runs reported as over within 150 ms. test_run_agent passes (85).

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -392,7 +392,7 @@
                 guarantor: named.map(|(_, guarantor)| *guarantor),
                 size,
             };
-            if self.knows_runs {
+            if self.knows_runs || self.runs.get(key).is_some() {
                 self.answer_claim(key, &claim);
             } else {
                 self.early_claims.push((key, claim));
--- a/lib/src/run_agent/incarnations.rs
+++ b/lib/src/run_agent/incarnations.rs
@@ -90,7 +90,10 @@
             IncarnationAnswer::Alive(born) if !incarnation.matches_born(born) => {
                 self.note_candidate_over(incarnation)
             }
-            IncarnationAnswer::Alive(_) => self.begin_incarnation(incarnation),
+            IncarnationAnswer::Alive(_) => {
+                self.lease.note_accepted();
+                self.begin_incarnation(incarnation);
+            }
         }
     }
 
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -65,9 +65,10 @@
         }
     }
 
-    /// Whether nothing runs and the target has answered the last call.
+    /// Whether nothing runs, the target has answered the last call, and starts may be sent.
     fn is_idle(&self) -> bool {
-        self.runs.is_empty() && self.knows_runs && !self.lease.has_unanswered_call()
+        let is_settled = !self.lease.has_unanswered_call() && self.lease.is_token_seen();
+        self.runs.is_empty() && self.knows_runs && is_settled
     }
 
     /// When the clock of an idle target is to be read again; none without a target.
@@ -157,18 +158,26 @@
         let Some(answered) = self.lease.answered(number) else {
             return;
         };
+        self.lease.note_seen(answered.token);
         for listed in running {
             self.note_listed_run(listed, answered.sent_at);
         }
         if ended.len() < MAX_LISTED_ENDS {
             self.settle_unlisted(answered.sent_at, answered.token, running);
         }
-        if !self.knows_runs {
+        if self.knows_runs {
+            return;
+        }
+        if self.lease.keeps_out_earlier(answered.token) {
             self.knows_runs = true;
             let adopted = self.runs.len();
             self.log(EventCode::TargetListsRead, format!("adopted={adopted}"));
             self.announce_target();
             self.answer_early_orders();
+        } else {
+            // A start of an earlier incarnation of this agent may still be carried out.
+            let renewal = self.lease.renew_now(self.now, Extension::None);
+            self.push_renewal(renewal);
         }
     }
 
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -176,6 +176,9 @@
             Extension::Full => None,
             Extension::EndsBy(ends_by) => Some(ends_by),
         };
+        if !self.lease.is_token_seen() {
+            return Err(NotStarted::Doubtful);
+        }
         let until = self.lease.renew_until(self.now, ends_by);
         let until = until.ok_or(NotStarted::Unreachable)?;
         let token = self.lease.token();
@@ -219,6 +222,7 @@
         match answer {
             StartAnswer::Started { clock } => {
                 self.lease.learn_clock(self.now, clock);
+                self.lease.note_seen(token);
                 self.mark_running(key);
             }
             StartAnswer::Fenced => self.start_fenced(key, token),
@@ -249,10 +253,14 @@
         }
     }
 
-    /// Resends a start that the target refused because of its token, with a higher one.
+    /// Resends a start that the target refused because of its token, once it has accepted a higher one.
     pub(super) fn start_fenced(&mut self, key: RunKey, token: FencingToken) {
         self.lease.raise_token_past(token);
-        self.retry_start(key, NotStarted::Late);
+        if self.lease.is_token_seen() || self.is_evacuated() {
+            self.retry_start(key, NotStarted::Late);
+        } else {
+            self.starts_unanswered(&[(key, token)]);
+        }
     }
 
     /// Resends a start that is known not to have taken effect, or tells the entry that the run was
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -29,7 +29,7 @@
     pub hall: HallName,
     /// Timing bounds.
     pub timings: Timings,
-    /// First fencing token: the time of day in milliseconds, which rises with each incarnation.
+    /// First fencing token: the time of day in milliseconds, which usually rises with each incarnation.
     pub token: FencingToken,
     /// Entries to dial at start.
     pub seeds: Vec<SocketAddr>,
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -19,6 +19,9 @@
 /// Added to a token that the target refuses as too low. Tokens are derived from the time of day in
 /// milliseconds; the step exceeds the expected difference between clocks.
 const TOKEN_STEP: FencingToken = 10_000;
+/// By how much the token may exceed the highest one that the target is known to have seen when a
+/// start is sent. Each unanswered start raises it once, and few are in flight.
+const MAX_UNSEEN_RAISES: FencingToken = 16;
 /// Shortest wait for an end of a renewal that waits at all.
 const MIN_WAIT: Duration = Duration::from_millis(20);
 /// How long an answer may take beyond the requested wait before its connection is closed.
@@ -104,6 +107,10 @@
 pub struct TargetLease {
     timings: Timings,
     token: FencingToken,
+    /// Highest token with which the target has answered; none in its present incarnation yet.
+    seen: Option<FencingToken>,
+    /// First token that the target accepted from this incarnation of the agent.
+    first_accepted: Option<FencingToken>,
     /// Last known time on the target's clock, and when it was received.
     clock: Option<(TargetMillis, Now)>,
     /// When the incarnation whose lists were last read began.
@@ -137,6 +144,8 @@
         let mut lease = Self {
             timings: *timings,
             token,
+            seen: None,
+            first_accepted: None,
             clock: None,
             born: None,
             last_seen: 0,
@@ -160,8 +169,41 @@
     }
 
     /// Returns the token for starts, stops and renewals.
+    ///
+    /// An earlier incarnation of the agent may have sent starts whose tokens exceed what the target has
+    /// seen by up to [`MAX_UNSEEN_RAISES`]. So the first token only has to be accepted, and later ones
+    /// exceed it by more than that. That one was derived from a later time of day proves nothing, as
+    /// that time may step back.
     pub fn token(&self) -> FencingToken {
-        self.token
+        if self.first_accepted.is_some() {
+            return self.token;
+        }
+        self.token.saturating_sub(MAX_UNSEEN_RAISES + 1)
+    }
+
+    /// Records that the target has accepted the present token or a lower one of this incarnation of the
+    /// agent.
+    pub fn note_accepted(&mut self) {
+        let token = self.token();
+        self.first_accepted.get_or_insert(token);
+    }
+
+    /// Records that the target has accepted a call with this token.
+    pub fn note_seen(&mut self, token: FencingToken) {
+        self.note_accepted();
+        self.seen = self.seen.max(Some(token));
+    }
+
+    /// Whether a target that has seen this token refuses all starts of earlier incarnations of the agent.
+    pub fn keeps_out_earlier(&self, token: FencingToken) -> bool {
+        let first = self.first_accepted;
+        first.is_some_and(|first| token > first + MAX_UNSEEN_RAISES)
+    }
+
+    /// Whether the token exceeds what the target has seen by so little that starts may be sent with it.
+    pub fn is_token_seen(&self) -> bool {
+        let seen = self.seen;
+        seen.is_some_and(|seen| self.token <= seen + MAX_UNSEEN_RAISES)
     }
 
     /// Raises the token for all further calls. Once the target has seen the new one, it refuses
@@ -172,8 +214,9 @@
 
     /// Raises the token above one that an earlier incarnation of the agent sent to the target.
     pub fn raise_token_past(&mut self, refused: FencingToken) {
-        if refused >= self.token {
-            self.token = refused + TOKEN_STEP;
+        let present = self.token();
+        if refused >= present {
+            self.token += refused - present + TOKEN_STEP;
         }
     }
 
@@ -307,7 +350,7 @@
         self.next_number += 1;
         Renewal {
             number,
-            token: self.token,
+            token: self.token(),
             until: None,
             last_seen: 0,
             wait: Duration::ZERO,
@@ -364,6 +407,7 @@
     /// Forgets the clock and the end numbers of an earlier incarnation of the target, after the
     /// current one answered renewal `number`. Answers to earlier renewals may be the earlier one's.
     pub fn forget_ends(&mut self, number: u64) {
+        self.seen = None;
         self.clock = None;
         self.born = None;
         self.last_seen = 0;
@@ -372,6 +416,7 @@
 
     /// Forgets all state of an earlier incarnation of the target, renewals in flight included.
     pub fn reset_incarnation(&mut self) {
+        self.seen = None;
         self.clock = None;
         self.born = None;
         self.last_seen = 0;
@@ -433,7 +478,7 @@
         self.in_flight = Some(InFlight {
             number,
             sent_at: now,
-            token: self.token,
+            token: self.token(),
             wait,
         });
         // After a silence or a pause a new incarnation may answer. The number would make it forget
@@ -445,7 +490,7 @@
         };
         Renewal {
             number,
-            token: self.token,
+            token: self.token(),
             until,
             last_seen,
             wait,
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -11,6 +11,7 @@
 mod room;
 mod starts;
 mod suspension;
+mod tokens;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
