batch_entry: log input that is read too late, and show its age

What operators saw: nothing. An entry whose input marks stand still grants leases only from the last mark, so that agents stop its sound runs; the log showed the ends alone.

Change: event 1008 (InputReadLate, warn), once the input has been older than max_lease_lead for suspect_after, at most every 10 s; level input_age_ms. A single stall logs nothing.

Evidence: test_handle_input_that_is_read_late_for_long_is_logged_at_most_every_10_s: marks that stand still and marks that are 300 ms old are logged three times in 25 s, at least 10 s apart; marks that are 70 ms old never.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -165,7 +165,9 @@
         if let EntryEvent::InputRead(until) = event {
             self.input.note_mark(now, until);
             // Unless input is read late, agents' packets are answered in time.
-            if now <= until + self.options.timings.max_lease_lead {
+            let limit = self.options.timings.max_lease_lead;
+            if now <= until + limit {
+                self.input.note_age(now, limit);
                 return Vec::new();
             }
         }
@@ -177,6 +179,7 @@
         if self.exited {
             return Vec::new();
         }
+        self.check_input_age();
         // Deadlines depend on whether the entry reads its input late.
         if let EntryEvent::LoopLoad(load) = event {
             self.note_loop_load(load);
@@ -266,6 +269,7 @@
             handed_over: self.giver.len() as u64,
             taken_over: self.receiver.len() as u64,
             loop_busy_percent: self.loop_busy_percent(),
+            input_age_ms: self.input.age(self.now).as_millis() as u64,
             loop_lag_ms: self.entry_load.recent_lag(self.now).as_millis() as u64,
         }
     }
--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -7,10 +7,14 @@
 use std::time::Duration;
 
 use super::{BatchEntryCore, UNREAD_INPUT_GRACE};
+use crate::events::EventCode;
 use crate::ids::{Now, SessionId};
 use crate::run::BatchId;
 use crate::target_registry::TargetView;
 
+/// Shortest time between two log events on late input.
+const LATE_INPUT_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// How far an entry has read its input.
 #[derive(Debug, Default)]
 pub(super) struct InputProgress {
@@ -20,6 +24,10 @@
     mark: Option<(Now, Now)>,
     /// Until when all input was handled by the mark before.
     marked_before: Option<Now>,
+    /// Since when the input is read too late to renew leases in time.
+    late_since: Option<Now>,
+    /// When that was logged last.
+    logged_at: Option<Now>,
 }
 
 impl InputProgress {
@@ -40,6 +48,32 @@
         self.marked_before
     }
 
+    /// Time since all input was read last.
+    pub(super) fn age(&self, now: Now) -> Duration {
+        let until = self.read_until.unwrap_or(now);
+        now.saturating_sub(until)
+    }
+
+    /// Notes whether the input is older than `limit`, and returns for how long it has been.
+    pub(super) fn note_age(&mut self, now: Now, limit: Duration) -> Duration {
+        if self.age(now) <= limit {
+            self.late_since = None;
+            return Duration::ZERO;
+        }
+        now.saturating_sub(*self.late_since.get_or_insert(now))
+    }
+
+    /// Whether late input is to be logged again.
+    fn is_log_due(&mut self, now: Now) -> bool {
+        let is_due = self
+            .logged_at
+            .is_none_or(|at| at + LATE_INPUT_LOG_INTERVAL <= now);
+        if is_due {
+            self.logged_at = Some(now);
+        }
+        is_due
+    }
+
     fn note_read(&mut self, until: Now) {
         self.read_until = self.read_until.max(Some(until));
     }
@@ -66,6 +100,22 @@
         arrived_after.unwrap_or(self.now).min(self.now) + timeout
     }
 
+    /// Logs that leases can't be renewed in time, if that lasts.
+    pub(super) fn check_input_age(&mut self) {
+        let limit = self.options.timings.max_lease_lead;
+        let late_for = self.input.note_age(self.now, limit);
+        if late_for < self.options.timings.suspect_after || !self.input.is_log_due(self.now) {
+            return;
+        }
+        let input_age_ms = self.input.age(self.now).as_millis();
+        let late_for_ms = late_for.as_millis();
+        let held = self.table.len();
+        self.log(
+            EventCode::InputReadLate,
+            format!("input_age_ms={input_age_ms} late_for_ms={late_for_ms} held={held}"),
+        );
+    }
+
     /// The time from which leases in packets to agents may count now. Until the other entries are told of a
     /// closed batch, its runs depend on this entry alone, which may be lost.
     pub(super) fn lease_basis(&self) -> Now {
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -208,4 +208,6 @@
     pub loop_busy_percent: Option<u64>,
     /// Largest recent delay of the timer in milliseconds.
     pub loop_lag_ms: u64,
+    /// Time in milliseconds since all input was read last; 0 while no batch is held.
+    pub input_age_ms: u64,
 }
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -231,6 +231,7 @@
             self.figures.set_gauge("loop_busy_percent", percent);
             self.figures.set_gauge("loop_lag_ms", gauges.loop_lag_ms);
         }
+        self.figures.set_gauge("input_age_ms", gauges.input_age_ms);
         let received = self.links.bytes_received();
         self.figures.set_gauge("link_bytes_received", received);
         self.figures.link_bytes(&self.links.bytes_sent());
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -66,6 +66,7 @@
     Resumed = 1005, Warn, "VM resumed after a suspension";
     EntryStarved = 1006, Warn, "entry lacks processor time";
     EntryRecovered = 1007, Info, "entry has enough processor time again";
+    InputReadLate = 1008, Warn, "input read too late to renew leases in time";
     ConfigInForce = 1101, Info, "configuration in force";
     ConfigLost = 1102, Info, "configuration change lost to a concurrent change";
     ConfigBehind = 1103, Warn, "a newer configuration is known than the held one";
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -1049,6 +1049,56 @@
     entry
 }
 
+/// When an entry with a batch logs that it reads its input too late, while it handles packets for 25 s and
+/// gets marks of its input that are `mark_age` old; none after the first if not given.
+fn logged_as_late(mark_age: Option<Duration>) -> (Vec<Now>, BatchEntryCore) {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let mut logged = Vec::new();
+    for at in (10..25_000).step_by(10).map(ms) {
+        let mut actions = Vec::new();
+        if at.as_millis() % 1_000 == 10 {
+            actions.extend(entry.handle(at, batch_of_tasks(at.as_millis() as u64, 1)));
+        }
+        if at == ms(20) {
+            actions.extend(entry.handle(at, EntryEvent::InputRead(at)));
+        }
+        if let Some(age) = mark_age.filter(|age| at > *age + ms(20)) {
+            actions.extend(entry.handle(at, EntryEvent::InputRead(at - age)));
+        }
+        actions.extend(entry.handle(at, packet_of(1, Vec::new())));
+        let is_late = |a: &EntryAction| matches!(a, EntryAction::Log(event) if event.code == EventCode::InputReadLate);
+        logged.extend(actions.iter().filter(|a| is_late(a)).map(|_| at));
+    }
+    (logged, entry)
+}
+
+// Guards against lost work that nobody can explain: an entry reads its input too late to keep its runs.
+#[test]
+fn test_handle_input_that_is_read_late_for_long_is_logged_at_most_every_10_s() {
+    let timings = Timings::default();
+    for mark_age in [None, Some(ms(300))] {
+        let (logged, entry) = logged_as_late(mark_age);
+        let pauses = logged.windows(2).map(|pair| pair[1] - pair[0]);
+        assert!(
+            pauses.min().is_some_and(|pause| pause >= ms(10_000)),
+            "{logged:?}"
+        );
+        assert_eq!(logged.len(), 3, "{mark_age:?}: {logged:?}");
+        let first = ms(20) + timings.max_lease_lead + timings.suspect_after;
+        assert!(
+            logged[0] >= first && logged[0] <= first + ms(400),
+            "{logged:?}"
+        );
+        let age = mark_age.unwrap_or(ms(24_970));
+        assert_eq!(u128::from(entry.gauges().input_age_ms), age.as_millis());
+    }
+    let (logged, entry) = logged_as_late(Some(timings.max_lease_lead));
+    assert_eq!(logged, [], "in time");
+    assert_eq!(entry.gauges().input_age_ms, 70);
+}
+
 /// Lets agent 1 send packets until shortly before `until`.
 fn hear_agent(entry: &mut BatchEntryCore, from: Now, until: Now) {
     let mut at = from;
