tests: hold each proof of an end to its bound

No caller saw a fault here: these are checks of proofs and promises that no test held.

test_batch_handover: an answer with runs left blocks the batch at the giver until it is confirmed or proven.

--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -760,3 +760,44 @@
     pair.deliver();
     assert_eq!(pair.own_replies(), [(100, Reply::Succeeded)]);
 }
+
+/// Longest time for which runs of a lost agent may go on after the last word to it: the entry's lease, the
+/// stop, the lapse of the target's lease, and a suspension of the VM.
+fn longest_run_without_words() -> Duration {
+    let t = Timings::default();
+    t.entry_lease + t.stop_bound + t.lapse + ms(10_000)
+}
+
+// Guards against a task that runs twice at once: the receiver answers while a run of the batch is still
+// being stopped, its confirmation is late or lost, and the batch comes back to the giver.
+#[test]
+fn test_handle_answer_with_runs_left_blocks_until_confirmed_or_proven() {
+    for is_confirmed in [true, false] {
+        let (mut pair, key) = Pair::with_run();
+        pair.receive(submission(7, BATCH));
+        pair.deliver();
+        assert_eq!(pair.own_replies(), [(100, Reply::GaveUp)]);
+        let answered_at = pair.now;
+        pair.forget();
+        let until = match is_confirmed {
+            true => answered_at + ms(400),
+            false => answered_at + longest_run_without_words(),
+        };
+        let mut request = 101;
+        while pair.now < until {
+            pair.give(submission(request, BATCH));
+            request += 1;
+            pair.wait(ms(180).min(until - pair.now));
+        }
+        assert_eq!(starts(&pair.giver_actions), [], "confirmed: {is_confirmed}");
+        if is_confirmed {
+            pair.end_run(key, RunEnd::Stopped);
+            pair.deliver();
+        } else {
+            pair.wait(ms(500));
+        }
+        pair.give(submission(request, BATCH));
+        pair.wait(ms(100));
+        assert!(!starts(&pair.giver_actions).is_empty(), "{is_confirmed}");
+    }
+}
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -1,6 +1,7 @@
 //! Decisions of the agent core for the platform, event by event.
 
 mod announcements;
+mod answers;
 mod crashes;
 mod evacuation;
 mod guarantors;
--- a/lib/tests/test_timings.rs
+++ b/lib/tests/test_timings.rs
@@ -5,13 +5,18 @@
 use proptest::prelude::*;
 use trestleknot_lib::timings::{PlatformBounds, Timings, TimingsError};
 
-fn ms(millis: u64) -> Duration {
+const fn ms(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
 /// Time within which all entries of a fleet hear of an announcement (lib/tests/test_entry_directory.rs).
 const HEARD_EVERYWHERE: Duration = Duration::from_millis(300);
 
+/// Longest suspension of a VM for which proofs by time allow.
+const LONGEST_SUSPENSION: Duration = ms(10_000);
+/// Rate of the slowest clock that a target may have.
+const SLOW_RATE: f64 = 0.98;
+
 /// Duration of a lease on a target whose clock is 2% slow.
 fn slow(lease: Duration) -> Duration {
     lease.mul_f64(1.02)
@@ -40,10 +45,21 @@
         // Runs have been stopped when the agent counts their lease as lapsed.
         prop_assert!(slow(t.target_lease) + stop < t.lapse);
         prop_assert!(t.target_lease <= bounds.longest_lease);
+        // The same holds for each shorter lease.
+        for share in [1.0, 0.6, 0.3, 0.05] {
+            let lease = t.target_lease.mul_f64(share);
+            let ends_at = lease.div_f64(SLOW_RATE) + stop;
+            prop_assert!(ends_at < t.lapse_of(lease), "{lease:?}");
+            // A lease that begins when the agent last read the clock is counted from no later time.
+            prop_assert!(t.least_clock_advance(lease) <= lease.mul_f64(SLOW_RATE));
+        }
         // A lost renewal can be repeated twice within a lease.
         prop_assert!(t.renewal_wait * 3 < t.target_lease);
         // An entry counts a lost agent's runs as ended only after the agent has released them.
         prop_assert!(t.entry_lease + t.stop_bound + t.lapse < t.lost_agent_bound);
+        // This also holds if the agent's VM was suspended meanwhile.
+        let stopped_by = t.entry_lease + t.stop_bound + t.lapse;
+        prop_assert!(stopped_by + LONGEST_SUSPENSION < t.lost_agent_bound);
         // An idle agent sends three heartbeats within an entry's lease and is answered in time.
         prop_assert!(t.heartbeat * 3 <= t.entry_lease);
         prop_assert!(t.heartbeat + t.max_answer_delay() < t.entry_lease);
