agent: take orders of an entry only on its latest link

What callers would see: a task that runs twice at once. An agent has two links to one entry while both of its sides are open, which takes two addresses of that entry, or a link whose end the agent has not read yet.

Cause: the entry closes the former link when the agent says hello on a new one, and claims its runs there. The agent answers a claim of a run that it doesn't know as lost, and the entry starts the task elsewhere. The order for that run may still be unread on the former link, and the agent carried it out: "lost" is a promise that nothing bound. Also, news of an end went to the link with the lowest number, which may be the one that its entry has closed, and the close of the former link cut the lease that the new one had renewed.

Now a welcome detaches the entry's other links: their packets renew no lease and order nothing, and news goes to the new link. It changes no message; an entry of any build closes the former link itself.

--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -121,6 +121,16 @@
         Some(gone)
     }
 
+    /// Detaches the other links of an entry, which has replaced them. Orders that are unread there may be
+    /// for runs that the entry takes for over, because their claims were answered on the new link.
+    pub fn detach_others(&mut self, entry: Incarnation, link: SessionId) {
+        for (other, found) in &mut self.links {
+            if *other != link && found.entry == Some(entry) {
+                found.entry = None;
+            }
+        }
+    }
+
     /// Records a packet from an entry. Does nothing if the link is closed: only packets on an open
     /// link extend a lease.
     pub fn record_packet(&mut self, now: Now, link: SessionId, lease_until: Now, waiting: u32) {
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -345,6 +345,7 @@
             found.entry = Some(entry);
             found.name = Some(name);
             found.protocol = protocol;
+            self.entry_links.detach_others(entry, link);
             self.send_crash_notices(link);
             self.send_announcements(link);
         }
--- a/lib/tests/test_run_agent/answers.rs
+++ b/lib/tests/test_run_agent/answers.rs
@@ -68,6 +68,75 @@
     start_calls(actions).iter().map(|call| call.key).collect()
 }
 
+/// A packet of the entry on its second link, which claims this run.
+fn welcome_on_second_link(claimed: RunKey) -> AgentEvent {
+    let welcome = Welcome {
+        name: "entry".into(),
+        life: 9,
+        entries: Vec::new(),
+        claims: vec![(claimed, SIZE)],
+        guarantors: Vec::new(),
+        evacuations: Arc::default(),
+        protocol: 2,
+    };
+    let packet = EntryPacket {
+        lease_until: 60_000,
+        store_heard: 0,
+        waiting: 0,
+        orders: vec![Order::Welcome(welcome)],
+    };
+    AgentEvent::Packet(SECOND, packet)
+}
+
+// Guards against a task that runs twice at once: an entry has replaced its link to the agent, and is told
+// there that a run is not known. Its order for that run is still unread on the former link.
+#[test]
+fn test_handle_order_on_a_replaced_link_starts_nothing() {
+    let mut agent = ready_agent();
+    agent.handle(ms(10), AgentEvent::LinkUp(SECOND, address(2)));
+    let actions = agent.handle(ms(11), welcome_on_second_link(key(0)));
+    assert_eq!(ends(&actions), [(key(0), RunEnd::Lost)]);
+    let actions = agent.handle(ms(12), packet(60_000, vec![start(0, 500)]));
+    assert_eq!(started(&actions), [], "the entry takes the run for over");
+}
+
+// Guards against an end that its entry never hears: it is told on the link that the entry has replaced.
+#[test]
+fn test_handle_end_is_told_on_the_link_that_replaced_another() {
+    let (mut agent, number) = agent_with_run();
+    agent.handle(ms(13), AgentEvent::LinkUp(SECOND, address(2)));
+    agent.handle(ms(14), welcome_on_second_link(key(0)));
+    let answer = RenewalAnswer::Lists {
+        born: None,
+        clock: 1_020,
+        running: Vec::new(),
+        ended: vec![(1, key(0), RunEnd::Done)],
+    };
+    let actions = agent.handle(ms(20), AgentEvent::RenewalAnswered { number, answer });
+    let on_second = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(SECOND, packet) => Some(&packet.news),
+        _ => None,
+    });
+    let is_end = |n: &&AgentNews| matches!(n, AgentNews::Ended { key: k, .. } if *k == key(0));
+    assert_eq!(on_second.flatten().filter(is_end).count(), 1, "{actions:?}");
+}
+
+// Guards against runs that are stopped although their entry is there: the link that it has replaced closes
+// after it has claimed them on the new one.
+#[test]
+fn test_handle_close_of_a_replaced_link_ends_no_lease() {
+    let (mut agent, _) = agent_with_run();
+    agent.handle(ms(13), AgentEvent::LinkUp(SECOND, address(2)));
+    agent.handle(ms(14), welcome_on_second_link(key(0)));
+    agent.handle(ms(15), AgentEvent::LinkDown(LINK));
+    let mut actions = Vec::new();
+    for step in 2..60 {
+        actions.extend(agent.handle(ms(10 * step), AgentEvent::Wake));
+    }
+    let is_stop = |a: &&AgentAction| matches!(a, AgentAction::Stop { .. });
+    assert_eq!(actions.iter().filter(is_stop).count(), 0);
+}
+
 /// Rate of the slowest clock that a target may have.
 const SLOW_RATE: f64 = 0.98;
 /// Longest time that a target takes to stop its runs.
