tests: all entries and agents lose power in the same moment

All entries and agents of a simulated fleet lose power together, up to three times in a row, the next time 0.05 to 1.5 s after the first process is back, also right after a batch was submitted. Targets run on, or start anew with them under the same name or another, beside late and scattered orders, late stops, cut links and steps of the clock of up to 3.5 s. Callers notice within 50 ms and come again after 1.3 s, as often as it takes to find an entry that runs (the simulated caller gave up when none did).

--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -184,6 +184,7 @@
         FleetFault::Drain(n) => FleetFault::Drain(pick(n)),
         FleetFault::Crash(_) => FleetFault::Crash(index),
         FleetFault::Restart(_) => FleetFault::Restart(index),
+        FleetFault::LosePower(_, keeps_name, t) => FleetFault::LosePower(index, keeps_name, t),
         FleetFault::Exit(_) => FleetFault::Exit(index),
         FleetFault::Trouble(_, impairment, t) => FleetFault::Trouble(index, impairment, t),
         FleetFault::LateOrders(_, t) => FleetFault::LateOrders(index, t),
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -129,6 +129,9 @@
             .filter(|i| self.entries[*i].core.is_some())
             .collect();
         if alive.is_empty() {
+            if caller.requests.len() < caller.max_requests {
+                self.schedule_after(self.timings.caller_retry_interval, Event::Submit(id));
+            }
             return;
         }
         let preferred = caller.entry.filter(|entry| alive.contains(entry));
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -51,6 +51,8 @@
     Crash(usize),
     /// A target crashes; its next incarnation has the same name and reports 200 ms later.
     Restart(usize),
+    /// A target loses power; its next incarnation reports after this time, under the same name if set.
+    LosePower(usize, bool, Duration),
     /// Like `Restart`, but the VM refuses connections meanwhile: only the target's process is gone.
     Exit(usize),
     /// A target's capacity is this percentage of the original; its next report says so.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -60,6 +60,14 @@
             FleetFault::Drain(Node::Agent(i)) => self.tell_agent(i, AgentEvent::Drain),
             FleetFault::Crash(i) => self.crash(i, RunTarget::crash, Down::Silent, CRASHED_FOR),
             FleetFault::Restart(i) => self.crash(i, RunTarget::restart, Down::Silent, CRASHED_FOR),
+            FleetFault::LosePower(i, keeps_name, length) => {
+                let restart = if keeps_name {
+                    RunTarget::restart
+                } else {
+                    RunTarget::crash
+                };
+                self.crash(i, restart, Down::Silent, length);
+            }
             FleetFault::Exit(i) => self.crash(i, RunTarget::restart, Down::Refuses, CRASHED_FOR),
             FleetFault::Trouble(i, impairment, length) => {
                 self.targets[i].target.trouble = impairment;
