batch_entry: a late giver renews leases on runs it handed over

What callers see: a task starts again although its run was sound, so its batch is later than needed.

Cause: an entry that reads its input late renews the leases of its own runs after each input mark. Where the runs are that it guarantees only their receivers know, so it renewed those by its answers to agents' packets alone, which wait in its sockets and are read before the mark.

Change: while any batch is handed over, a late entry sends to all agents that know guarantors. The lease counts from the mark as in every other packet; no promise becomes longer.

Evidence: test_handle_late_giver_renews_leases_without_waiting_for_packets; before the change it printed "left: 0 right: 1" (no packet after the mark), now it passes with the 29 others of test_batch_handover.

--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -142,13 +142,18 @@
 
     /// Renews the leases at the agents that have runs, without waiting for their packets to be read.
     pub(super) fn renew_leases(&mut self) {
-        let has_runs = |link: &SessionId| {
-            let view = self.targets.get(*link);
-            view.is_some_and(|v| !self.table.runs_at(&v.agent).is_empty())
+        let has_runs = |link: SessionId| {
+            let view = self.targets.get(link);
+            view.is_some_and(|v| self.table.has_runs_at(&v.agent))
         };
-        let links = self.outboxes.keys().copied();
-        let due = links.filter(|link| self.is_renewal_due(*link) && has_runs(link));
-        for link in due.collect::<Vec<SessionId>>() {
+        // Only the receivers know at which agents the runs are that this entry guarantees.
+        let guarantees_runs = !self.giver.is_empty();
+        let links = self.outboxes.iter();
+        let links = links.filter(|(link, outbox)| {
+            has_runs(**link) || (guarantees_runs && outbox.knows_guarantors)
+        });
+        let due = links.filter(|(link, _)| self.is_renewal_due(**link));
+        for link in due.map(|(link, _)| *link).collect::<Vec<SessionId>>() {
             self.send_orders(link);
         }
     }
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -12,7 +12,7 @@
 use trestleknot_lib::ids::{Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
-use trestleknot_lib::run::{NotStarted, RunEnd, RunKey};
+use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_message::{
     AgentIntro, AgentNews, AgentPacket, HandOver, HandOverDecline, HandOverOutcome, HandOverReply,
     Order, Packet, PeerNews, PeerPacket, ProtocolVersion, StartOrder, TargetInfo,
@@ -576,6 +576,48 @@
     assert_eq!(pair.own_replies()[1..], [(101, Reply::Succeeded)]);
 }
 
+// Guards against lost work: agents stop runs whose guarantor reads their packets too late to answer them in
+// time.
+#[test]
+fn test_handle_late_giver_renews_leases_without_waiting_for_packets() {
+    let leases_after_mark = |pair: &mut Pair| {
+        pair.forget();
+        pair.now += ms(300);
+        let read_until = pair.now - ms(100);
+        pair.give(EntryEvent::InputRead(read_until));
+        let leases = pair.giver_actions.iter().filter_map(|a| match a {
+            EntryAction::Send(AGENT, Packet::FromEntry(packet)) => Some(packet.lease_until),
+            _ => None,
+        });
+        (leases.collect::<Vec<_>>(), read_until)
+    };
+    let (mut pair, key) = Pair::with_run();
+    // The giver has no run of its own.
+    for other in 1..5 {
+        let task = TaskKey {
+            batch: other,
+            ..key.task
+        };
+        let end = AgentNews::Ended {
+            key: RunKey { task, ..key },
+            end: RunEnd::Stopped,
+            ran_ms: 1,
+        };
+        pair.give(from_agent(vec![end], pair.now.as_millis() as u64));
+    }
+    assert_eq!(pair.giver.gauges().batches, 0);
+    pair.give(EntryEvent::InputRead(pair.now));
+    let (leases, read_until) = leases_after_mark(&mut pair);
+    let timings = Timings::default();
+    let longest = read_until + timings.max_lease_lead + timings.entry_lease;
+    assert_eq!(leases.len(), 1, "{:?}", pair.giver_actions);
+    assert!(u128::from(leases[0]) <= longest.as_millis() + 10);
+    pair.end_run(key, RunEnd::Done);
+    pair.deliver();
+    let (leases, _) = leases_after_mark(&mut pair);
+    assert!(leases.is_empty(), "no run is left: {leases:?}");
+}
+
 // Guards against runs that a receiver wants while their caller is back at another entry: the giver read
 // the request late.
 #[test]
