tests: late answers to a lost start, and notices of released batches

No caller saw a fault here. Three mutations (trials on a scratch copy) passed the tests of the cores, the first one also 1,000 cases of the property test, and now fail one each: an answer to a start counts for the next call of the same run (reported as Full while that one runs); the giver tells nobody of the runs of a batch that it releases; it tells their end before the receiver has confirmed it.

--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -801,3 +801,34 @@
         assert!(!starts(&pair.giver_actions).is_empty(), "{is_confirmed}");
     }
 }
+
+/// Notices on the batch in the giver's undelivered packets: whether its runs may be left or are over.
+fn notices_of_giver(pair: &Pair) -> Vec<bool> {
+    let news = pair.to_receiver.iter().flat_map(|p| &p.news);
+    let notices = news.filter_map(|n| match n {
+        PeerNews::RunsLeft(notice) if notice.batch == BATCH => Some(true),
+        PeerNews::RunsOver(notice) if notice.batch == BATCH => Some(false),
+        _ => None,
+    });
+    notices.collect()
+}
+
+// Guards against a batch that runs twice at once: its caller leaves the giver, and the entry that the
+// caller reaches is not told of the receiver's runs, or is told too soon that they are over.
+#[test]
+fn test_handle_runs_of_a_released_batch_are_told_until_the_receiver_confirms() {
+    let (mut pair, key) = Pair::with_run();
+    pair.give(EntryEvent::CallerGone(100));
+    pair.wait(ms(100));
+    assert_eq!(notices_of_giver(&pair), [true]);
+    // The caller comes and leaves once more.
+    pair.give(submission(101, BATCH));
+    pair.give(EntryEvent::CallerGone(101));
+    pair.wait(ms(100));
+    assert!(!notices_of_giver(&pair).contains(&false));
+    pair.deliver();
+    pair.end_run(key, RunEnd::Stopped);
+    pair.deliver();
+    pair.wait(ms(100));
+    assert_eq!(notices_of_giver(&pair), [false]);
+}
--- a/lib/tests/test_run_agent/answers.rs
+++ b/lib/tests/test_run_agent/answers.rs
@@ -321,3 +321,33 @@
     assert!(latest > ms(400), "the lease is renewed: {latest:?}");
     assert!(latest + STOP_TIME <= guaranteed_at + bound, "{latest:?}");
 }
+
+// Guards against a task that runs twice at once: a start was lost and is sent again, and the late answer to
+// the first call counts for the second one.
+#[test]
+fn test_handle_late_answer_to_a_lost_start_says_nothing_of_the_next_one() {
+    for late in [
+        StartAnswer::Full,
+        StartAnswer::Late,
+        StartAnswer::Unhealthy,
+        StartAnswer::Superseded,
+        StartAnswer::Refused,
+    ] {
+        let (mut agent, fence) = agent_with_unanswered_start(5_000);
+        let (number, answer) = (fence.number, lists());
+        let actions = agent.handle(ms(120), AgentEvent::RenewalAnswered { number, answer });
+        let again = start_calls(&actions);
+        assert_eq!(again.len(), 1, "{actions:?}");
+        assert!(again[0].token > 100);
+        let answered = |token, answer| AgentEvent::StartAnswered {
+            key: key(0),
+            token,
+            answer,
+        };
+        let actions = agent.handle(ms(121), answered(100, late));
+        assert_eq!(refusal(&actions), None, "{late:?}");
+        let started = StartAnswer::Started { clock: 1_121 };
+        agent.handle(ms(122), answered(again[0].token, started));
+        assert_eq!(agent.gauges().runs, 1, "{late:?}");
+    }
+}
