--- a/lib/tests/test_timings.rs
+++ b/lib/tests/test_timings.rs
@@ -60,6 +60,8 @@
         // This also holds if the agent's VM was suspended meanwhile.
         let stopped_by = t.entry_lease + t.stop_bound + t.lapse;
         prop_assert!(stopped_by + LONGEST_SUSPENSION < t.lost_agent_bound);
+        // A cancel outlasts a stop of its batch's entry and the return of the caller.
+        prop_assert!(t.cancel_retention > bounds.shutdown_grace + bounds.caller_return);
         // An idle agent sends three heartbeats within an entry's lease and is answered in time.
         prop_assert!(t.heartbeat * 3 <= t.entry_lease);
         prop_assert!(t.heartbeat + t.max_answer_delay() < t.entry_lease);
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -104,6 +104,8 @@
     /// A caller has waited for the reply to a request as long as it does.
     ReplyTimedOut(BatchId, RequestId),
     Cancel(BatchId),
+    /// A caller's cancel of a batch reaches this entry.
+    CancelAt(BatchId, usize),
     /// An entry notices that a caller closed its connection.
     CallerGone(usize, u64, RequestId),
     /// An entry begins to look how far it has read its input.
@@ -274,6 +276,11 @@
         self.schedule_at(at, Event::Cancel(id));
     }
 
+    /// Schedules the cancellation of a batch at this entry, whether or not the entry holds it.
+    pub fn add_cancel_at(&mut self, at: Now, id: BatchId, entry: usize) {
+        self.schedule_at(at, Event::CancelAt(id, entry));
+    }
+
     /// Schedules the break of a caller's connection; the caller retries afterwards.
     pub fn add_disconnect(&mut self, at: Now, id: BatchId) {
         self.schedule_at(at, Event::Disconnect(id));
@@ -462,6 +469,7 @@
             Event::ReplyArrived(entry, request, reply) => self.reply_arrived(entry, request, reply),
             Event::ReplyTimedOut(id, request) => self.reply_timed_out(id, request),
             Event::Cancel(id) => self.cancel(id),
+            Event::CancelAt(id, entry) => self.cancel_at(id, entry),
             Event::CallerGone(i, incarnation, request) => {
                 if self.entries[i].incarnation == incarnation {
                     self.tell_entry(i, EntryEvent::CallerGone(request));
