end_numbers: repeat the last acknowledgement beside an empty list

The last acknowledgement is repeated now, as it always was; one of a wrong number is replaced by the next that is listed.

--- a/lib/src/end_numbers.rs
+++ b/lib/src/end_numbers.rs
@@ -23,7 +23,7 @@
     seen: BTreeSet<EndNumber>,
     /// Lower numbers are no longer kept.
     kept_from: EndNumber,
-    /// Largest number that an acknowledgement has covered; zero before the first one.
+    /// Largest number that the last acknowledgement covered; zero before the first one.
     acknowledged: EndNumber,
 }
 
@@ -53,8 +53,16 @@
     }
 
     /// Returns the acknowledgement for a list of ends: up to the first gap. A number behind a gap may
-    /// be wrong, and would cover ends that were not listed yet.
+    /// be wrong, and would cover ends that were not listed yet. With an empty list, the last one is
+    /// repeated.
     pub fn acknowledge(&mut self, listed: &BTreeSet<EndNumber>) -> Acknowledgement {
+        if listed.is_empty() {
+            return Acknowledgement {
+                up_to: self.acknowledged,
+                is_complete: true,
+                is_forced: false,
+            };
+        }
         let mut up_to = 0;
         for &number in listed {
             let is_next = match up_to.max(self.acknowledged) {
@@ -71,7 +79,9 @@
         if is_forced {
             up_to = listed.iter().nth(listed.len() / 2).copied().unwrap_or(0);
         }
-        self.acknowledged = self.acknowledged.max(up_to);
+        if up_to > 0 {
+            self.acknowledged = up_to;
+        }
         Acknowledgement {
             up_to,
             is_complete: listed.last().is_none_or(|last| *last <= up_to),
--- a/lib/tests/test_run_agent/leases.rs
+++ b/lib/tests/test_run_agent/leases.rs
@@ -388,3 +388,33 @@
     assert!(asked.len() >= 4, "{asked:?}");
     assert!(asked.len() <= 5, "{asked:?}");
 }
+
+// Guards against a busy loop at an idle target that is gone, and against one whose return is noticed late:
+// it is asked a few times a second.
+#[test]
+fn test_handle_idle_target_that_refuses_calls_is_asked_at_a_bounded_rate() {
+    const LONGEST_PAUSE: u64 = 210;
+    let mut agent = ready_agent();
+    let mut now = ms(5);
+    let mut asked = Vec::new();
+    let mut wakes = 0;
+    while now < ms(62_000) {
+        wakes += 1;
+        let mut open = renewals(&agent.handle(now, AgentEvent::Wake));
+        while let Some(number) = open.pop() {
+            asked.push(now);
+            let answer = RenewalAnswer::Refused;
+            let actions = agent.handle(now, AgentEvent::RenewalAnswered { number, answer });
+            open.extend(renewals(&actions));
+        }
+        now = agent
+            .next_wake()
+            .expect("it is asked again")
+            .max(now + ms(1));
+    }
+    let longest = asked.windows(2).map(|pair| pair[1] - pair[0]).max();
+    assert_eq!(longest, Some(ms(LONGEST_PAUSE)));
+    let most = 60_000 / LONGEST_PAUSE as usize + 10;
+    assert!(asked.len() <= most, "{} calls in a minute", asked.len());
+    assert!(wakes <= 4 * most, "{wakes} wakes in a minute");
+}
