batch_entry: an idle entry grants leases from the input that it has read

What callers could see: a task that runs twice at once. An idle entry that stood still for up to half a second finds a request and, behind it, the break of its connection. The order that it sends in between granted a lease from that moment, and the caller, who counts from the break, is elsewhere before the run must have ended, if the entry is lost or slow before it reads the break.

Cause: an event at an entry without batches counted as a mark that all input is read. Since marks come also while no batch is held, nothing needs that any more.

Evidence: test_handle_order_of_an_idle_entry_that_reads_late_counts_from_its_input (input read until 120 ms, request read at 400 ms) failed before the change: the order's lease did not end the age of the input less the lead (210 ms) earlier than that of an entry that had read its input.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -174,9 +174,6 @@
         }
         self.note_stall(now);
         self.now = self.now.max(now);
-        if !self.holds_batches() {
-            self.input.note_idle(self.now);
-        }
         if self.exited {
             return Vec::new();
         }
--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -77,13 +77,6 @@
     fn note_read(&mut self, until: Now) {
         self.read_until = self.read_until.max(Some(until));
     }
-
-    /// Records that no caller waits, so that no unread input can matter.
-    pub(super) fn note_idle(&mut self, now: Now) {
-        if self.read_until.is_some() {
-            self.note_read(now);
-        }
-    }
 }
 
 impl BatchEntryCore {
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -1127,6 +1127,32 @@
     given_up_before(ms(140), ms(90 + 2_000));
 }
 
+/// The end of the lease in the packet that orders the first start.
+fn lease_of_order(actions: &[EntryAction]) -> u64 {
+    let has_start = |o: &Order| matches!(o, Order::Start(_));
+    let packets = actions.iter().filter_map(|a| match a {
+        EntryAction::Send(_, Packet::FromEntry(packet)) => Some(packet),
+        _ => None,
+    });
+    let mut with_start = packets.filter(|p| p.orders.iter().any(has_start));
+    with_start.next().expect("a start is ordered").lease_until
+}
+
+// Guards against a run that outlasts its caller's return: the break of the connection is unread behind the
+// request, at an entry that held nothing before.
+#[test]
+fn test_handle_order_of_an_idle_entry_that_reads_late_counts_from_its_input() {
+    let mut late = entry_that_reads_late();
+    let late = lease_of_order(&late.handle(ms(400), attempt(6)));
+    let mut in_time = entry_that_reads_late();
+    in_time.handle(ms(400), EntryEvent::InputRead(ms(395)));
+    let in_time = lease_of_order(&in_time.handle(ms(400), attempt(6)));
+    let input_age = 400 - 120;
+    let lead = Timings::default().max_lease_lead.as_millis() as u64;
+    // A clock may be 2% slow.
+    assert!(in_time - late >= input_age - lead - 10, "{late} {in_time}");
+}
+
 // Guards against runs for a caller that has left already.
 #[test]
 fn test_handle_request_read_after_its_callers_timeout_starts_nothing() {
