batch_entry: the newest mark that is old enough counts for requests

What callers could see: a task that runs twice at once, by a caller's timeout that counts from too late. Requests count from the mark before if the last one is younger than 20 ms, because another thread accepts connections. An idle entry that wakes with two requests gets two marks within a few milliseconds (the first request makes it mark at once), so that the mark before was as young.

Change: the marks are kept until a later one is old enough, and that one counts.

Evidence: test_handle_request_accepted_after_two_marks_counts_from_before_both (marks at 600 and 602 ms, request read at 603 ms) failed before the change: 0 stops at the deadline for 1. It passes now.

--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -4,6 +4,7 @@
 //! caller returns to another entry a fixed time after the break. So a lease counts from the time until
 //! which the input is read, plus at most `Timings::max_lease_lead`.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use super::{BatchEntryCore, UNREAD_INPUT_GRACE};
@@ -20,10 +21,9 @@
 pub(super) struct InputProgress {
     /// All input that had arrived by this time is handled; none if the driver does not report it.
     read_until: Option<Now>,
-    /// The latest mark of the driver: when it came, and until when all input is handled.
-    mark: Option<(Now, Now)>,
-    /// Until when all input was handled by the mark before.
-    marked_before: Option<Now>,
+    /// The driver's marks, from the one that counts for requests on: when each came, and until when all
+    /// input was handled by then.
+    marks: VecDeque<(Now, Now)>,
     /// Since when the input is read too late to renew leases in time.
     late_since: Option<Now>,
     /// When that was logged last.
@@ -33,19 +33,18 @@
 impl InputProgress {
     /// Records that all input that had arrived by this time is handled.
     pub(super) fn note_mark(&mut self, now: Now, until: Now) {
-        self.marked_before = self.mark.map(|(_, until)| until).or(Some(until));
-        self.mark = Some((now, until));
-        self.note_read(until);
+        self.marks.push_back((now, until));
+        while self.marks.get(1).is_some_and(|mark| is_settled(mark, now)) {
+            self.marks.pop_front();
+        }
+        self.read_until = self.read_until.max(Some(until));
     }
 
     /// Until when all requests that had arrived are handled; none if the driver does not report it.
-    /// Another thread accepts connections, and may be a little later than the one that marks.
     fn requests_read_until(&self, now: Now) -> Option<Now> {
-        let (at, until) = self.mark?;
-        if at + UNREAD_INPUT_GRACE <= now {
-            return Some(until);
-        }
-        self.marked_before
+        let settled = self.marks.iter().rfind(|mark| is_settled(mark, now));
+        let (_, until) = settled.or(self.marks.front())?;
+        Some(*until)
     }
 
     /// Time since all input was read last.
@@ -73,10 +72,12 @@
         }
         is_due
     }
+}
 
-    fn note_read(&mut self, until: Now) {
-        self.read_until = self.read_until.max(Some(until));
-    }
+/// Whether a mark counts for requests. Another thread accepts connections, and may be a little later than
+/// the one that marks.
+fn is_settled((at, _): &(Now, Now), now: Now) -> bool {
+    *at + UNREAD_INPUT_GRACE <= now
 }
 
 impl BatchEntryCore {
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -1153,6 +1153,22 @@
     assert!(in_time - late >= input_age - lead - 10, "{late} {in_time}");
 }
 
+// Guards against a request that is taken for younger than it is: two marks come shortly after one another,
+// and the thread that accepts connections is later than both.
+#[test]
+fn test_handle_request_accepted_after_two_marks_counts_from_before_both() {
+    let mut entry = entry_that_reads_late();
+    hear_agent(&mut entry, ms(150), ms(600));
+    entry.handle(ms(600), EntryEvent::InputRead(ms(600)));
+    entry.handle(ms(602), EntryEvent::InputRead(ms(601)));
+    assert_eq!(starts(&entry.handle(ms(603), attempt(6))).len(), 1);
+    let deadline = ms(120 + 2_000);
+    hear_agent(&mut entry, ms(610), deadline);
+    let actions = entry.handle(deadline, EntryEvent::Wake);
+    let stops = orders(&actions).filter(|o| matches!(o, Order::Stop(_)));
+    assert_eq!(stops.count(), 1);
+}
+
 // Guards against runs for a caller that has left already.
 #[test]
 fn test_handle_request_read_after_its_callers_timeout_starts_nothing() {
