batch_entry: a caller that is back and refused ends its earlier request

What callers could see: a task that runs twice at once. A caller whose break is lost or unread comes back to the same entry and is refused (stopping, evacuated, or its time is over). It goes to another entry at once, while this one still wanted the runs of the earlier request and had told nobody.

Change: any refusal of a request gives up the batch's earlier request first, as the break would have: its runs are stopped, and the other entries are told. The same for a batch that is handed over.

Evidence: test_handle_returning_caller_that_is_refused_ends_its_earlier_request failed before the change: left: (7, Refused { why: Busy, .. }), right: (6, GaveUp). It passes now.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -71,6 +71,7 @@
         match self.admit(submission, deadline) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
+                self.end_earlier_request(id);
                 let version = self.directory.config().version();
                 self.log(
                     EventCode::BatchRefused,
@@ -83,6 +84,21 @@
         }
     }
 
+    /// Gives up a batch whose caller is back and is refused: it waits for no answer to its earlier
+    /// request, and may go to another entry.
+    fn end_earlier_request(&mut self, id: BatchId) {
+        if let Some(before) = self.table.take_request(id) {
+            self.actions.push(EntryAction::Reply(before, Reply::GaveUp));
+            self.log(
+                EventCode::BatchClosed,
+                format!("job={id:016x} why=refused_again"),
+            );
+            self.close(id, CloseReason::CallerGone);
+        } else {
+            self.give_up_on(id, "refused_again");
+        }
+    }
+
     fn admit(&mut self, submission: Submission, deadline: Now) -> Result<(), Reply> {
         let Submission {
             request,
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -277,7 +277,7 @@
         Some(batch)
     }
 
-    fn give_up_on(&mut self, id: BatchId, why: &str) {
+    pub(super) fn give_up_on(&mut self, id: BatchId, why: &str) {
         if let Some(batch) = self.end_handed(id, why) {
             self.answer_handed(&batch, Reply::GaveUp);
         }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -1169,6 +1169,24 @@
     assert_eq!(stops.count(), 1);
 }
 
+// Guards against a task that runs twice at once: the caller is back and refused, so that it goes to another
+// entry, while this one still wants the runs of its earlier request.
+#[test]
+fn test_handle_returning_caller_that_is_refused_ends_its_earlier_request() {
+    let mut entry = entry_that_reads_late();
+    assert_eq!(starts(&entry.handle(ms(130), attempt(6))).len(), 1);
+    let EntryEvent::Submit(mut again) = attempt(7) else {
+        return;
+    };
+    again.caller_timeout = ms(100);
+    let actions = entry.handle(ms(400), EntryEvent::Submit(again));
+    let replies = replies(&actions);
+    assert_eq!(replies[0], (6, Reply::GaveUp));
+    assert!(is_refused(&replies[1].1, Refusal::Busy), "{replies:?}");
+    let stops = orders(&actions).filter(|o| matches!(o, Order::Stop(_)));
+    assert_eq!(stops.count(), 1);
+}
+
 // Guards against runs for a caller that has left already.
 #[test]
 fn test_handle_request_read_after_its_callers_timeout_starts_nothing() {
