run_agent: a withheld answer about a run that is listed as done says so

What callers could see: a task that is done runs again. The answer about a run that was missing from the lists is withheld while another run of its task goes on. If the target lists its end meanwhile, the answer went out as `Lost` all the same.

Evidence: test_handle_run_that_is_listed_as_done_while_its_answer_is_withheld_is_done failed before the change: Ok(Lost) for Ok(Done). It passes now. An answer to another entry, about a run of its own, stays as it was.

--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -448,7 +448,16 @@
 
     fn send_withheld_answers(&mut self) {
         let runs = &self.runs;
-        for (entry, answer) in self.withheld.take_due(|task| runs.has_task(task)) {
+        for (entry, key, answer) in self.withheld.take_due(|task| runs.has_task(task)) {
+            let answer = match runs.end_for(key, entry) {
+                // The target has listed it since.
+                Some(end @ RunEnd::Done) => AgentNews::Ended {
+                    key,
+                    end,
+                    ran_ms: 0,
+                },
+                _ => answer,
+            };
             self.entry_links.tell(entry, answer);
         }
     }
--- a/lib/src/withheld_answers.rs
+++ b/lib/src/withheld_answers.rs
@@ -28,10 +28,11 @@
     pub fn take_due(
         &mut self,
         has_task: impl Fn(TaskKey) -> bool,
-    ) -> Vec<(Incarnation, AgentNews)> {
+    ) -> Vec<(Incarnation, RunKey, AgentNews)> {
         let due = self
             .answers
             .extract_if(.., |(key, _), _| !has_task(key.task));
-        due.map(|((_, entry), answer)| (entry, answer)).collect()
+        due.map(|((key, entry), answer)| (entry, key, answer))
+            .collect()
     }
 }
--- a/lib/tests/test_run_agent/owners.rs
+++ b/lib/tests/test_run_agent/owners.rs
@@ -237,3 +237,25 @@
         assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Done))]);
     }
 }
+
+// Guards against a task that runs again although it is done: its run was missing from a list, and the end
+// that the target lists later comes while the answer is withheld.
+#[test]
+fn test_handle_run_that_is_listed_as_done_while_its_answer_is_withheld_is_done() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let number = waiting_renewal(&mut agent, ms(20), &[key(0), later_key()]);
+    let answer = listed(&[later_key()], &[]);
+    let mut actions = agent.handle(ms(21), AgentEvent::RenewalAnswered { number, answer });
+    let rows = [later_key()];
+    for number in 1..20 {
+        let answer = listed(&rows, &[(1, key(0), RunEnd::Done)]);
+        actions.extend(agent.handle(ms(30), AgentEvent::RenewalAnswered { number, answer }));
+    }
+    assert_eq!(told(&actions), [], "a run of the task goes on");
+    let mut actions = Vec::new();
+    for number in 1..30 {
+        let answer = listed(&[], &[(2, later_key(), RunEnd::Stopped)]);
+        actions.extend(agent.handle(ms(40), AgentEvent::RenewalAnswered { number, answer }));
+    }
+    assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Done))]);
+}
