run_agent: the end of a run waits if its late list shows another run of the task

What callers could see: a task that runs twice at once. An answer whose renewal was replaced notes no running rows, but its ends were told at once, also if another run of the task stands in the same answer.

Change: such an end is left; the target lists it again until it is acknowledged.

Evidence: test_handle_late_answer_with_a_run_of_the_task_ends_no_run_of_it failed before the change: left: [(1, .. run: 1 }, Ok(Failed))], right: []. It passes now.

--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -156,7 +156,13 @@
                 self.note_listed_run(listed, answered.sent_at);
             }
         }
+        // The runs in an answer that came late are not noted. The target lists these ends again.
+        let is_late = answered.is_none();
+        let goes_on = |task| is_late && running.iter().any(|listed| listed.key.task == task);
         for &(end_number, key, end) in ended {
+            if goes_on(key.task) {
+                continue;
+            }
             if self.lease.mark_end_seen(end_number) {
                 self.end_run(key, end);
             } else if self.runs.get(key).is_some() {
--- a/lib/tests/test_run_agent/owners.rs
+++ b/lib/tests/test_run_agent/owners.rs
@@ -259,3 +259,26 @@
     }
     assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Done))]);
 }
+
+// Guards against a task that runs twice at once: the end of its run and another run of it stand in an answer
+// that came too late for its runs to count.
+#[test]
+fn test_handle_late_answer_with_a_run_of_the_task_ends_no_run_of_it() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    let number = waiting_renewal(&mut agent, ms(20), &[key(0)]);
+    let rows = listed(&[later_key()], &[(1, key(0), RunEnd::Failed)]);
+    let late = AgentEvent::RenewalAnswered {
+        number: number - 1,
+        answer: rows.clone(),
+    };
+    let mut actions = agent.handle(ms(21), late);
+    let answer = rows;
+    actions.extend(agent.handle(ms(22), AgentEvent::RenewalAnswered { number, answer }));
+    assert_eq!(told(&actions), [], "a run of the task goes on");
+    let mut actions = Vec::new();
+    for number in 1..20 {
+        let answer = listed(&[], &[(2, later_key(), RunEnd::Stopped)]);
+        actions.extend(agent.handle(ms(40), AgentEvent::RenewalAnswered { number, answer }));
+    }
+    assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Failed))]);
+}
