run_agent: an announced batch is not over while a run of it has no owner

What callers could see: a task that runs twice at once. `RunsOver` lifts the hold of a batch at all entries. It was sent once no run of the announced owner was left in the table, although a run that is known from the target's list alone has no owner yet, and may be of that one.

Evidence: test_handle_announced_batch_is_not_over_while_a_run_without_owner_goes_on failed before the change: RunsOver was told while run 1 of the batch went on. It passes now.

--- a/lib/src/run_agent/announcements.rs
+++ b/lib/src/run_agent/announcements.rs
@@ -112,7 +112,7 @@
         let runs = &self.runs;
         let has_runs = |(batch, owner): OwnedBatch| {
             let mut of_batch = runs.of_batch(batch);
-            of_batch.any(|run| run.owner == Some(owner))
+            of_batch.any(|run| run.may_be_of(owner))
         };
         for (batch, number) in self.announcements.take_over(has_runs) {
             let notice = self.notice_of(batch, number);
--- a/lib/tests/test_run_agent/owners.rs
+++ b/lib/tests/test_run_agent/owners.rs
@@ -282,3 +282,52 @@
     }
     assert_eq!(told(&actions), [(LINK, key(0), Ok(RunEnd::Failed))]);
 }
+
+fn reports_runs_over(actions: &[AgentAction]) -> bool {
+    let sent = actions.iter().filter_map(|a| match a {
+        AgentAction::Send(_, packet) => Some(&packet.news),
+        _ => None,
+    });
+    sent.flatten().any(|n| matches!(n, AgentNews::RunsOver(_)))
+}
+
+// Guards against a batch that starts elsewhere while a run of it goes on: the run is known from the target's
+// list alone, and may be of the entry whose runs are reported as over.
+#[test]
+fn test_handle_announced_batch_is_not_over_while_a_run_without_owner_goes_on() {
+    let (mut agent, _) = agent_with_owned_run(Vec::new());
+    agent.handle(ms(20), packet_on(LINK, vec![Order::Stop(vec![key(0)])]));
+    let mut number = 0;
+    for step in 0..30 {
+        number = waiting_renewal(&mut agent, ms(30 + 10 * step), &[key(0)]).max(number);
+    }
+    let rows = listed(&[key(0), key(1)], &[]);
+    let actions = agent.handle(
+        ms(331),
+        AgentEvent::RenewalAnswered {
+            number,
+            answer: rows,
+        },
+    );
+    let number = renewals(&actions)[0];
+    let rows = listed(&[key(1)], &[(1, key(0), RunEnd::Stopped)]);
+    let actions = agent.handle(
+        ms(332),
+        AgentEvent::RenewalAnswered {
+            number,
+            answer: rows,
+        },
+    );
+    assert_eq!(agent.gauges().runs, 1);
+    assert!(!reports_runs_over(&actions), "{actions:?}");
+    let number = renewals(&actions)[0];
+    let rows = listed(&[], &[(2, key(1), RunEnd::Stopped)]);
+    let actions = agent.handle(
+        ms(333),
+        AgentEvent::RenewalAnswered {
+            number,
+            answer: rows,
+        },
+    );
+    assert!(reports_runs_over(&actions), "{actions:?}");
+}
