target_lease: an agent with the lowest tokens starts runs

What callers could see: targets that take no work for good, as their agents' time of day is before 1970. A first token below 17 left no room for the one that only has to be accepted, so that lists were asked for without end and never made the runs known. Found by the review.

It passes now, for 0, 1, 16, 17 and 18.

--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -258,7 +258,7 @@
     node
 }
 
-/// Milliseconds since 1970. Fencing tokens start at this value, which makes them rise from one
+/// Milliseconds since 1970. Fencing tokens start at this value, so that they usually rise from one
 /// incarnation of an agent to the next.
 fn unix_time_ms() -> u64 {
     let since_1970 = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -195,7 +195,8 @@
     /// agent.
     pub fn note_accepted(&mut self) {
         let token = self.token();
-        self.first_accepted.get_or_insert(token);
+        let first = *self.first_accepted.get_or_insert(token);
+        self.token = self.token.max(first + MAX_UNSEEN_RAISES + 1);
     }
 
     /// Records that the target has accepted a call with this token.
--- a/lib/tests/test_run_agent/tokens.rs
+++ b/lib/tests/test_run_agent/tokens.rs
@@ -198,3 +198,17 @@
     }
     assert!(carried_out.is_empty(), "{carried_out:?}");
 }
+
+// Guards against an agent that starts nothing for good: its time of day is before the epoch, so that its
+// first token is the lowest.
+#[test]
+fn test_handle_agent_with_the_lowest_tokens_starts_runs() {
+    for token in [0, 1, 16, 17, 18] {
+        let capacity = info("target", false).capacity;
+        let mut target = RunTarget::new("target", capacity, 1.0);
+        let mut life = Life::begin(&mut target, ms(10), token, &[]);
+        life.pass(&mut target, 10, true);
+        life.handle(&mut target, start_of_service(0), true);
+        assert_eq!(life.starts.len(), 1, "{token}");
+    }
+}
