--- a/lib/tests/test_run_agent/ends.rs
+++ b/lib/tests/test_run_agent/ends.rs
@@ -116,8 +116,8 @@
 /// The largest number that an end can have.
 const TOP: u64 = u64::MAX;
 
-// Guards against done tasks that run again: an end under an odd number made all later ends count as
-// seen, so their runs ended as lost.
+// Guards against done tasks that run again: after an end under an odd number, all later ends count as
+// seen, and their runs as lost.
 #[test]
 fn test_handle_ends_after_one_with_an_odd_number_count() {
     for odd in [TOP, TOP - 1, 1 << 53] {
