batch_entry: a batch that is never run is refused as such, cancelled or not

A batch that asks for what is not supported was answered as cancelled if a cancel of its id had come before (test_entry_serves failed: 200 for 503, in 3 requests that follow a cancel of the same id). Both answers are true; the refusal says more, and is what callers heard before.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -109,15 +109,15 @@
             caller_request,
         } = submission;
         let queue = self.find_queue(&host, &path)?;
-        if self.directory.is_cancelled(self.now, spec.id) {
-            return Err(Reply::Cancelled);
-        }
         if let Some(unsupported) = spec.unsupported {
             return Err(refusal(Refusal::Unsupported(unsupported)));
         }
         if queue.needs_advice {
             return Err(refusal(Refusal::Unsupported(Unsupported::Advice)));
         }
+        if self.directory.is_cancelled(self.now, spec.id) {
+            return Err(Reply::Cancelled);
+        }
         if self.targets.is_evacuated(self.now, &queue.service) {
             return Err(refusal(Refusal::Evacuated));
         }
