entry_node: an idle entry marks its input each 100 ms

A caller's time-out counts from the mark before its request was read, so an idle entry gave up a batch up to 270 ms before its caller leaves; with marks each 100 ms up to 120 ms. Ten marks a second cost some wakes of one task; not measured apart.

--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -35,7 +35,7 @@
 const INPUT_MARK_PAUSE: Duration = Duration::from_millis(30);
 /// Shortest time between two marks while no batch is held. A request that arrives then may be taken for
 /// older by that much.
-const IDLE_INPUT_MARK_PAUSE: Duration = Duration::from_millis(250);
+const IDLE_INPUT_MARK_PAUSE: Duration = Duration::from_millis(100);
 /// Pause after the first call to the store that failed.
 const INITIAL_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause between two calls to a failing store. It is short because a configuration must be
