tests: a caller that disconnects does so before its own deadline

test_serve_caller_disconnected_its_runs_are_stopped stated 250 ms as the deadline and left after 250 ms. The entry gives a batch up when its caller may have left, counted from before the request was read, so it now answered 504 a little before (left: Some((504, "")), right: None), and the test no longer showed what its name says. The assertions, no answer and no run after 0.4 s, are as before.

--- a/cli/tests/test_platform.rs
+++ b/cli/tests/test_platform.rs
@@ -212,7 +212,8 @@
     with_fleet("gone", 65, 1, 1, async |fleet| {
         let client = client(fleet, 0).await;
         let short = Duration::from_millis(250);
-        let answer = process_fleet::submit(&client, 5, 3, 5_000, short).await;
+        let left = process_fleet::submit_and_leave(&client, 5, (3, 5_000), CALLER_DEADLINE, short);
+        let answer = left.await;
         assert_eq!(answer, None);
         ntex::time::sleep(Duration::from_millis(400)).await;
         assert_eq!(fleet.targets[0].target().running(), 0);
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -385,6 +385,17 @@
     count: u32,
     work_ms: u64,
     limit: Duration,
+) -> Option<(u16, String)> {
+    submit_and_leave(client, id, (count, work_ms), limit, limit).await
+}
+
+/// Submits a batch of `count` tasks of `work_ms` each, with this deadline, and disconnects after `limit`.
+pub async fn submit_and_leave(
+    client: &PlatformClient,
+    id: u64,
+    (count, work_ms): (u32, u64),
+    deadline: Duration,
+    limit: Duration,
 ) -> Option<(u16, String)> {
     let body = stand_in_format::encode_batch(&PlainBatch {
         payload: &work_ms.to_string(),
@@ -395,7 +406,7 @@
     let request = client
         .request(Method::POST, &format!("{PREFIX}{id:016x}"))
         .header("host", HOST)
-        .header(names::DEADLINE, limit.as_millis().to_string())
+        .header(names::DEADLINE, deadline.as_millis().to_string())
         .content_type("application/json");
     let answer = PlatformClient::call(request, body.into_bytes(), limit)
         .await
