tests: the agent of a late end is heard until then

test_handle_two_shared_crashes_and_the_end_of_the_time_do_not_fail_the_batch let an agent be silent for 2 s, after which the entry closes its link, and then sent the end on the closed link. News on such a link no longer counts, as no agent is known there (left: [], right: [GaveUp]). The agent sends a packet each 100 ms now. The assertion is as before.

--- a/lib/tests/test_entry_crashes.rs
+++ b/lib/tests/test_entry_crashes.rs
@@ -375,6 +375,9 @@
     entry.handle(ms(11), agent_notice(notice(DEAD, 2, false)));
     let (link, order) = start(&entry.handle(ms(20), submission(50)));
     assert!(order.alone);
+    for at in (100..2_000).step_by(100) {
+        entry.handle(ms(at), from_agent(link, Vec::new()));
+    }
     entry.handle(ms(2_021), EntryEvent::Wake);
     let ended = AgentNews::Ended {
         key: key(order.runs[0].1),
