--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -248,9 +248,10 @@
         self.up = False
         self.beating.cancel()
         self.server.stop()
-        for run in self.running.values():
-            run["end"].cancel()
         self.lab.record("worker %s crashes with %d runs" % (self.name, len(self.running)))
+        for (task, run), running in self.running.items():
+            running["end"].cancel()
+            self.lab.note_end(self, task, run, "crashed")
         self.running = {}
 
     def clock(self):
@@ -587,3 +588,21 @@
         print("BROKEN: " + line)
     lab.record("%d violations" % len(broken))
     sys.exit(1 if broken else 0)
+
+
+def runs_at_once(lab):
+    """The starts of tasks of which another run goes on at that time, on workers that are up."""
+    events = [(start["at"], 1, start) for start in lab.starts] + [(end["at"], 0, end) for end in lab.ends]
+    events.sort(key=lambda event: event[:2])
+    going, broken = {}, []
+    for at, is_start, event in events:
+        runs = going.setdefault(event["task"], {})
+        key = (event["run"], event["worker"].name)
+        if is_start:
+            for run, worker in runs:
+                broken.append("%s run %d starts on %s at %.3f s while run %d goes on %s, since %.3f s" % (
+                    event["task"], event["run"], event["worker"].name, at, run, worker, runs[(run, worker)]))
+            runs[key] = at
+        else:
+            runs.pop(key, None)
+    return broken
