--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -223,7 +223,8 @@
         self.work_s = lambda task, spec: 0.05
         # Time from the start of a life to its first heartbeat.
         self.first_beat_s = 0.0
-        self.tasks = []
+        # Time until the next heartbeat after one that was not answered.
+        self.retry_s = 0.2
 
     async def begin(self, kind, cpu, same_id=False):
         """Starts a life. It registers as soon as it accepts calls."""
@@ -273,7 +274,7 @@
             path = "/-/instances/%s/heartbeat" % self.id
             answer = await call((self.ip, self.control), "POST", path, beat, limit=1.0)
             is_heard = answer is not None and answer[0] == 200
-            await asyncio.sleep(1.5 if is_heard else 0.2)
+            await asyncio.sleep(1.5 if is_heard else self.retry_s)
 
     def with_born(self, body):
         body["clock-ms"] = self.clock()
