--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -312,7 +312,7 @@
 
     def hold_until(self, until):
         if until is not None:
-            self.until = max(self.until, min(until, self.clock() + 1000))
+            self.until = max(self.until, min(until, self.clock() + self.lab.bounds["max-hold-ms"]))
 
     async def answer(self, method, path, headers, body):
         if headers.get("x-trestleknot-expect-instance", self.id) != self.id:
@@ -401,7 +401,7 @@
                 "link-mbps": 1000.0, "disk-mb": 0,
             },
             "data-dir": None, "discovery": "local", "entry": "vip", "heartbeat-ms": 1500,
-            "tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": BOUNDS,
+            "tolerance": {"machines": 2, "zones": 0, "regions": 0}, "bounds": lab.bounds,
             "orders": "dispatch",
             "platform": {"address": "%s:%d" % lab.store_address, "form": "log"},
         }
@@ -435,7 +435,8 @@
 class Lab:
     """A small deployment. Starts of tasks are kept in `starts`, their ends in `ends`."""
 
-    def __init__(self, folder, entries=3, agents=7, states_born=False):
+    def __init__(self, folder, entries=3, agents=7, states_born=False, bounds=None):
+        self.bounds = {**BOUNDS, **(bounds or {})}
         self.case_folder = folder
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-2-")
@@ -529,8 +530,8 @@
         self.starts.append({
             "at": at, "worker": worker, "life": worker.lives, "task": task, "run": run, "spec": spec,
             "labels": worker.labels, "cpu": worker.cpu, "running": list(worker.running)})
-        self.record("worker %s life %d %s starts %s run %d" % (
-            worker.name, worker.lives, worker.labels, task, run))
+        self.record("worker %s life %d %s starts %s run %d, lease for %d ms" % (
+            worker.name, worker.lives, worker.labels, task, run, worker.until - worker.clock()))
 
     def note_end(self, worker, task, run, how):
         self.ends.append({"at": self.record.now(), "worker": worker, "task": task, "run": run, "how": how})
