--- a/review/lab-2/lab.py
+++ b/review/lab-2/lab.py
@@ -568,8 +568,14 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     keep = os.environ.get("KEEP_LOGS", "0") == "1"
     lab = None
-    # So that all processes are ended too if the case takes too long.
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+    def stop(*_):
+        """Ends all processes too if the case takes too long."""
+        for process in lab.entries + lab.agents if lab else []:
+            process.end()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, stop)
 
     async def run():
         nonlocal lab
