--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,7 +15,7 @@
 WORK_S, DEADLINE_MS, RETRANSMIT_S = 3.6, 1500, 1.3
 # As `unlock` there.
 SHORT_STEPS = [{"count": 21, "cpu": 3800, "mem-mb": 64, "estimate-ms": 60}]
-ATTEMPTS = 3
+ATTEMPTS = 5
 # A new life accepts calls this long before its first heartbeat; the pages allow about 1.5 s between two.
 FIRST_BEAT_S = 0.05
 # From the worker's new life to the job, from the job to the kill, and from the kill to the start.
