agent: a start reaches only the incarnation that it is meant for

Cause: calls state the target's name, and every life under that name takes them. Until its first report, the agent uses the former life's clock, token and capacity. A lease by the former clock is cut to the longest one (15 s there) and never gets shorter; the agent counts 1 s.

Another life's answer ends there: the start is not sent, and the renewal returns that life's lists. A lost start is sent again only to the life that it was ordered for, and a late answer of a former life sets no clock.

Why it works: a connection reaches only the process that accepted it.

--- a/lib/src/platform_ports.rs
+++ b/lib/src/platform_ports.rs
@@ -40,7 +40,8 @@
 
 /// Calls to the target beside an agent. Each completes within the limit that it names.
 pub trait TargetPort {
-    /// Starts a run.
+    /// Starts a run. Only the incarnation that the call states may receive it: one with the same name
+    /// has another clock and may lack the capacity, and would grant a lease up to the longest one.
     fn start(&self, call: StartCall) -> LocalBoxFuture<'static, StartAnswer>;
 
     /// Requests a stop. The target's lists tell whether the run has ended.
@@ -51,7 +52,8 @@
         target_name: Option<TargetName>,
     ) -> LocalBoxFuture<'static, ()>;
 
-    /// Renews the lease of all runs and reads the lists.
+    /// Renews the lease of all runs and reads the lists. Only the incarnation that the renewal states
+    /// may renew; if another one is found, its lists are returned and nothing is renewed.
     fn renew(
         &self,
         renewal: Renewal,
--- a/lib/src/run_agent/lists.rs
+++ b/lib/src/run_agent/lists.rs
@@ -251,6 +251,7 @@
             owner: None,
             guarantor: None,
             is_adopted: true,
+            target: None,
             size: None,
             payload: Arc::from(""),
             estimate: Duration::ZERO,
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -10,7 +10,6 @@
 use crate::run_event::{AgentAction, StartAnswer, StartCall};
 use crate::run_message::{AgentNews, StartOrder};
 use crate::run_table::{FencingToken, Phase, Run};
-use crate::target_incarnation::TargetName;
 use crate::target_lease::Extension;
 
 /// Longest timeout of a start, and the limit of its call. The target is on this VM and answers
@@ -135,6 +134,7 @@
             owner: Some(entry),
             guarantor: order.guarantor,
             is_adopted: false,
+            target: Some(target.life),
             size: Some(size),
             payload: payload.clone(),
             estimate: Duration::from_millis(u64::from(order.estimate_ms)),
@@ -151,16 +151,17 @@
             end_if_unlisted: RunEnd::Lost,
         };
         self.runs.insert(key, run);
-        self.send_start(key, target.life.name).inspect_err(|_| {
+        self.send_start(key).inspect_err(|_| {
             self.runs.remove(key);
         })
     }
 
-    pub(super) fn send_start(
-        &mut self,
-        key: RunKey,
-        target_name: TargetName,
-    ) -> Result<(), NotStarted> {
+    pub(super) fn send_start(&mut self, key: RunKey) -> Result<(), NotStarted> {
+        // A lost start is resent only to the incarnation that its entry chose: the next one may be of
+        // another kind.
+        if !self.is_of_current(key) {
+            return Err(NotStarted::Unreachable);
+        }
         // Checked again: the hall may have been evacuated before a lost start is resent.
         if self.is_evacuated() {
             return Err(NotStarted::Evacuated);
@@ -186,18 +187,28 @@
         let Some(run) = self.runs.get_mut(key) else {
             return Ok(());
         };
+        let target = run.target.clone().ok_or(NotStarted::Unreachable)?;
         run.phase = Phase::Starting { token, sent };
         self.actions.push(AgentAction::Start(StartCall {
             key,
             payload: run.payload.clone(),
             until,
             token,
-            target_name,
+            target_name: target.name,
+            born: target.born,
             limit: MAX_START_TIMEOUT,
         }));
         Ok(())
     }
 
+    /// Whether a run was ordered for the current incarnation of the target, whose lists were read last.
+    fn is_of_current(&self, key: RunKey) -> bool {
+        let target = self.runs.get(key).and_then(|run| run.target.as_ref());
+        target.is_some_and(|target| {
+            self.incarnations.current_incarnation() == Some(target) && self.lease.is_of(target)
+        })
+    }
+
     pub(super) fn not_started(&mut self, key: RunKey, reason: NotStarted) {
         if let Some(run) = self.runs.remove(key) {
             self.refuse(run.owner, key, reason);
@@ -221,8 +232,11 @@
         }
         match answer {
             StartAnswer::Started { clock } => {
-                self.lease.learn_clock(self.now, clock);
-                self.lease.note_seen(token);
+                // A late answer of a former incarnation tells its clock and its token.
+                if self.is_of_current(key) {
+                    self.lease.learn_clock(self.now, clock);
+                    self.lease.note_seen(token);
+                }
                 self.mark_running(key);
             }
             StartAnswer::Fenced => self.start_fenced(key, token),
@@ -236,6 +250,11 @@
                 self.lease.note_refused();
                 self.not_started(key, NotStarted::Unreachable);
             }
+            StartAnswer::Restarted => {
+                // The next lists state another start time, which ends the incarnation.
+                self.knows_runs = false;
+                self.not_started(key, NotStarted::Unreachable);
+            }
             StartAnswer::OtherIncarnation => {
                 self.not_started(key, NotStarted::Unreachable);
                 self.end_incarnation("another incarnation answers");
@@ -271,12 +290,11 @@
             .get(key)
             .is_some_and(|r| r.start_by > self.now && r.stopping.is_none())
             && self.owned_until(key).is_some_and(|until| until > self.now);
-        let target_name = self.incarnations.current_name();
-        let Some(target_name) = target_name.filter(|_| may_retry) else {
+        if !may_retry || self.incarnations.current().is_none() {
             self.not_started(key, reason);
             return;
-        };
-        if let Err(reason) = self.send_start(key, target_name) {
+        }
+        if let Err(reason) = self.send_start(key) {
             self.not_started(key, reason);
         }
     }
--- a/lib/src/run_event.rs
+++ b/lib/src/run_event.rs
@@ -67,6 +67,8 @@
     Unhealthy,
     /// An incarnation of another name answered and started nothing.
     OtherIncarnation,
+    /// Another incarnation of that name was found, so the start was not sent.
+    Restarted,
     /// The connection was refused, so nothing was started.
     Refused,
     /// No answer: the run may have started or may start later.
@@ -177,6 +179,9 @@
     pub token: FencingToken,
     /// Name of the target that is addressed.
     pub target_name: TargetName,
+    /// Start time of the incarnation that is addressed, if it states one. `until` is a time on its
+    /// clock, so no other incarnation may carry out the call.
+    pub born: Option<StartMillis>,
     /// Timeout of the call.
     pub limit: Duration,
 }
--- a/lib/src/run_table.rs
+++ b/lib/src/run_table.rs
@@ -11,6 +11,7 @@
 use crate::ids::{Incarnation, Now};
 use crate::resources::Resources;
 use crate::run::{BatchId, RunEnd, RunKey, TaskKey};
+use crate::target_incarnation::TargetIncarnation;
 
 /// How long an end is kept for entries that missed it. With the default bounds, longer than an entry
 /// waits before it considers the runs of a silent agent lost.
@@ -67,6 +68,8 @@
     pub guarantor: Option<Incarnation>,
     /// Whether an earlier incarnation of the agent started it.
     pub is_adopted: bool,
+    /// Incarnation of the target that it was ordered for; none if it was adopted.
+    pub target: Option<TargetIncarnation>,
     /// Resources that it takes; none while unknown.
     pub size: Option<Resources>,
     /// Payload of the task; empty for an adopted run, whose start is never resent.
--- a/lib/src/target_lease.rs
+++ b/lib/src/target_lease.rs
@@ -11,7 +11,7 @@
 use crate::ids::Now;
 use crate::run::RunKey;
 use crate::run_table::FencingToken;
-use crate::target_incarnation::StartMillis;
+use crate::target_incarnation::{StartMillis, TargetIncarnation};
 use crate::timings::Timings;
 
 /// Milliseconds on a target's clock.
@@ -71,6 +71,9 @@
     pub token: FencingToken,
     /// New end of the lease on the target's clock; none for a query, which renews nothing.
     pub until: Option<TargetMillis>,
+    /// Start time of the incarnation whose clock `until` refers to, if it states one. No other
+    /// incarnation may carry out a call that extends the lease.
+    pub born: Option<StartMillis>,
     /// Acknowledges the ends up to this number; zero unless they were listed just now.
     pub last_seen: EndNumber,
     /// How long the target may wait for an end before it answers.
@@ -237,6 +240,11 @@
         self.note_answer(now);
     }
 
+    /// Whether the clock and the token are those of this incarnation.
+    pub fn is_of(&self, incarnation: &TargetIncarnation) -> bool {
+        incarnation.matches_born(self.born)
+    }
+
     /// Whether lists come from another incarnation than those that were last read.
     pub fn is_other_incarnation(&self, born: Option<StartMillis>) -> bool {
         matches!((self.born, born), (Some(known), Some(told)) if known != told)
@@ -364,6 +372,7 @@
             number,
             token: self.token(),
             until: None,
+            born: None,
             last_seen: 0,
             wait: Duration::ZERO,
             timeout: ANSWER_SLACK,
@@ -526,6 +535,7 @@
             number,
             token: self.token(),
             until,
+            born: until.and(self.born),
             last_seen,
             wait,
             timeout: wait + ANSWER_SLACK,
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -10,6 +10,7 @@
 mod leases;
 mod owners;
 mod proofs;
+mod restarts;
 mod room;
 mod starts;
 mod suspension;
--- a/lib/tests/test_run_agent/proofs.rs
+++ b/lib/tests/test_run_agent/proofs.rs
@@ -316,6 +316,7 @@
                     until: call.until,
                     token: call.token,
                     life: Some(call.target_name.clone()),
+                    born: call.born,
                     is_late: false,
                 };
                 let answer = target.start(now, &request);
@@ -329,12 +330,12 @@
                 None
             }
             Call::Renew(r, name) => {
-                let answer = target.renew(now, r.token, r.until, r.last_seen, name.as_deref());
+                let answer = target.answer_renewal(now, r, name.as_deref());
                 let number = r.number;
                 Some(AgentEvent::RenewalAnswered { number, answer })
             }
             Call::Check(r, name) => {
-                let answer = target.renew(now, r.token, r.until, r.last_seen, Some(name));
+                let answer = target.answer_renewal(now, r, Some(name));
                 Some(incarnation_checked(r.number, answer.into()))
             }
         };
--- a/lib/tests/test_run_agent/tokens.rs
+++ b/lib/tests/test_run_agent/tokens.rs
@@ -112,13 +112,7 @@
     renewal: &Renewal,
     target_name: Option<&str>,
 ) -> RenewalAnswer {
-    let Renewal {
-        token,
-        until,
-        last_seen,
-        ..
-    } = *renewal;
-    target.renew(now, token, until, last_seen, target_name)
+    target.answer_renewal(now, renewal, target_name)
 }
 
 fn carry_out(target: &mut RunTarget, now: Now, call: &StartCall) -> StartAnswer {
@@ -128,6 +122,7 @@
         until: call.until,
         token: call.token,
         life: Some(call.target_name.clone()),
+        born: call.born,
         is_late: true,
     };
     target.start(now, &request)
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -209,6 +209,9 @@
         FleetFault::Restart(_) => FleetFault::Restart(index),
         FleetFault::LosePower(_, keeps_name, t) => FleetFault::LosePower(index, keeps_name, t),
         FleetFault::Exit(_) => FleetFault::Exit(index),
+        FleetFault::RestartUnreported(_, percent, t) => {
+            FleetFault::RestartUnreported(index, percent, t)
+        }
         FleetFault::Trouble(_, impairment, t) => FleetFault::Trouble(index, impairment, t),
         FleetFault::LateOrders(_, t) => FleetFault::LateOrders(index, t),
         FleetFault::ScatteredOrders(_, d, t) => FleetFault::ScatteredOrders(index, d, t),
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -1,5 +1,6 @@
 //! HTTP stand-ins for the platform's store and targets, with faults that can be set at run time.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -17,6 +18,7 @@
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::QueueTable;
 use trestleknot_lib::run_event::{RenewalAnswer, StartAnswer};
+use trestleknot_lib::target_incarnation::TargetIncarnation;
 use trestleknot_lib::worker_threads::{run_system, spawn};
 
 use crate::run_target::{RunTarget, StartRequest};
@@ -177,6 +179,8 @@
 pub struct TargetStandIn {
     target: Arc<Mutex<RunTarget>>,
     fault: Arc<Mutex<Fault>>,
+    /// The incarnation that accepted each connection, by the caller's address.
+    accepted_by: Arc<Mutex<BTreeMap<SocketAddr, TargetIncarnation>>>,
     origin: Instant,
 }
 
@@ -187,10 +191,24 @@
         Self {
             target: Arc::new(Mutex::new(target)),
             fault: Arc::default(),
+            accepted_by: Arc::default(),
             origin,
         }
     }
 
+    /// Whether a connection from this address was accepted by an incarnation that has ended. Its process
+    /// would have closed the connection.
+    fn is_from_former(&self, caller: SocketAddr) -> bool {
+        let present = lock(&self.target).life();
+        let mut accepted_by = lock(&self.accepted_by);
+        let is_former = *accepted_by.entry(caller).or_insert(present.clone()) != present;
+        if is_former {
+            // The connection is closed, and another one may come from this address.
+            accepted_by.remove(&caller);
+        }
+        is_former
+    }
+
     /// Sets the fault for orders.
     pub fn set_fault(&self, fault: Fault) {
         *lock(&self.fault) = fault;
@@ -231,6 +249,7 @@
             until: order.lease_until,
             token: order.token,
             life: target_name,
+            born: None,
             is_late: false,
         };
         let now = self.now();
@@ -358,6 +377,12 @@
     let fault = *lock(&target.fault);
     let target_name = req.headers().get(names::EXPECT_INCARNATION);
     let target_name = target_name.and_then(|h| h.to_str().ok()).map(Arc::from);
+    if req
+        .peer_addr()
+        .is_some_and(|caller| target.is_from_former(caller))
+    {
+        return HttpResponse::InternalServerError().force_close().finish();
+    }
     match fault {
         Fault::Status(status) => return respond(status, ""),
         Fault::Silent => return silence().await,
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -51,6 +51,9 @@
     Crash(usize),
     /// A target crashes; its next incarnation has the same name and reports 200 ms later.
     Restart(usize),
+    /// A target's process exits and restarts 100 ms later under its name, with this percentage of its
+    /// capacity. It takes calls from then on, but first reports after this time.
+    RestartUnreported(usize, u32, Duration),
     /// A target loses power; its next incarnation reports after this time, under the same name if set.
     LosePower(usize, bool, Duration),
     /// Like `Restart`, but the VM refuses connections meanwhile: only the target's process is gone.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -69,6 +69,9 @@
                 self.crash(i, restart, Down::Silent, length);
             }
             FleetFault::Exit(i) => self.crash(i, RunTarget::restart, Down::Refuses, CRASHED_FOR),
+            FleetFault::RestartUnreported(i, percent, unreported) => {
+                self.restart_unreported(i, percent, unreported);
+            }
             FleetFault::Trouble(i, impairment, length) => {
                 self.targets[i].target.trouble = impairment;
                 self.schedule_after(length, Event::EndFault(targets::TimedFault::Impairment(i)));
@@ -189,6 +192,6 @@
     }
 }
 
-fn percent_of(capacity: Resources, percent: u32) -> Resources {
+pub(super) fn percent_of(capacity: Resources, percent: u32) -> Resources {
     capacity.times(u64::from(percent)).divided_by(100)
 }
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -13,6 +13,7 @@
 use trestleknot_lib::target_incarnation::TargetIncarnation;
 use trestleknot_lib::target_lease::Renewal;
 
+use super::fault_injection::percent_of;
 use super::{Event, REPORT_EVERY, RunFleet};
 use crate::run_target::{RunTarget, StartRequest, TargetImpairment};
 
@@ -26,6 +27,8 @@
 const MAX_ANSWER_MS: u64 = 200;
 /// Downtime of a target after an injected crash.
 pub(super) const CRASHED_FOR: Duration = Duration::from_millis(200);
+/// Downtime of a target that takes calls before it reports.
+const UNREPORTED_DOWN_FOR: Duration = Duration::from_millis(100);
 /// Downtime of a target after a task crashed it.
 const CRASHED_BY_TASK_FOR: Duration = Duration::from_millis(2_000);
 
@@ -79,6 +82,8 @@
     pub(super) has_foreign_reports: bool,
     down_until: Now,
     down: Down,
+    /// Until when it sends no reports.
+    unreported_until: Now,
     pub(super) suspended_until: Now,
     pending_renewals: Vec<PendingRenewal>,
 }
@@ -95,6 +100,7 @@
             has_foreign_reports: false,
             down_until: Now::ZERO,
             down: Down::Silent,
+            unreported_until: Now::ZERO,
             suspended_until: Now::ZERO,
             pending_renewals: Vec::new(),
         }
@@ -151,6 +157,7 @@
             until: call.until,
             token,
             life: Some(call.target_name),
+            born: call.born,
             is_late: false,
         };
         let answered = |answer| AgentEvent::StartAnswered { key, token, answer };
@@ -216,13 +223,7 @@
         let now = self.now;
         let target = &mut self.targets[i].target;
         // The lease is renewed on arrival; the lists are taken when the answer is sent.
-        let first = target.renew(
-            now,
-            renewal.token,
-            renewal.until,
-            renewal.last_seen,
-            target_name.as_deref(),
-        );
+        let first = target.answer_renewal(now, &renewal, target_name.as_deref());
         let waits = matches!(first, RenewalAnswer::Lists { .. })
             && !target.has_unseen_ends(renewal.last_seen)
             && !renewal.wait.is_zero();
@@ -258,13 +259,7 @@
             );
         }
         let target = &mut self.targets[i].target;
-        let answer = target.renew(
-            self.now,
-            query.token,
-            query.until,
-            query.last_seen,
-            Some(target_name),
-        );
+        let answer = target.answer_renewal(self.now, &query, Some(target_name));
         self.answer(i, agent_incarnation, DELAY * 2, answered(answer.into()));
     }
 
@@ -273,7 +268,8 @@
         if repeats {
             self.schedule_after(REPORT_EVERY, Event::Report(i, true));
         }
-        if self.targets[i].is_down(self.now) {
+        let target = &self.targets[i];
+        if target.is_down(self.now) || target.unreported_until > self.now {
             return;
         }
         let (info, sequence) = self.targets[i].target.report();
@@ -346,13 +342,11 @@
                 });
                 continue;
             }
-            let answer = target.renew(
-                now,
-                renewal.token,
-                None,
-                renewal.last_seen,
-                target_name.as_deref(),
-            );
+            let query = Renewal {
+                until: None,
+                ..renewal
+            };
+            let answer = target.answer_renewal(now, &query, target_name.as_deref());
             let number = renewal.number;
             let event = AgentEvent::RenewalAnswered { number, answer };
             self.answer(i, agent_incarnation, DELAY, event);
@@ -395,8 +389,12 @@
             LateOrder::Stop(key, token, target_name) => {
                 target.stop(now, key, token, target_name.as_deref())
             }
-            LateOrder::Renew(r, target_name) => {
-                target.renew(now, r.token, r.until, 0, target_name.as_deref());
+            LateOrder::Renew(renewal, target_name) => {
+                let late = Renewal {
+                    last_seen: 0,
+                    ..renewal
+                };
+                target.answer_renewal(now, &late, target_name.as_deref());
             }
         }
         self.schedule_check(i);
@@ -423,6 +421,15 @@
         self.schedule_after(length, Event::Report(i, false));
     }
 
+    pub(super) fn restart_unreported(&mut self, i: usize, percent: u32, unreported: Duration) {
+        let target = &mut self.targets[i].target;
+        target.capacity = percent_of(target.usual_capacity, percent);
+        let reports_after = UNREPORTED_DOWN_FOR + unreported;
+        self.targets[i].unreported_until = self.now + reports_after;
+        self.crash(i, RunTarget::restart, Down::Refuses, UNREPORTED_DOWN_FOR);
+        self.schedule_after(reports_after, Event::Report(i, false));
+    }
+
     pub(super) fn end_fault(&mut self, fault: TimedFault) {
         match fault {
             TimedFault::Impairment(i) => {
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -15,7 +15,7 @@
 use trestleknot_lib::run_message::TargetInfo;
 use trestleknot_lib::run_table::FencingToken;
 use trestleknot_lib::target_incarnation::{StartMillis, TargetIncarnation, TargetName};
-use trestleknot_lib::target_lease::{EndNumber, ListedRun, TargetMillis};
+use trestleknot_lib::target_lease::{EndNumber, ListedRun, Renewal, TargetMillis};
 
 /// Default longest lease.
 pub const LONGEST_LEASE: Duration = Duration::from_millis(1_000);
@@ -107,6 +107,8 @@
     pub token: FencingToken,
     /// Name of the incarnation that the order is for.
     pub life: Option<Arc<str>>,
+    /// Start time of the only incarnation that its connection reaches; none if it reaches any.
+    pub born: Option<StartMillis>,
     /// Whether the order was delayed.
     pub is_late: bool,
 }
@@ -323,6 +325,8 @@
             self.records[run.record].to = Some(now);
         }
         self.born = now;
+        // A start relies on what this incarnation reports.
+        self.reported_capacities = vec![(now, self.capacity)];
         self.suspended = Duration::ZERO;
         self.crash_at = None;
         self.is_leaving = false;
@@ -430,12 +434,20 @@
         target_name.is_some_and(|name| name != &*self.life_name())
     }
 
+    /// Whether calls on a connection to the incarnation that started at `born` no longer reach it.
+    fn is_past(&self, born: Option<StartMillis>) -> bool {
+        born.is_some_and(|born| born != self.born_millis())
+    }
+
     /// Handles an order to start a run.
     pub fn start(&mut self, now: Now, request: &StartRequest) -> StartAnswer {
         self.advance(now);
         if self.is_other_incarnation(request.life.as_deref()) {
             return StartAnswer::OtherIncarnation;
         }
+        if self.is_past(request.born) {
+            return StartAnswer::Restarted;
+        }
         if self.trouble.sheds {
             return StartAnswer::Unhealthy;
         }
@@ -523,6 +535,21 @@
         }
     }
 
+    /// Answers a renewal. One for another incarnation does not reach this one, which is only asked
+    /// for its lists.
+    pub fn answer_renewal(
+        &mut self,
+        now: Now,
+        renewal: &Renewal,
+        target_name: Option<&str>,
+    ) -> RenewalAnswer {
+        let (until, last_seen) = match self.is_past(renewal.born) {
+            true => (None, 0),
+            false => (renewal.until, renewal.last_seen),
+        };
+        self.renew(now, renewal.token, until, last_seen, target_name)
+    }
+
     /// Renews the lease if `until` is set, and lists running and ended runs.
     pub fn renew(
         &mut self,
