entry: orders name the incarnation of the target that was chosen

Cause: an order names the agent only. An entry that reads late, or any delay between agent and entry, orders a task from an agent whose target was meanwhile replaced by one of another kind; the agent compares service and capacity, not labels.

Change: an order names the incarnation of the target, and the agent refuses it as Replaced if another one is current. Orders of older builds name none and are checked as before; older agents ignore the field.

Why it works: labels, kind, rack, service and first capacity belong to one incarnation, so one comparison covers them all.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -432,6 +432,7 @@
             start_by,
             alone,
             guarantor: self.receiver.guarantor(id),
+            target: view.info.as_ref().map(|info| info.life.clone()),
             runs,
         };
         let age_ms = self.now.saturating_sub(batch.arrived).as_millis();
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -261,7 +261,10 @@
             NotStarted::Full => self.forecast.note_rejected(),
             NotStarted::NoPayload => self.table.forget_payload(key.task.batch, link),
             NotStarted::NoGuarantor => self.note_guarantor_lacking(key.task.batch, agent),
-            NotStarted::Doubtful => self.targets.refused(self.now, link, StartRefusal::Doubtful),
+            // The agent announces the next incarnation once it has read its lists.
+            NotStarted::Doubtful | NotStarted::Replaced => {
+                self.targets.refused(self.now, link, StartRefusal::Doubtful);
+            }
             _ => {}
         }
         let superseded = reason == NotStarted::Superseded;
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -159,6 +159,8 @@
     Unreachable,
     /// The target serves another service.
     WrongService,
+    /// The order is for another incarnation of the target than the current one.
+    Replaced,
     /// The order had no payload, and the agent no longer has it cached.
     NoPayload,
     /// The order names a guarantor that has no link and valid lease at the agent or has released
--- a/lib/src/run_agent/starts.rs
+++ b/lib/src/run_agent/starts.rs
@@ -100,6 +100,14 @@
         }
         let target = self.incarnations.current().cloned();
         let target = target.ok_or(NotStarted::Unreachable)?;
+        // The entry may not have read yet that another incarnation, perhaps of another kind, is current.
+        if order
+            .target
+            .as_ref()
+            .is_some_and(|meant| *meant != target.life)
+        {
+            return Err(NotStarted::Replaced);
+        }
         if self.incarnations.may_be_leaving() {
             return Err(NotStarted::Leaving);
         }
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -57,7 +57,7 @@
 /// Approximate size of an order, a piece of news or an item of their lists, in bytes.
 const SMALL_ITEM_BYTES: usize = 40;
 /// Approximate size of a start order without its payload, including its packet, in bytes.
-pub const START_ORDER_BYTES: usize = 170;
+pub const START_ORDER_BYTES: usize = 210;
 /// Approximate size of an offer of a batch without its payload, in bytes.
 const HAND_OVER_BYTES: usize = 250;
 /// Approximate size of one queue in a configuration, in bytes.
@@ -345,6 +345,10 @@
     /// runs go on, only while its lease at the agent is valid too.
     #[serde(rename = "g", default, skip_serializing_if = "Option::is_none")]
     pub guarantor: Option<Incarnation>,
+    /// Incarnation of the target that the entry chose by its labels, service and capacity. The tasks
+    /// start on no other one. None in orders of older builds.
+    #[serde(rename = "t", default, skip_serializing_if = "Option::is_none")]
+    pub target: Option<TargetIncarnation>,
     /// Position of each task in the step, with the number of its run.
     #[serde(rename = "k")]
     pub runs: Vec<(u16, RunNumber)>,
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -288,7 +288,8 @@
 pub enum StartRefusal {
     /// The agent reported the target as unhealthy or unreachable.
     Unhealthy,
-    /// The target has just left another call unanswered.
+    /// The target has just left another call unanswered, or its next incarnation is about to be
+    /// announced.
     Doubtful,
 }
 
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -971,6 +971,24 @@
     services.collect()
 }
 
+// Guards against a task on a target that the entry did not choose.
+#[test]
+fn test_handle_order_names_the_incarnation_that_was_chosen() {
+    let mut entry = entry();
+    entry.handle(ms(1), config());
+    join(&mut entry, ms(2), 1, "hall");
+    let actions = entry.handle(ms(10), submission(6));
+    let targets = orders(&actions).filter_map(|order| match order {
+        Order::Start(order) => Some(order.target.clone()),
+        _ => None,
+    });
+    let chosen = TargetIncarnation {
+        name: "life".into(),
+        born: None,
+    };
+    assert_eq!(targets.collect::<Vec<_>>(), [Some(chosen)]);
+}
+
 // Guards against a request that an old configuration's service runs although it was sent later: the
 // batch is still being closed when its caller returns.
 #[test]
--- a/lib/tests/test_fleet_restarted_targets.rs
+++ b/lib/tests/test_fleet_restarted_targets.rs
@@ -1,11 +1,12 @@
-//! Fleets whose targets restart under their names, with a clock of their own and less capacity, and take
-//! calls before they report. Some time later all processes are killed.
+//! Fleets whose targets restart as something else: with a clock of their own and less capacity under their
+//! old names, or as another kind. Callers and entries have not heard of it yet.
 
 use std::time::Duration;
 
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use testutils::run_fleet::{AGENTS, Caller, ENTRIES, FleetConfig, FleetFault, Node, RunFleet};
+use testutils::run_target::TargetKind;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::timings::PlatformBounds;
@@ -97,3 +98,37 @@
         assert!(fleet.still_running().is_empty(), "seed {seed}");
     }
 }
+
+// Guards against a task on a target that lacks its label: an entry that stood still orders it from an agent
+// whose target was meanwhile replaced by one of another kind.
+#[test]
+fn test_run_until_targets_change_kind_beside_frozen_entries_keeps_labels() {
+    for seed in 0..60 {
+        let mut rng = ChaCha8Rng::seed_from_u64(70_000 + seed);
+        let mut fleet = RunFleet::new(seed);
+        fleet.reshape_targets(|index, mut target| {
+            if index % 2 == 0 {
+                target.kind = TargetKind::Special;
+            }
+            target
+        });
+        fleet.load(ms(500), ms(9_000), 5 * LOAD);
+        for caller in fleet.callers.values_mut() {
+            caller.work_ms = SHORT_WORK_MS;
+            let kind = TargetKind::Special.label();
+            caller.required_label = rng.random_bool(0.5).then(|| kind.to_owned());
+        }
+        for _ in 0..rng.random_range(8..16) {
+            let at = rng.random_range(1_000..7_000);
+            let entry = Node::Entry(rng.random_range(0..ENTRIES));
+            let frozen_for = ms(rng.random_range(60..450));
+            fleet.inject(ms(at), FleetFault::Freeze(entry, frozen_for));
+            let target = rng.random_range(0..AGENTS);
+            let changed_at = ms(at + rng.random_range(0..250));
+            fleet.inject(changed_at, FleetFault::ChangeKind(target));
+        }
+        fleet.run_until(END);
+        let violations = fleet.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -558,6 +558,7 @@
         start_by: 5_000,
         alone,
         guarantor: None,
+        target: None,
         runs: vec![(0, 1), (2, 4)],
     })
 }
@@ -849,6 +850,35 @@
     }
 }
 
+/// An order that names the target's incarnation, and its refusal.
+fn packets_for_a_target() -> Vec<Packet> {
+    let mut order = start_order(None, false);
+    if let Order::Start(order) = &mut order {
+        order.target = Some(TargetIncarnation {
+            name: "life-1".into(),
+            born: Some(77),
+        });
+    }
+    let refused = AgentNews::NotStarted {
+        key: run_key(),
+        reason: NotStarted::Replaced,
+    };
+    vec![entry_packet(vec![order]), agent_packet(vec![refused])]
+}
+
+#[test]
+fn test_encode_value_packets_for_a_target() {
+    let packets = packets_for_a_target();
+    let encoded: Vec<Encoded> = packets
+        .iter()
+        .map(|p| encoded("target", p.kind(), p))
+        .collect();
+    insta::assert_snapshot!(page(&encoded));
+    for one in &encoded {
+        assert_eq!(again::<Packet>(&one.bytes), one.bytes);
+    }
+}
+
 fn again<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> Vec<u8> {
     let value: T = codec::decode_value(bytes).expect("kept bytes can be read");
     codec::encode_value(&value)
@@ -1696,7 +1726,7 @@
     for reply in batch_replies() {
         add("answer", &reply, reply.kind());
     }
-    for reason in not_started() {
+    for reason in not_started().into_iter().chain([NotStarted::Replaced]) {
         add("not_started", &reason, "");
     }
     for end in run_ends() {
--- a/lib/tests/test_run_agent/main.rs
+++ b/lib/tests/test_run_agent/main.rs
@@ -179,6 +179,7 @@
         alone: false,
 
         guarantor: None,
+        target: None,
         runs: vec![(index, 1)],
     })
 }
--- a/lib/tests/test_run_agent/proofs.rs
+++ b/lib/tests/test_run_agent/proofs.rs
@@ -287,6 +287,7 @@
             start_by: (self.now + ms(500)).as_millis() as u64,
             alone: false,
             guarantor: None,
+            target: None,
             runs: vec![(task, key.run)],
         });
         self.word(vec![start]);
--- a/lib/tests/test_run_agent/restarts.rs
+++ b/lib/tests/test_run_agent/restarts.rs
@@ -121,3 +121,35 @@
     let until = start_calls(&actions).first().map(|call| call.until);
     assert!(until.is_some_and(|until| until < 2_000), "{until:?}");
 }
+
+fn start_for(target: Option<TargetIncarnation>) -> Order {
+    match start(0, 5_000) {
+        Order::Start(order) => Order::Start(StartOrder { target, ..order }),
+        other => other,
+    }
+}
+
+// Guards against a task on a target that lacks its label: the entry has not read yet that the incarnation
+// that it chose was replaced by one of another kind.
+#[test]
+fn test_handle_order_for_another_incarnation_starts_nothing() {
+    let mut agent = ready_agent();
+    let cases = [
+        (Some(incarnation_of("life-0", None)), 0),
+        (Some(incarnation_of("life-1", Some(1))), 0),
+        (Some(incarnation_of("life-1", None)), 1),
+    ];
+    for (target, expected) in cases {
+        let actions = agent.handle(ms(10), packet(60_000, vec![start_for(target.clone())]));
+        assert_eq!(starts(&actions), expected, "{target:?}");
+        let reason = (expected == 0).then_some(NotStarted::Replaced);
+        assert_eq!(refusal(&actions), reason, "{target:?}");
+    }
+}
+
+#[test]
+fn test_handle_order_of_an_older_build_names_no_incarnation() {
+    let mut agent = ready_agent();
+    let actions = agent.handle(ms(10), packet(60_000, vec![start_for(None)]));
+    assert_eq!(starts(&actions), 1);
+}
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -209,6 +209,7 @@
         FleetFault::Restart(_) => FleetFault::Restart(index),
         FleetFault::LosePower(_, keeps_name, t) => FleetFault::LosePower(index, keeps_name, t),
         FleetFault::Exit(_) => FleetFault::Exit(index),
+        FleetFault::ChangeKind(_) => FleetFault::ChangeKind(index),
         FleetFault::RestartUnreported(_, percent, t) => {
             FleetFault::RestartUnreported(index, percent, t)
         }
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -29,6 +29,8 @@
     pub payload_letters: usize,
     /// Rack that it prefers.
     pub rack: Option<String>,
+    /// Label that its targets must have.
+    pub required_label: Option<String>,
     /// Whether the batch's first task crashes every target that starts it.
     pub crashes: bool,
     /// Longest time that it waits over all its requests; unlimited if none.
@@ -72,6 +74,7 @@
             size,
             payload_letters: 0,
             rack: None,
+            required_label: None,
             crashes: false,
             deadline: None,
             guess: None,
@@ -157,7 +160,7 @@
                 size: caller.size,
                 estimate: Duration::from_millis(estimate as u64),
                 after: Vec::new(),
-                required_label: None,
+                required_label: caller.required_label.clone(),
                 preferred_rack: caller.rack.clone(),
                 most_per_target: None,
             }],
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -51,6 +51,9 @@
     Crash(usize),
     /// A target crashes; its next incarnation has the same name and reports 200 ms later.
     Restart(usize),
+    /// A target crashes, and 50 ms later its next incarnation reports, under another name and of the
+    /// other kind.
+    ChangeKind(usize),
     /// A target's process exits and restarts 100 ms later under its name, with this percentage of its
     /// capacity. It takes calls from then on, but first reports after this time.
     RestartUnreported(usize, u32, Duration),
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -6,7 +6,7 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run_event::AgentEvent;
 
-use super::targets::{CRASHED_FOR, Down};
+use super::targets::{CRASHED_FOR, Down, KIND_CHANGED_FOR};
 use super::{Event, FleetFault, Node, RunFleet, targets};
 use crate::run_target::RunTarget;
 
@@ -69,6 +69,11 @@
                 self.crash(i, restart, Down::Silent, length);
             }
             FleetFault::Exit(i) => self.crash(i, RunTarget::restart, Down::Refuses, CRASHED_FOR),
+            FleetFault::ChangeKind(i) => {
+                let target = &mut self.targets[i].target;
+                target.kind = target.kind.other();
+                self.crash(i, RunTarget::crash, Down::Refuses, KIND_CHANGED_FOR);
+            }
             FleetFault::RestartUnreported(i, percent, unreported) => {
                 self.restart_unreported(i, percent, unreported);
             }
--- a/lib/testutils/src/run_fleet/invariants.rs
+++ b/lib/testutils/src/run_fleet/invariants.rs
@@ -19,6 +19,7 @@
         let mut violations = Vec::new();
         self.check_overlaps(&mut violations);
         self.check_capacity(&mut violations);
+        self.check_labels(&mut violations);
         let mut by_batch: BTreeMap<BatchId, Vec<&RunRecord>> = BTreeMap::new();
         for record in self.records() {
             let runs = by_batch.entry(record.key.task.batch).or_default();
@@ -126,6 +127,17 @@
         }
     }
 
+    /// Checks that no task ran on a target without the label that it requires.
+    fn check_labels(&self, violations: &mut Vec<String>) {
+        for record in self.records() {
+            let caller = self.callers.get(&record.key.task.batch);
+            let required = caller.and_then(|c| c.required_label.as_ref());
+            if required.is_some_and(|label| !record.labels.contains(label)) {
+                violations.push(format!("{} lacks a label: {record:?}", record.key));
+            }
+        }
+    }
+
     /// Batches that were answered as failed although none of their tasks crashes targets.
     pub fn failed_innocents(&self) -> Vec<BatchId> {
         let failed = |c: &Caller| c.replies.iter().any(|(_, r)| *r == Reply::Failed);
--- a/lib/testutils/src/run_fleet/targets.rs
+++ b/lib/testutils/src/run_fleet/targets.rs
@@ -27,6 +27,8 @@
 const MAX_ANSWER_MS: u64 = 200;
 /// Downtime of a target after an injected crash.
 pub(super) const CRASHED_FOR: Duration = Duration::from_millis(200);
+/// Downtime of a target that comes back as another kind.
+pub(super) const KIND_CHANGED_FOR: Duration = Duration::from_millis(50);
 /// Downtime of a target that takes calls before it reports.
 const UNREPORTED_DOWN_FOR: Duration = Duration::from_millis(100);
 /// Downtime of a target after a task crashed it.
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -56,6 +56,32 @@
 /// Time from the start of such a task to the crash.
 const CRASH_AFTER: Duration = Duration::from_millis(10);
 
+/// Kind of a target, which may change with its incarnation.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum TargetKind {
+    #[default]
+    Plain,
+    Special,
+}
+
+impl TargetKind {
+    /// The label that targets of this kind report.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::Special => "special",
+        }
+    }
+
+    /// The other kind.
+    pub fn other(self) -> Self {
+        match self {
+            Self::Plain => Self::Special,
+            Self::Special => Self::Plain,
+        }
+    }
+}
+
 /// A run, as it actually happened on a target.
 #[derive(Debug, Clone)]
 pub struct RunRecord {
@@ -80,6 +106,8 @@
     /// Largest capacity that its start may have relied on, by the reports that the agent had
     /// received.
     pub room: Resources,
+    /// Labels of the target's incarnation.
+    pub labels: Vec<String>,
     /// Suspensions of the target's VM during the run: start and end.
     pub suspensions: Vec<(Now, Now)>,
 }
@@ -128,6 +156,8 @@
     pub speed: f64,
     /// Its rack, which it reports as a label.
     pub rack: String,
+    /// Its kind, which it reports as a label too.
+    pub kind: TargetKind,
     /// Factor on the time of a run whose payload prefers another rack.
     pub far_factor: f64,
     /// Capacities that its agent received in reports, and when.
@@ -174,6 +204,7 @@
             usual_capacity: capacity,
             speed: 1.0,
             rack: "rack-1".to_owned(),
+            kind: TargetKind::default(),
             far_factor: 1.0,
             reported_capacities: vec![(Now::ZERO, capacity)],
             reported_sequence: 0,
@@ -247,6 +278,10 @@
         WALL_CLOCK_START + self.born.as_millis() as StartMillis
     }
 
+    fn labels(&self) -> Vec<String> {
+        vec![self.rack.clone(), self.kind.label().to_owned()]
+    }
+
     /// Its next report, with its sequence number.
     pub fn report(&mut self) -> (TargetInfo, u64) {
         self.sequence += 1;
@@ -254,7 +289,7 @@
             life: self.life(),
             service: SERVICE.into(),
             capacity: self.capacity,
-            labels: vec![self.rack.clone()],
+            labels: self.labels(),
             leaving: self.is_leaving,
         };
         (info, self.sequence)
@@ -500,6 +535,7 @@
             after_leave: self.leave_heard.map(|at| now.saturating_sub(at)),
             crashes,
             room: self.usable_capacity(now),
+            labels: self.labels(),
             suspensions: Vec::new(),
         });
         let run = Running {
