entry: a witness announces a lost entry's runs at silent agents

Cause: a target's lease stands still with its VM, so no time that passes before the resumption proves anything. Only the dead entry and the suspended agent knew of the runs.

Change: before an entry sends an order, it reports batch and agent to another entry, the witness of the batch. If the owner's link breaks, or agents announce that the owner is silent, the witness waits 0.85 s, until agents that are awake have announced their own runs, and announces the rest; all entries hold these batches. A hold ends once the agent, in any life, has said that its runs are listed and announced, in a packet from after the loss. Protocol 4; older builds get no reports.

Why it works: the order leaves after the report, so some process that is awake knows of each run, and the agent's own announcement always comes before the end of the witness's.

--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -16,6 +16,7 @@
 mod handover;
 mod lease_renewals;
 mod starvation;
+mod witness;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -30,6 +31,7 @@
 use crate::batch_placing::{PlacementRound, StartGroup};
 use crate::batch_table::{BatchChange, BatchTable, RunOutcome};
 use crate::deferred_batches::DeferredBatches;
+use crate::dispatch_reports::DispatchReports;
 use crate::entry_directory::{EntryDirectory, Source};
 use crate::entry_drain::EntryDrain;
 use crate::entry_load::EntryLoad;
@@ -46,6 +48,7 @@
 use crate::target_registry::TargetRegistry;
 use crate::unnamed_links::UnnamedLinks;
 use crate::wait_forecast::WaitForecast;
+use crate::witnessed_runs::WitnessedRuns;
 
 /// A placement round ends after this many batches with a task that found no target.
 const MAX_PLACEMENT_MISSES: u32 = 6;
@@ -88,6 +91,10 @@
     unnamed_links: UnnamedLinks,
     /// Lost agents that had open runs, and when these runs are proven over.
     lost_agents: BTreeMap<NodeName, Now>,
+    /// Agents without a link, and how their last one ended.
+    parted_agents: BTreeMap<NodeName, witness::Parting>,
+    dispatch_reports: DispatchReports,
+    witnessed: WitnessedRuns,
     needs_placing: bool,
     drain: EntryDrain,
     /// Batches that arrived before the first configuration.
@@ -136,6 +143,9 @@
             outboxes: BTreeMap::new(),
             unnamed_links: UnnamedLinks::default(),
             lost_agents: BTreeMap::new(),
+            parted_agents: BTreeMap::new(),
+            dispatch_reports: DispatchReports::default(),
+            witnessed: WitnessedRuns::default(),
             needs_placing: false,
             drain: EntryDrain::new(&options.timings),
             deferred: DeferredBatches::default(),
@@ -190,6 +200,7 @@
         self.dispatch_event(event);
         self.relay_answers();
         self.check_hand_overs();
+        self.check_witnessed();
         self.settle_deferred();
         if self.unread_until.is_some_and(|until| until <= self.now) {
             self.unread_until = None;
@@ -235,6 +246,8 @@
             self.link_full_until,
             self.unread_until,
             self.next_hand_over_check(),
+            self.next_witness_check(),
+            self.dispatch_reports.next_wake(),
         ];
         let soonest = times.into_iter().flatten().min()?;
         Some(soonest.max(self.now + self.min_wake_pause()))
@@ -293,7 +306,7 @@
             EntryEvent::Entries(addresses) => self.learn_entries(addresses),
             EntryEvent::LinkUp(link, dialled) => self.handle_link_up(link, dialled),
             EntryEvent::LinkDown(link) => {
-                self.handle_link_down(link);
+                self.handle_link_down(link, witness::Parting::Closed);
                 self.targets
                     .note_entries(self.directory.entries_per_target());
             }
@@ -324,12 +337,14 @@
         self.learn_entries(seeds);
         // Packets may wait unread for as long as the entry is late.
         let lag = self.entry_load.recent_lag(self.now);
-        self.directory.close_silent(self.now, lag);
+        for link in self.directory.close_silent(self.now, lag) {
+            self.note_peer_link_down(link);
+        }
         let silence = self.options.timings.link_timeout + lag;
         let before = self.now.saturating_sub(silence);
         for link in self.targets.silent(before) {
             self.actions.push(EntryAction::Close(link));
-            self.handle_link_down(link);
+            self.handle_link_down(link, witness::Parting::Silent);
         }
         for link in self.unnamed_links.overdue(self.now.saturating_sub(lag)) {
             self.log(
@@ -337,7 +352,7 @@
                 format!("entry=- link={link} why=no_hello"),
             );
             self.actions.push(EntryAction::Close(link));
-            self.handle_link_down(link);
+            self.handle_link_down(link, witness::Parting::Silent);
         }
     }
 
@@ -444,7 +459,9 @@
             order.runs,
             view.slowdown(),
         );
+        let agent = view.agent.clone();
         self.log(EventCode::TasksPlaced, detail);
+        self.dispatch_reports.note_order(id, &agent);
         if let Some(outbox) = self.outboxes.get_mut(&link) {
             outbox.orders.push(Order::Start(order));
         }
@@ -506,6 +523,10 @@
         self.needs_placing |= effects.may_place;
         for notice in effects.runs_left {
             self.check_for_late_notice(notice);
+            self.note_owner_suspected(notice);
+        }
+        for notice in effects.dispatched {
+            self.note_dispatched(link, notice);
         }
         for notice in effects.crashes {
             self.handle_crash_notice(link, notice);
@@ -569,6 +590,7 @@
         self.relay_answers();
         self.confirm_closed();
         if self.unread_until.is_none() {
+            self.tell_witnesses();
             self.flush_orders();
         }
         let usage = self.link_load.usage(self.now);
--- a/lib/src/batch_entry/agents.rs
+++ b/lib/src/batch_entry/agents.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::witness::Parting;
 use super::{BatchEntryCore, Outbox};
 use crate::active_batch::BatchState;
 use crate::batch_event::EntryAction;
@@ -35,8 +36,9 @@
         }
     }
 
-    pub(super) fn handle_link_down(&mut self, link: SessionId) {
+    pub(super) fn handle_link_down(&mut self, link: SessionId, parting: Parting) {
         self.directory.link_down(self.now, link);
+        self.note_peer_link_down(link);
         self.unnamed_links.remove(link);
         self.outboxes.remove(&link);
         let Some(view) = self.targets.leave(link) else {
@@ -45,6 +47,7 @@
         let runs = self.table.runs_at(&view.agent).len();
         let silent_ms = self.now.saturating_sub(view.heard).as_millis();
         let agent = view.agent;
+        self.parted_agents.insert(agent.clone(), parting);
         self.log(
             EventCode::AgentLost,
             format!("agent={agent} runs={runs} heard_ms_ago={silent_ms}"),
@@ -73,6 +76,7 @@
         for news in packet.news {
             self.handle_news(link, news);
         }
+        self.end_holds_of(link);
         if self.is_renewal_due(link) {
             self.send_orders(link);
         }
@@ -121,7 +125,11 @@
             format!("agent={} life={:x} claims={count}", intro.name, intro.life),
         );
         self.lost_agents.remove(&intro.name);
+        self.parted_agents.remove(&intro.name);
         self.targets.join(self.now, link, intro.name, intro.hall);
+        if let Some(view) = self.targets.get_mut(link) {
+            view.protocol = intro.protocol;
+        }
         let report = LoadReport {
             clock,
             free: Resources::NONE,
@@ -167,6 +175,7 @@
                 let outcome = self.directory.note_runs_left(self.now, link, notice);
                 if outcome == NoteOutcome::New {
                     self.check_for_late_notice(notice);
+                    self.note_owner_suspected(notice);
                 }
             }
             AgentNews::RunsOver(notice) => {
@@ -183,6 +192,11 @@
                 ran_ms,
                 percent,
             } => self.handle_slow(link, key, ran_ms, percent),
+            AgentNews::RunsListed => {
+                if let Some(view) = self.targets.get_mut(link) {
+                    view.has_listed_runs = true;
+                }
+            }
             AgentNews::Leaving => {
                 if let Some(view) = self.targets.get_mut(link) {
                     view.is_leaving = true;
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -379,6 +379,7 @@
     /// Removes a batch without open runs from the table.
     pub(super) fn remove_batch(&mut self, id: BatchId) -> Option<Batch> {
         let batch = self.table.remove(self.now, id)?;
+        self.dispatch_reports.note_ended(self.now, id);
         // Runs that a receiver had of it may be left.
         if !self.giver.has_ended(id) {
             self.directory.tell_runs_over(self.now, id);
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -25,8 +25,9 @@
 use crate::remembered_cancels::RememberedCancels;
 use crate::run::BatchId;
 use crate::run_message::{
-    CANCEL_NOTICE_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice, EntryMillis,
-    NoticeNumber, PROTOCOL_VERSION, Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice,
+    CANCEL_NOTICE_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice, DispatchNotice,
+    EntryMillis, NoticeNumber, PROTOCOL_VERSION, Packet, PeerIntro, PeerNews, PeerPacket,
+    RunsNotice,
 };
 use crate::runs_notices::{NoteOutcome, RunsNotices};
 
@@ -49,6 +50,8 @@
     pub crashes: Vec<CrashNotice>,
     /// New notices that runs of a batch may be left elsewhere.
     pub runs_left: Vec<RunsNotice>,
+    /// Reports of orders.
+    pub dispatched: Vec<DispatchNotice>,
     /// Batches whose cancel was not known.
     pub cancelled: Vec<BatchId>,
     /// Messages on batches that are handed over, in order.
@@ -187,6 +190,18 @@
         self.peers.link_to(life)
     }
 
+    /// Same as [`PeerTable::witness_of`].
+    pub fn witness_of(&self, batch: BatchId) -> Option<SessionId> {
+        self.peers.witness_of(batch)
+    }
+
+    /// Returns a packet with news for one neighbour, to be sent before all others. It replaces no
+    /// heartbeat, as those carry this entry's load.
+    pub fn urgent_packet(&self, now: Now, link: SessionId, news: PeerNews) -> Option<EntryAction> {
+        let peer = self.peers.get(link);
+        peer.map(|_| packet_to(now, link, vec![news]))
+    }
+
     /// Sends news to one neighbour with the next packets.
     pub fn tell(&mut self, now: Now, link: SessionId, news: PeerNews) {
         self.peers.tell(now, link, news);
@@ -253,9 +268,7 @@
     }
 
     fn send(&mut self, now: Now, link: SessionId, news: Vec<PeerNews>) {
-        let clock = now.as_millis() as EntryMillis;
-        let packet = Packet::BetweenEntries(PeerPacket { clock, news });
-        self.pending_actions.push(EntryAction::Send(link, packet));
+        self.pending_actions.push(packet_to(now, link, news));
     }
 
     fn log(&mut self, code: EventCode, detail: String) {
@@ -312,12 +325,15 @@
         }
     }
 
-    /// Closes links that have been silent for too long; packets may be unread for up to `lag`.
-    pub fn close_silent(&mut self, now: Now, lag: Duration) {
-        for link in self.peers.silent(now.saturating_sub(lag)) {
-            self.pending_actions.push(EntryAction::Close(link));
-            self.link_down(now, link);
+    /// Closes links that have been silent for too long, and returns them; packets may be unread for up
+    /// to `lag`.
+    pub fn close_silent(&mut self, now: Now, lag: Duration) -> Vec<SessionId> {
+        let silent = self.peers.silent(now.saturating_sub(lag));
+        for link in &silent {
+            self.pending_actions.push(EntryAction::Close(*link));
+            self.link_down(now, *link);
         }
+        silent
     }
 
     /// Handles another entry's packet.
@@ -365,6 +381,7 @@
                         effects.cancelled.push(notice.batch);
                     }
                 }
+                PeerNews::Dispatched(notice) => effects.dispatched.push(notice),
                 PeerNews::Heartbeat => {}
                 PeerNews::Load(load) => self.peers.note_load(now, link, load),
                 PeerNews::HandOver(_)
@@ -640,6 +657,28 @@
         self.peers.tell_runs_left(now, notice, None);
     }
 
+    /// Holds a batch, and tells the other entries to: agents that are silent may have runs of `owner`.
+    pub fn tell_runs_of(&mut self, now: Now, batch: BatchId, owner: Incarnation) -> RunsNotice {
+        self.last_notice += 1;
+        let notice = RunsNotice {
+            batch,
+            holder: self.options.incarnation,
+            owner,
+            number: self.last_notice,
+        };
+        self.runs_notices.note_left(now, notice, self.closing_bound);
+        self.peers.tell_runs_left(now, notice, None);
+        notice
+    }
+
+    /// Ends a notice of [`Self::tell_runs_of`]. Returns whether the batch may have become free.
+    pub fn tell_runs_of_over(&mut self, now: Now, notice: RunsNotice) -> bool {
+        let bound = self.closing_bound;
+        let was_open = self.runs_notices.note_over(now, notice, bound);
+        self.peers.tell_runs_over(now, notice, None, None);
+        was_open
+    }
+
     fn own_notice(&self, batch: BatchId, number: NoticeNumber) -> RunsNotice {
         let entry = self.options.incarnation;
         RunsNotice {
@@ -660,3 +699,8 @@
         }
     }
 }
+
+fn packet_to(now: Now, link: SessionId, news: Vec<PeerNews>) -> EntryAction {
+    let clock = now.as_millis() as EntryMillis;
+    EntryAction::Send(link, Packet::BetweenEntries(PeerPacket { clock, news }))
+}
--- a/lib/src/entry_leases.rs
+++ b/lib/src/entry_leases.rs
@@ -29,6 +29,8 @@
     pub protocol: ProtocolVersion,
     /// News to be sent.
     pub news: Vec<AgentNews>,
+    /// Whether the entry was told that all runs are listed.
+    pub is_told_listed: bool,
     /// Starts received on this link.
     pub starts_seen: u64,
     /// Tasks that wait at the entry.
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -88,6 +88,8 @@
     PeerLost = 1402, Warn, "peer session lost";
     ClosingTold = 1403, Info, "runs of a closing batch are left, the other entries are to hold it";
     ClosingHeard = 1404, Info, "runs of a batch may be left elsewhere, it is held";
+    SilentRunsTold = 1405, Info, "silent agents may have runs of a lost entry, the other entries are to hold their batch";
+    SilentRunsOver = 1406, Info, "the silent agents with runs of a lost entry are back";
     TargetSetAside = 1501, Warn, "target ejected after failures";
     TargetProbed = 1502, Info, "probe sent to an ejected target";
     TargetReturned = 1503, Info, "target readmitted or its allowance raised";
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -9,9 +9,11 @@
 use crate::evacuations::{EvacuatedHalls, StorePosition};
 use crate::ids::{HallName, Incarnation, NodeName, Now, SessionId};
 use crate::queue::ConfigVersion;
+use crate::run::BatchId;
 use crate::run_message::{
-    CANCEL_NOTICE_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice, EntryMillis,
-    NoticeNumber, PeerIntro, PeerNews, ProtocolVersion, RUNS_NOTICE_PROTOCOL, RunsNotice,
+    CANCEL_NOTICE_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice,
+    DISPATCH_NOTICE_PROTOCOL, EntryMillis, NoticeNumber, PeerIntro, PeerNews, ProtocolVersion,
+    RUNS_NOTICE_PROTOCOL, RunsNotice,
 };
 
 /// Interval of heartbeats on an idle link between entries.
@@ -35,6 +37,8 @@
 const REPORTED_CHANGE_PERCENT: u16 = 15;
 /// Shortest interval between two such packets.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// Odd factor that spreads the bits of a number (Fibonacci hashing).
+const RANK_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
 /// A link to another entry.
 #[derive(Debug)]
@@ -259,6 +263,16 @@
         }
     }
 
+    /// The link to the witness of a batch, if an entry that understands reports is linked. Batches are
+    /// spread over all of them.
+    pub fn witness_of(&self, batch: BatchId) -> Option<SessionId> {
+        let links = self.links.iter();
+        let able = links.filter(|(_, p)| p.protocol >= DISPATCH_NOTICE_PROTOCOL);
+        let rank = |life: Incarnation| (batch ^ life).wrapping_mul(RANK_FACTOR) >> 32;
+        let chosen = able.max_by_key(|(_, p)| rank(p.life));
+        chosen.map(|(link, _)| *link)
+    }
+
     /// Number of linked entries; one with two links counts once.
     pub fn linked(&self) -> usize {
         let names: BTreeSet<&NodeName> = self.links.values().map(|p| &p.name).collect();
--- a/lib/src/run_agent.rs
+++ b/lib/src/run_agent.rs
@@ -142,6 +142,7 @@
         self.check_leases();
         self.send_due_stops();
         self.update_announcements();
+        self.tell_runs_listed();
         self.renew();
         self.send_withheld_answers();
         self.check_drain();
--- a/lib/src/run_agent/announcements.rs
+++ b/lib/src/run_agent/announcements.rs
@@ -14,7 +14,9 @@
 use crate::ids::{Now, SessionId};
 use crate::run::RunKey;
 use crate::run_announcements::OwnedBatch;
-use crate::run_message::{AgentNews, NoticeNumber, RUNS_NOTICE_PROTOCOL, RunsNotice};
+use crate::run_message::{
+    AgentNews, DISPATCH_NOTICE_PROTOCOL, NoticeNumber, RUNS_NOTICE_PROTOCOL, RunsNotice,
+};
 use crate::run_table::Run;
 use crate::target_lease::Extension;
 
@@ -138,6 +140,21 @@
         }
     }
 
+    /// Tells the entries, once on each link, that all runs are known and have owners. Runs that may
+    /// outlast their owners were announced before.
+    pub(super) fn tell_runs_listed(&mut self) {
+        let is_listed = self.knows_runs && self.runs.iter().all(|(_, run)| run.owner.is_some());
+        if !is_listed {
+            return;
+        }
+        for (_, link) in self.entry_links.iter_mut() {
+            let is_able = link.entry.is_some() && link.protocol >= DISPATCH_NOTICE_PROTOCOL;
+            if is_able && !std::mem::replace(&mut link.is_told_listed, true) {
+                link.news.push(AgentNews::RunsListed);
+            }
+        }
+    }
+
     /// Tells a newly linked entry of all open announcements.
     pub(super) fn send_announcements(&mut self, link: SessionId) {
         let open = self.announcements.open();
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -32,7 +32,7 @@
 pub type ProtocolVersion = u32;
 
 /// Version of the messages of this build. Builds that announce none count as version 0.
-pub const PROTOCOL_VERSION: ProtocolVersion = 3;
+pub const PROTOCOL_VERSION: ProtocolVersion = 4;
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -171,6 +171,10 @@
     /// are over.
     #[serde(rename = "O")]
     RunsOver(RunsNotice),
+    /// The agent has read its target's lists, each run has an owner, and those that may outlast their
+    /// owners were announced before this. Sent once on a link, only to entries of protocol 4 and later.
+    #[serde(rename = "A")]
+    RunsListed,
 }
 
 impl AgentNews {
@@ -437,6 +441,44 @@
     /// A caller has cancelled a batch: it is closed, and starts nowhere. Sent only to processes of
     /// protocol 3 and later.
     Cancelled(CancelNotice),
+    /// The sender is about to order tasks. Sent only to processes of protocol 4 and later.
+    Dispatched(DispatchNotice),
+}
+
+/// Lowest protocol version that has [`DispatchNotice`] and [`AgentNews::RunsListed`].
+pub const DISPATCH_NOTICE_PROTOCOL: ProtocolVersion = 4;
+
+/// Tells an entry, the witness, which agents may have runs of the sender's batches.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DispatchNotice {
+    /// Batches of which tasks are about to be ordered.
+    #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
+    pub batches: Vec<DispatchedBatch>,
+    /// Batches of earlier notices that have ended. No run of them is left.
+    #[serde(rename = "e", default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<BatchId>,
+}
+
+/// A batch and the agents that may have runs of it from now on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "(BatchId, Vec<NodeName>)", from = "(BatchId, Vec<NodeName>)")]
+pub struct DispatchedBatch {
+    /// Id of the batch.
+    pub batch: BatchId,
+    /// Names of the agents, without those that were named before.
+    pub agents: Vec<NodeName>,
+}
+
+impl From<DispatchedBatch> for (BatchId, Vec<NodeName>) {
+    fn from(dispatched: DispatchedBatch) -> Self {
+        (dispatched.batch, dispatched.agents)
+    }
+}
+
+impl From<(BatchId, Vec<NodeName>)> for DispatchedBatch {
+    fn from((batch, agents): (BatchId, Vec<NodeName>)) -> Self {
+        Self { batch, agents }
+    }
 }
 
 /// Number of an offer, unique for one incarnation of the giver.
@@ -534,6 +576,12 @@
         match self {
             Self::Config(table) => SMALL_ITEM_BYTES + table.queues.len() * QUEUE_BYTES,
             Self::HandOver(offer) => HAND_OVER_BYTES + offer.payload.len(),
+            Self::Dispatched(notice) => {
+                let names = notice.batches.iter().flat_map(|b| &b.agents);
+                let name_bytes: usize = names.map(|name| name.len() + 1).sum();
+                let ids = notice.batches.len() + notice.ended.len();
+                name_bytes + (ids + 1) * size_of::<BatchId>()
+            }
             _ => SMALL_ITEM_BYTES,
         }
     }
--- a/lib/src/target_registry.rs
+++ b/lib/src/target_registry.rs
@@ -20,7 +20,7 @@
 use crate::ids::{HallName, NodeName, Now, SessionId};
 use crate::queue::Queue;
 use crate::resources::Resources;
-use crate::run_message::{AgentMillis, TargetInfo};
+use crate::run_message::{AgentMillis, DISPATCH_NOTICE_PROTOCOL, ProtocolVersion, TargetInfo};
 use crate::target_health::{HealthReport, MAX_SLOWDOWN_RATIO};
 use crate::target_speeds::{self, SpeedComparison};
 use crate::timings::CLOCK_SLOWDOWN;
@@ -69,6 +69,10 @@
     pub info: Option<TargetInfo>,
     /// Whether the agent is stopping.
     pub is_leaving: bool,
+    /// Whether the agent has said on this link that all its runs are listed and announced.
+    pub has_listed_runs: bool,
+    /// Version of the messages that the agent understands.
+    pub protocol: ProtocolVersion,
     /// Whether its data hall is evacuated.
     is_evacuated: bool,
     /// When the agent's last packet arrived.
@@ -149,6 +153,8 @@
             hall,
             info: None,
             is_leaving: false,
+            has_listed_runs: false,
+            protocol: 0,
             is_evacuated: false,
             heard: now,
             sent: now,
@@ -177,6 +183,23 @@
         self.free_capacity = unconfirmed.fold(self.free, |free, size| free.minus(*size));
     }
 
+    /// Whether all runs of the agent are listed and announced. Agents of older builds don't say so, but
+    /// announce their targets only once their lists are read.
+    pub fn has_listed_runs(&self) -> bool {
+        let says_so = self.protocol >= DISPATCH_NOTICE_PROTOCOL;
+        self.has_listed_runs || !says_so && self.info.is_some()
+    }
+
+    /// When the agent wrote its last packet, at the latest.
+    pub fn wrote_at(&self) -> Now {
+        let (clock, read) = self.least_delayed_clock;
+        let before = clock.saturating_sub(self.clock);
+        let after = self.clock.saturating_sub(clock);
+        let before = Duration::from_millis(before).div_f64(CLOCK_SLOWDOWN);
+        let after = Duration::from_millis(after).mul_f64(CLOCK_SLOWDOWN);
+        (read + after).saturating_sub(before).min(self.heard)
+    }
+
     /// A lower bound of the agent's clock: the transit time of its packet is not known.
     pub fn agent_clock(&self, now: Now) -> AgentMillis {
         self.clock + now.saturating_sub(self.heard).as_millis() as AgentMillis
--- a/lib/src/timings.rs
+++ b/lib/src/timings.rs
@@ -32,6 +32,9 @@
 const BREAK_TRANSIT_SHARE: f64 = 0.3;
 /// Heartbeats that an entry may miss before the agent announces its runs to the other entries.
 const SUSPECT_HEARTBEATS: u32 = 2;
+/// Heartbeats after which an agent that is awake has announced the runs of a lost entry, and its next
+/// packet shows that. The other entries must hear of the rest before callers return.
+const WITNESS_HEARTBEATS: f64 = 3.4;
 /// Allowance for rounding and scheduling delays in [`Timings::lost_agent_bound`].
 const PROOF_SLACK: Duration = Duration::from_millis(160);
 /// Longest tolerated suspension of a VM with its target and agent. Until it ends, an entry can't
@@ -133,6 +136,8 @@
     pub lapse_overhead: Duration,
     /// Silence of an entry after which the agent announces its runs to the other entries (agent).
     pub suspect_after: Duration,
+    /// Time from the loss of an entry until its witnesses announce its runs at silent agents (witness).
+    pub witness_delay: Duration,
     /// Time from an entry's last packet, or from the packet before the one with a stop, until the runs
     /// must have ended (agent).
     pub unrenewed_run_bound: Duration,
@@ -193,6 +198,7 @@
             lapse,
             lapse_overhead,
             suspect_after: heartbeat * SUSPECT_HEARTBEATS,
+            witness_delay: heartbeat.mul_f64(WITNESS_HEARTBEATS),
             unrenewed_run_bound: caller_return - closing_delay,
             max_lease_lead: closing_delay.mul_f64(1.0 - BREAK_TRANSIT_SHARE),
             renewal_wait: target_lease.mul_f64(0.33),
--- a/lib/tests/test_fleet_suspension.rs
+++ b/lib/tests/test_fleet_suspension.rs
@@ -94,6 +94,42 @@
     }
 }
 
+// Like the one before, for batches of one long task: no other agent knows of them. The VM is suspended up to
+// 0.4 s after the entry's end, or before.
+#[test]
+fn test_run_until_entries_killed_beside_suspended_targets_keep_single_tasks() {
+    for seed in 0..120 {
+        let fleet_config = FleetConfig {
+            entries_meet: true,
+            ..FleetConfig::default()
+        };
+        let mut fleet = RunFleet::with_config(seed, fleet_config, testutils::run_fleet::config());
+        fleet.load(LOAD_FROM, LOAD_TO, LOAD);
+        for caller in fleet.callers.values_mut() {
+            caller.tasks = 1;
+            if caller.work_ms == 500 {
+                caller.work_ms = 2_500;
+                caller.reply_timeout = ms(9_000);
+            }
+        }
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let from = rng.random_range(1_500..6_000);
+        let length = rng.random_range(1_000..5_000);
+        let agent = Node::Agent(rng.random_range(0..AGENTS));
+        fleet.inject(ms(from), FleetFault::Suspend(agent, ms(length)));
+        let entry = Node::Entry(rng.random_range(0..ENTRIES));
+        let killed_at = ms(rng.random_range(from - 400..from + length * 6 / 10));
+        let fault = match rng.random_bool(0.7) {
+            true => FleetFault::Kill(entry),
+            false => FleetFault::PowerOffFor(entry, ms(rng.random_range(500..3_000))),
+        };
+        fleet.inject(killed_at, fault);
+        fleet.run_until(END);
+        let violations = fleet.violations();
+        assert!(violations.is_empty(), "seed {seed}: {violations:#?}");
+    }
+}
+
 #[test]
 fn test_run_until_orders_from_before_a_suspension_start_nothing() {
     let starts = |counts_suspension| -> usize {
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -68,9 +68,10 @@
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_event::{AgentOptions, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, CancelNotice, ClosingBatch, CrashNotice, EntryPacket,
-    HandOver, HandOverDecline, HandOverOutcome, HandOverReply, Order, Packet, PeerIntro, PeerNews,
-    PeerPacket, RunsNotice, StartOrder, TargetInfo, Welcome as RunWelcome,
+    AgentIntro, AgentNews, AgentPacket, CancelNotice, ClosingBatch, CrashNotice, DispatchNotice,
+    DispatchedBatch, EntryPacket, HandOver, HandOverDecline, HandOverOutcome, HandOverReply, Order,
+    Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice, StartOrder, TargetInfo,
+    Welcome as RunWelcome,
 };
 use trestleknot_lib::settings::{self, AgentSettings, Checked, EntrySettings};
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
@@ -879,6 +880,34 @@
     }
 }
 
+/// Packets of protocol version 4.
+fn dispatch_notice_packets() -> Vec<Packet> {
+    let notice = DispatchNotice {
+        batches: vec![DispatchedBatch {
+            batch: 0xaa01,
+            agents: vec!["agent-1".into(), "agent-2".into()],
+        }],
+        ended: vec![0xaa02],
+    };
+    vec![
+        peer_packet(PeerNews::Dispatched(notice)),
+        agent_packet(vec![AgentNews::RunsListed]),
+    ]
+}
+
+#[test]
+fn test_encode_value_dispatch_notices() {
+    let packets = dispatch_notice_packets();
+    let encoded: Vec<Encoded> = packets
+        .iter()
+        .map(|p| encoded("dispatch notice", p.kind(), p))
+        .collect();
+    insta::assert_snapshot!(page(&encoded));
+    for one in &encoded {
+        assert_eq!(again::<Packet>(&one.bytes), one.bytes);
+    }
+}
+
 fn again<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> Vec<u8> {
     let value: T = codec::decode_value(bytes).expect("kept bytes can be read");
     codec::encode_value(&value)
--- a/lib/tests/test_run_agent/announcements.rs
+++ b/lib/tests/test_run_agent/announcements.rs
@@ -352,3 +352,34 @@
     let repeated = fixture.actions.iter().filter(is_stop).count() - before;
     assert!(repeated >= 8, "{repeated} in 0.5 s");
 }
+
+/// Number of times that the agent has said on a link that its runs are listed.
+fn listings(actions: &[AgentAction], on: SessionId) -> usize {
+    let news = actions.iter().filter_map(|action| match action {
+        AgentAction::Send(link, packet) if *link == on => Some(&packet.news),
+        _ => None,
+    });
+    let listings = news.flatten().filter(|n| **n == AgentNews::RunsListed);
+    listings.count()
+}
+
+// Guards against an entry that takes the runs of a restarted agent for known while one without owner goes on.
+#[test]
+fn test_handle_runs_count_as_listed_once_each_has_an_owner() {
+    let mut fixture = Fixture::adopting();
+    fixture.hear(SECOND, vec![welcome(OTHER, 4)]);
+    assert_eq!(listings(&fixture.actions, SECOND), 0);
+    fixture.hear(LINK, vec![welcome_with(OWNER, 4, vec![(key(0), SIZE)])]);
+    assert_eq!(listings(&fixture.actions, SECOND), 1);
+    assert_eq!(listings(&fixture.actions, LINK), 1);
+    fixture.hear(SECOND, Vec::new());
+    assert_eq!(listings(&fixture.actions, SECOND), 1);
+}
+
+#[test]
+fn test_handle_entry_of_an_older_build_is_not_told_of_listed_runs() {
+    let fixture = Fixture::new(3);
+    assert_eq!(listings(&fixture.actions, SECOND), 0);
+    let fixture = Fixture::new(4);
+    assert_eq!(listings(&fixture.actions, SECOND), 1);
+}
--- a/lib/tests/test_timings.rs
+++ b/lib/tests/test_timings.rs
@@ -11,6 +11,8 @@
 
 /// Time within which all entries of a fleet hear of an announcement (lib/tests/test_entry_directory.rs).
 const HEARD_EVERYWHERE: Duration = Duration::from_millis(300);
+/// Time within which the entries that are linked to one hear of its announcement.
+const HEARD_BY_NEIGHBOURS: Duration = Duration::from_millis(100);
 
 /// Longest suspension of a VM for which proofs by time allow.
 const LONGEST_SUSPENSION: Duration = ms(10_000);
@@ -81,6 +83,10 @@
         prop_assert!(t.lapse_of(last_lease) <= t.unrenewed_run_bound + ms(1));
         // Announcements reach all entries before then, also if entries pass them on.
         prop_assert!(t.suspect_after + HEARD_EVERYWHERE < caller_return);
+        // Those of a witness, which waits until a sound agent has announced its own runs and sent its
+        // next packet, reach the entries that are linked to it.
+        prop_assert!(t.witness_delay + HEARD_BY_NEIGHBOURS < caller_return);
+        prop_assert!(t.witness_delay >= t.suspect_after + t.heartbeat + t.heartbeat / 5);
         // A sound entry, whose packets may come late by a heartbeat, is not suspected.
         prop_assert!(t.heartbeat + t.max_answer_delay() < t.suspect_after);
         // Until it is, there is time for a lease.
