soak: targets that restart before their first report, then a kill of all

A separate random stream restarts targets under their names, with a clock of their own, less capacity and up to 1.5 s until their first report, and kills all processes after half of these restarts. Targets grant leases of up to 15 s, as the settings say.

--- a/lib/testutils/src/bin/soak.rs
+++ b/lib/testutils/src/bin/soak.rs
@@ -24,6 +24,7 @@
 use testutils::run_target::{RunRecord, TargetImpairment};
 use testutils::target_reports::{Misheard, report_forever};
 use trestleknot_lib::ids::Now;
+use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::{RunEnd, TaskKey};
 use trestleknot_lib::worker_threads::run_system;
 
@@ -44,6 +45,8 @@
 const LEAVE_LIMIT: Duration = Duration::from_secs(2);
 /// Time from a target's leave until its next incarnation.
 const LEAVE_TO_RESTART: Duration = Duration::from_millis(4_000);
+/// Time from the first report of a restarted target until it has its full capacity.
+const SMALL_FOR: Duration = Duration::from_millis(2_000);
 /// Tasks that a target can run at a time.
 const TASKS_PER_TARGET: i64 = 8;
 
@@ -62,6 +65,11 @@
     Store(Fault, Duration),
     /// A target crashes. Targets with an odd index restart under the same name.
     Crash(usize),
+    /// A target restarts under its name with a capacity of this number of tasks, takes calls at once and
+    /// reports after the duration.
+    Restart(usize, u64, Duration),
+    /// All processes are killed, and started again after the pause.
+    KillAll(Duration),
     /// A target announces that it leaves, and is replaced by its next incarnation.
     Leave(usize),
     /// A target's capacity drops to this number of tasks for the duration.
@@ -176,6 +184,27 @@
     capacity_drops
 }
 
+/// Restarts of targets before their first report, about every four seconds, half of them before the end of
+/// all processes; from a separate random stream.
+fn restarts(seed: u64, length: Duration) -> Vec<(Duration, Injection)> {
+    let mut rng = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
+    let mut at = Duration::from_millis(rng.random_range(1_500..3_500));
+    let mut restarts = Vec::new();
+    while at + CALM_PERIOD < length {
+        let target = rng.random_range(0..AGENTS);
+        let tasks = rng.random_range(2..=TASKS_PER_TARGET as u64);
+        let unreported = Duration::from_millis(rng.random_range(0..1_500));
+        restarts.push((at, Injection::Restart(target, tasks, unreported)));
+        let killed_at = at + Duration::from_millis(rng.random_range(500..4_000));
+        if rng.random_bool(0.5) && killed_at + CALM_PERIOD < length {
+            let pause = Duration::from_millis(rng.random_range(300..1_500));
+            restarts.push((killed_at, Injection::KillAll(pause)));
+        }
+        at += Duration::from_millis(rng.random_range(3_000..5_000));
+    }
+    restarts
+}
+
 /// The schedule of a seed: the faults with their injection times, in order.
 fn schedule(seed: u64, length: Duration) -> Vec<(Duration, Injection)> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
@@ -187,6 +216,7 @@
     }
     injections.extend(leaves(seed, length));
     injections.extend(capacity_drops(seed, length));
+    injections.extend(restarts(seed, length));
     injections.sort_by_key(|(at, _)| *at);
     injections
 }
@@ -273,14 +303,24 @@
             recoveries.push((now + pause, Recovery::StoreHealthy));
         }
         Injection::Crash(index) => begin_next_incarnation(fleet, index),
+        Injection::Restart(index, tasks, unreported) => {
+            let capacity = capacity_for(tasks);
+            fleet.targets[index].restart_unreported(capacity, unreported);
+            let full_again_at = now + unreported + SMALL_FOR;
+            recoveries.push((full_again_at, Recovery::FullCapacity(index)));
+        }
+        Injection::KillAll(pause) => {
+            for index in 0..ENTRIES + AGENTS {
+                fleet.signal(index, Signal::Kill);
+                recoveries.push((now + pause, Recovery::Start(index)));
+            }
+        }
         Injection::Leave(index) => {
             fleet.targets[index].target().leave();
             recoveries.push((now + LEAVE_TO_RESTART, Recovery::NextIncarnation(index)));
         }
         Injection::Resize(index, tasks, pause) => {
-            fleet.targets[index].target().capacity = process_fleet::TASK_SIZE
-                .times(tasks)
-                .plus(process_fleet::TARGET_MEMORY);
+            fleet.targets[index].target().capacity = capacity_for(tasks);
             recoveries.push((now + pause, Recovery::FullCapacity(index)));
         }
         Injection::Target(index, trouble, pause) => {
@@ -300,6 +340,11 @@
     }
 }
 
+fn capacity_for(tasks: u64) -> Resources {
+    let tasks = process_fleet::TASK_SIZE.times(tasks);
+    tasks.plus(process_fleet::TARGET_MEMORY)
+}
+
 /// Starts the next incarnation of a target, under the same name if its index is odd.
 fn begin_next_incarnation(fleet: &ProcessFleet, index: usize) {
     let at = fleet.targets[index].now();
--- a/lib/testutils/src/platform_stand_ins.rs
+++ b/lib/testutils/src/platform_stand_ins.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 use trestleknot_lib::ids::Now;
 use trestleknot_lib::queue::QueueTable;
+use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run_event::{RenewalAnswer, StartAnswer};
 use trestleknot_lib::target_incarnation::TargetIncarnation;
 use trestleknot_lib::worker_threads::{run_system, spawn};
@@ -181,6 +182,8 @@
     fault: Arc<Mutex<Fault>>,
     /// The incarnation that accepted each connection, by the caller's address.
     accepted_by: Arc<Mutex<BTreeMap<SocketAddr, TargetIncarnation>>>,
+    /// Until when it takes calls but sends no reports.
+    unreported_until: Arc<Mutex<Now>>,
     origin: Instant,
 }
 
@@ -192,10 +195,25 @@
             target: Arc::new(Mutex::new(target)),
             fault: Arc::default(),
             accepted_by: Arc::default(),
+            unreported_until: Arc::default(),
             origin,
         }
     }
 
+    /// Begins its next incarnation under the same name, which first reports after this time.
+    pub fn restart_unreported(&self, capacity: Resources, unreported: Duration) {
+        let now = self.now();
+        *lock(&self.unreported_until) = now + unreported;
+        let mut target = self.target();
+        target.capacity = capacity;
+        target.restart(now);
+    }
+
+    /// Whether it sends reports.
+    pub fn reports(&self) -> bool {
+        *lock(&self.unreported_until) <= self.now()
+    }
+
     /// Whether a connection from this address was accepted by an incarnation that has ended. Its process
     /// would have closed the connection.
     fn is_from_former(&self, caller: SocketAddr) -> bool {
--- a/lib/testutils/src/process_fleet.rs
+++ b/lib/testutils/src/process_fleet.rs
@@ -25,6 +25,10 @@
 use crate::platform_stand_ins::{self, Running, StandIn, StoreStandIn, TargetStandIn};
 use crate::run_target::{RunTarget, SERVICE};
 
+/// Longest lease that targets grant, as in the settings.
+const LONGEST_LEASE: Duration = Duration::from_secs(15);
+/// Longest time that a target's clock shows at the start of an incarnation.
+const LATEST_CLOCK_MS: u64 = 20_000;
 /// Port for callers. The next two ports serve readiness checks and target reports.
 const CALLER_PORT: u16 = 8161;
 /// Port of links between processes.
@@ -160,6 +164,8 @@
         let mut targets = Vec::new();
         for index in 0..agents {
             let target = RunTarget::new(&format!("target-{index}"), TARGET_CAPACITY, 1.0)
+                .with_lease(LONGEST_LEASE)
+                .with_clock_start(LATEST_CLOCK_MS)
                 .with_room_grace(LATE_ORDER_GRACE);
             let target = TargetStandIn::new(origin, target);
             let listen = address(network, TARGET_HOST + index as u8, STAND_IN_PORT);
--- a/lib/testutils/src/target_reports.rs
+++ b/lib/testutils/src/target_reports.rs
@@ -69,7 +69,8 @@
         clients.push(Rc::new(PlatformClient::new(&agent.to_string()).await));
     }
     for turn in 0.. {
-        for (target, client) in targets.iter().zip(&clients) {
+        let reporting = targets.iter().zip(&clients);
+        for (target, client) in reporting.filter(|(target, _)| target.reports()) {
             let report = report_once(
                 client.clone(),
                 target.clone(),
