soak: a larger capacity counts from when its report is sent

The check counted the larger capacity from when the soak had read the answer to the report, but the agent may use it as soon as it has the report, and the target really has it. A larger capacity counts from the sending of the report now; a smaller one still from its answer on, with the same grace. test_record_report_sent_larger_capacity_counts_at_once holds both.

--- a/lib/tests/test_fleet_room.rs
+++ b/lib/tests/test_fleet_room.rs
@@ -5,7 +5,10 @@
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use testutils::run_fleet::{AGENTS, ENTRIES, FleetFault, Node, RunFleet};
+use testutils::run_target::{RunTarget, StartRequest};
 use trestleknot_lib::ids::Now;
+use trestleknot_lib::resources::Resources;
+use trestleknot_lib::run::{RunKey, TaskKey};
 
 const fn ms(millis: u64) -> Now {
     Duration::from_millis(millis)
@@ -51,3 +54,47 @@
     let mean = served.iter().sum::<f64>() / served.len() as f64;
     assert!(mean > 0.9, "only {mean} served after it: {served:?}");
 }
+
+/// The room that the target records for a start at `now`.
+fn room_of_start(target: &mut RunTarget, now: Now, run: u32) -> u64 {
+    let task = TaskKey {
+        batch: 5,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    let request = StartRequest {
+        key: RunKey { task, run },
+        payload: "1".into(),
+        until: now.as_millis() as u64 + 500,
+        token: 1,
+        life: None,
+        born: None,
+        is_late: false,
+    };
+    target.start(now, &request);
+    target.records.last().map_or(0, |r| r.room.cpu_millis)
+}
+
+// Guards against a violation that is none: an agent uses a capacity that has grown before its target reads the
+// answer to the report. One that has shrunk counts from the answer on.
+#[test]
+fn test_record_report_sent_larger_capacity_counts_at_once() {
+    let capacity = |cpu_millis| Resources {
+        cpu_millis,
+        memory_mib: 1_024,
+        accelerators: 0,
+    };
+    let mut target = RunTarget::new("target", capacity(4_000), 1.0);
+    target.capacity = capacity(16_000);
+    assert_eq!(room_of_start(&mut target, ms(10), 1), 4_000);
+    let (info, _) = target.report();
+    target.record_report_sent(ms(20), &info);
+    assert_eq!(room_of_start(&mut target, ms(30), 2), 16_000);
+    target.capacity = capacity(2_000);
+    let (info, sequence) = target.report();
+    target.record_report_sent(ms(40), &info);
+    assert_eq!(room_of_start(&mut target, ms(50), 3), 16_000);
+    target.record_report(ms(60), &info, sequence);
+    assert_eq!(room_of_start(&mut target, ms(70), 4), 2_000);
+}
--- a/lib/testutils/src/run_target.rs
+++ b/lib/testutils/src/run_target.rs
@@ -312,6 +312,16 @@
         self.reported_capacities.push((now, info.capacity));
     }
 
+    /// Records that a report is sent. Its agent may use a larger capacity before the answer to the report
+    /// is read.
+    pub fn record_report_sent(&mut self, now: Now, info: &TargetInfo) {
+        let last = self.reported_capacities.last();
+        let is_larger = last.is_some_and(|(_, c)| c.cpu_millis < info.capacity.cpu_millis);
+        if is_larger && info.life == self.life() {
+            self.reported_capacities.push((now, info.capacity));
+        }
+    }
+
     /// The capacity that a start may rely on: the largest that the agent knew within the grace
     /// period.
     fn usable_capacity(&self, now: Now) -> Resources {
--- a/lib/testutils/src/target_reports.rs
+++ b/lib/testutils/src/target_reports.rs
@@ -41,6 +41,8 @@
     let (info, sequence) = target.target().report();
     let path = stand_in_format::report_path(&info.life.name);
     let body = stand_in_format::encode_report(&info, sequence).into_bytes();
+    let sent = target.now();
+    target.target().record_report_sent(sent, &info);
     let status = post(&client, &path, body).await;
     if is_acknowledged(status) {
         let now = target.now();
