--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -115,15 +115,22 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
 
 
-async def serve_http(ip, port, handle):
-    """Serves HTTP. `handle(method, path, headers, body)` returns (status, body) or None: no answer."""
+async def serve_http(ip, port, handle, connections=None):
+    """Serves HTTP. `handle(method, path, headers, body)` returns (status, body) or None: no answer.
+    Open connections are in the set `connections`; one that is taken out of it goes silent for good."""
+    connections = set() if connections is None else connections
 
     async def connection(reader, writer):
+        connections.add(writer)
         try:
             while True:
                 first, headers, body = await read_message(reader)
                 method, path, _ = first.split(" ", 2)
+                if writer not in connections:
+                    await asyncio.sleep(3600)
                 answer = await handle(method, path, headers, body)
+                if writer not in connections:
+                    await asyncio.sleep(3600)
                 if answer is None:
                     await asyncio.sleep(3600)
                 status, text = answer
@@ -132,6 +139,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, ValueError):
             pass
         finally:
+            connections.discard(writer)
             writer.close()
 
     return await asyncio.start_server(connection, ip, port, backlog=1024)
@@ -230,11 +238,21 @@
         self.state = "ready"
         self.reports = True
         self.calls_fault = None
+        self.connections = set()
+        # Whether a new life keeps the id, and states its start as `born`.
+        self.keeps_id = False
+        self.rate = 1.0
+        self.id = f"i-{random.getrandbits(32):08x}"
         self.new_life()
 
     def new_life(self):
-        self.id = f"i-{random.getrandbits(32):08x}"
+        """Begins a life that runs nothing and knows nothing. The connections of the last one break."""
+        if not self.keeps_id:
+            self.id = f"i-{random.getrandbits(32):08x}"
+        for writer in list(self.connections):
+            writer.transport.abort()
         self.born = time.monotonic()
+        self.born_ms = int(time.time() * 1000)
         self.clock_start = random.randint(0, 500000)
         self.token = 0
         self.lease = 0
@@ -246,7 +264,7 @@
         self.changed = asyncio.Event()
 
     def clock(self):
-        return self.clock_start + int((time.monotonic() - self.born) * 1000)
+        return self.clock_start + int((time.monotonic() - self.born) * 1000 * self.rate)
 
     def wake(self):
         self.changed.set()
@@ -255,7 +273,7 @@
     def advance(self):
         """Ends what is due, at the time at which it was due."""
         now = time.monotonic()
-        lapse_at = self.born + (self.lease - self.clock_start) / 1000
+        lapse_at = self.born + (self.lease - self.clock_start) / 1000 / self.rate
         for key, run in list(self.running.items()):
             ends = [(run["done_at"], run["how"])]
             if run["stop_at"] is not None:
@@ -323,7 +341,10 @@
             for (task, number), run in self.running.items():
                 percent = int(100 * (now - run["began"]) / max(0.001, run["done_at"] - run["began"]))
                 rows.append([task, number, "", min(99, percent), 0])
-            return 200, json.dumps({"clock-ms": self.clock(), "running": rows, "ended": self.ended[:500]})
+            lists = {"clock-ms": self.clock(), "running": rows, "ended": self.ended[:500]}
+            if self.keeps_id:
+                lists["born"] = self.born_ms
+            return 200, json.dumps(lists)
         return 404, ""
 
     def start(self, order, reject):
@@ -358,6 +379,8 @@
                     "capacity": {"cpu": self.cpu, "mem-mb": 262144, "gpu": 0},
                     "labels": ["a", self.rack], "clock-ms": self.clock(), "sequence": self.sequence,
                 }
+                if self.keeps_id:
+                    beat["born"] = self.born_ms
                 path = f"/-/instances/{self.id}/heartbeat"
                 try:
                     await request(self.agent_ip, CONTROL, "POST", path, json.dumps(beat), limit=1.0)
@@ -425,7 +448,7 @@
         self.store.publish(self.routes())
         await serve_http(self.store_ip, STORE, self.store.handle)
         for worker in self.workers:
-            await serve_http(worker.ip, APP, worker.serve)
+            await serve_http(worker.ip, APP, worker.serve, worker.connections)
             self.tasks.append(asyncio.ensure_future(worker.tick()))
         for i in range(len(self.entry_ips)):
             self.start_entry(i)
