--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -239,6 +239,7 @@
         self.reports = True
         self.calls_fault = None
         self.connections = set()
+        self.suspended = None
         # Whether a new life keeps the id, and states its start as `born`.
         self.keeps_id = False
         self.rate = 1.0
@@ -263,6 +264,24 @@
         self.sequence = 0
         self.changed = asyncio.Event()
 
+    async def suspend(self, seconds):
+        """The machine is suspended: nothing runs, no call is handled, and the steady clock stands still."""
+        self.advance()
+        self.suspended = asyncio.Event()
+        self.fleet.record.line(f"worker {self.name} is suspended")
+        began = time.monotonic()
+        await asyncio.sleep(seconds)
+        length = time.monotonic() - began
+        self.born += length
+        for run in self.running.values():
+            run["began"] += length
+            run["done_at"] += length
+            if run["stop_at"] is not None:
+                run["stop_at"] += length
+        self.fleet.record.line(f"worker {self.name} goes on")
+        self.suspended.set()
+        self.suspended = None
+
     def clock(self):
         return self.clock_start + int((time.monotonic() - self.born) * 1000 * self.rate)
 
@@ -272,6 +291,8 @@
 
     def advance(self):
         """Ends what is due, at the time at which it was due."""
+        if self.suspended:
+            return
         now = time.monotonic()
         lapse_at = self.born + (self.lease - self.clock_start) / 1000 / self.rate
         for key, run in list(self.running.items()):
@@ -298,6 +319,8 @@
         self.lease = max(self.lease, min(until, self.clock() + MAX_HOLD_MS))
 
     async def serve(self, method, path, headers, body):
+        while self.suspended:
+            await self.suspended.wait()
         return await getattr(self, "handle2", self.handle)(method, path, headers, body)
 
     async def handle(self, method, path, headers, body):
@@ -336,6 +359,9 @@
                 except asyncio.TimeoutError:
                     pass
             self.advance()
+            while self.suspended:
+                await self.suspended.wait()
+            self.advance()
             now = time.monotonic()
             rows = []
             for (task, number), run in self.running.items():
@@ -371,7 +397,7 @@
 
     async def report(self):
         while True:
-            if self.reports:
+            if self.reports and not self.suspended:
                 self.sequence += 1
                 beat = {
                     "service": SERVICE, "address": f"{self.ip}:{APP}", "zone": "lajeado", "version": "v1",
