--- a/review/common-3/fleet.py
+++ b/review/common-3/fleet.py
@@ -596,10 +596,9 @@
         return found
 
 
-def run_case(main, folder, limit=100):
+def run_case(main, folder, trouble, limit=100):
     """Runs `main(record, trouble)`, which returns whether the rule held, and exits with 0, 1 or 2."""
     record = Record(os.path.join(folder, "record.txt"))
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
         held = asyncio.run(asyncio.wait_for(main(record, trouble), limit))
     except Exception as e:  # anything unexpected: the case did not run
