entry: note by when each request was sent at the earliest

An entry takes a request for as young as its bytes. To tell a request that the network held up from a new one, it now notes when it accepted each caller's connection, how long the handshake took (TCP_INFO; not known if the answer to the opening packet was sent again), and when it gave the last answer on it. A caller sends its next request after that. A request whose bytes were here before that answer leaves the former time as it is.

The line of an admitted batch states the longest time since it was sent. Nothing acts on it yet. The order in which the callers' server was built is kept; it is built by hand because the accept hook is needed.

--- a/cli/src/platform_daemons.rs
+++ b/cli/src/platform_daemons.rs
@@ -2,15 +2,18 @@
 //! platform. Each runs on one thread.
 
 use std::cell::OnceCell;
+use std::convert::Infallible;
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use clap::ArgMatches;
 use ntex::SharedCfg;
-use ntex::http::HttpServiceConfig;
+use ntex::http::{HttpService, HttpServiceConfig};
+use ntex::server::{self, Config as ServerConfig, Stream};
 use ntex::time::Seconds;
 use ntex::web::{self, App, HttpServer};
 use platform::settings::{self, AgentSettings, CommonSettings, EntrySettings, SettingsError};
@@ -23,6 +26,7 @@
 use trestleknot_lib::batch_event::{EntryEvent, EntryOptions};
 use trestleknot_lib::entry_node::EntryNode;
 use trestleknot_lib::events::{EventCode, LogEvent};
+use trestleknot_lib::handshake::handshake_time;
 use trestleknot_lib::log_writer::LogWriter;
 use trestleknot_lib::run_event::{AgentEvent, AgentOptions};
 use trestleknot_lib::worker_threads::run_system;
@@ -31,6 +35,8 @@
 use crate::logging;
 use crate::settings_watch::SettingsWatch;
 
+/// Name of the service that callers connect to.
+const CALLERS: &str = "callers";
 /// Port of the metrics page. It matches deploy/system.toml.
 const METRICS_PORT: u16 = 9464;
 /// How long an idle connection is kept. Callers normally close their connections first.
@@ -120,23 +126,35 @@
     let ready = listen(settings.ready)?;
     let metrics = listen(metrics_address(settings.common.ip))?;
     run_system("entry", async move {
-        let server = HttpServer::new(async move || {
+        let app = async move |cfg: ServerConfig| {
+            cfg.config(http_config());
             let node = entry_of_thread(&settings, &path, &log).await;
-            App::new()
-                .state(node)
-                .configure(caller_server::routes)
-                .default_service(caller_server::any_path())
-        });
-        let server = server.workers(1).disable_signals().config(http_config());
+            let app = App::new().state(node).configure(caller_server::routes);
+            HttpService::new(app.default_service(caller_server::any_path()))
+        };
+        let server = server::build().workers(1).disable_signals();
+        let server = server.on_accept(note_accepted);
         let listening = server
-            .listen(callers)
-            .and_then(|s| s.listen(ready))
-            .and_then(|s| s.listen(metrics));
+            .listen(CALLERS, callers, app.clone())
+            .and_then(|s| s.listen("ready", ready, app.clone()))
+            .and_then(|s| s.listen("metrics", metrics, app));
         run_server(listening.map(|s| s.run())).await;
     });
     Ok(ExitCode::FAILURE)
 }
 
+/// Tells the entry of a new connection of a caller.
+async fn note_accepted(service: Arc<str>, connection: Stream) -> Result<Stream, Infallible> {
+    let node = ENTRY.with(|n| n.get().cloned());
+    if &*service == CALLERS
+        && let (Some(node), Stream::Tcp(connection)) = (node, &connection)
+        && let Ok(caller) = connection.peer_addr()
+    {
+        node.caller_accepted(caller, handshake_time(connection));
+    }
+    Ok(connection)
+}
+
 async fn run_server(server: std::io::Result<ntex::server::Server>) {
     let served = match server {
         Ok(server) => server.await,
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -106,6 +106,7 @@
             path,
             spec,
             caller_timeout,
+            max_age,
             caller_request,
         } = submission;
         let queue = self.find_queue(&host, &path)?;
@@ -147,6 +148,7 @@
             path,
             spec,
             caller_timeout,
+            max_age,
             caller_request,
         };
         let Some(kept) = self.keep_or_hand_over(submission, &queue, deadline, is_retry) else {
@@ -161,10 +163,11 @@
             EventCode::BatchAdmitted,
             format!(
                 "job={:016x} request={caller_request} queue={} tasks={tasks} due_ms={due_ms} \
-                 patience_ms={} returning={is_retry} config={} targets={usable} held={}",
+                 patience_ms={} sent_ms_ago={} returning={is_retry} config={} targets={usable} held={}",
                 spec.id,
                 queue.name,
                 caller_timeout.as_millis(),
+                max_age.map_or("-".to_owned(), |age| age.as_millis().to_string()),
                 self.directory.config().version(),
                 self.table.len(),
             ),
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -56,6 +56,8 @@
     pub spec: BatchSpec,
     /// How long the caller waits for an answer.
     pub caller_timeout: Duration,
+    /// Longest time since the caller sent the request; `None` if it is not known.
+    pub max_age: Option<Duration>,
     /// The caller's id of its request, for the log; empty if it gave none.
     pub caller_request: Arc<str>,
 }
--- a/lib/src/entry_node.rs
+++ b/lib/src/entry_node.rs
@@ -16,6 +16,7 @@
 
 use crate::batch_entry::BatchEntryCore;
 use crate::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply};
+use crate::caller_connections::CallerConnections;
 use crate::clock::BootInstant;
 use crate::core_timer::CoreTimer;
 use crate::entry_load::LoopLoad;
@@ -49,6 +50,7 @@
     timer: Rc<CoreTimer>,
     links: Rc<NodeLinks>,
     replies: RefCell<HashMap<RequestId, oneshot::Sender<Reply>>>,
+    connections: RefCell<CallerConnections>,
     next_request: Cell<RequestId>,
     figures: NodeMetrics,
     /// Whether batches were held when the input was marked last, or are since.
@@ -65,12 +67,14 @@
     pub fn start(options: EntryOptions, links_listener: TcpListener) -> Rc<Self> {
         let timer = CoreTimer::new(BootInstant::now());
         let sampler = options.processor_share.map(|_| RefCell::default());
+        let connections = CallerConnections::new(options.timings.caller_retry_interval);
         let node = Rc::new_cyclic(|me: &Weak<Self>| Self {
             me: me.clone(),
             core: RefCell::new(BatchEntryCore::new(options)),
             timer: timer.clone(),
             links: NodeLinks::new(),
             replies: RefCell::default(),
+            connections: RefCell::new(connections),
             next_request: Cell::new(1),
             figures: NodeMetrics::new(),
             marks_often: Cell::new(false),
@@ -148,6 +152,32 @@
         self.core.borrow().requests_read_until(now).unwrap_or(now)
     }
 
+    /// Records a new connection of a caller, and how long its handshake took if that is known.
+    pub fn caller_accepted(&self, caller: SocketAddr, handshake: Option<Duration>) {
+        let now = self.timer.now();
+        let mut connections = self.connections.borrow_mut();
+        match handshake {
+            // It may have waited to be accepted.
+            Some(took) => {
+                let opened = self.requests_read_until().min(now).saturating_sub(took);
+                connections.note(now, caller, opened);
+            }
+            None => connections.forget(caller),
+        }
+    }
+
+    /// Records that the request of a caller is about to be answered.
+    pub fn caller_answered(&self, caller: SocketAddr) {
+        let now = self.timer.now();
+        self.connections.borrow_mut().note(now, caller, now);
+    }
+
+    /// Longest time since a caller sent the request that is read now; `None` if it is not known.
+    pub fn max_request_age(&self, caller: SocketAddr) -> Option<Duration> {
+        let now = self.timer.now();
+        self.connections.borrow().max_age(now, caller)
+    }
+
     fn execute(&self, action: EntryAction) {
         match action {
             EntryAction::Reply(request, reply) => self.reply(request, reply),
--- a/lib/tests/test_batch_cancels.rs
+++ b/lib/tests/test_batch_cancels.rs
@@ -141,6 +141,7 @@
             unsupported: None,
         },
         caller_timeout: ms(20_000),
+        max_age: Some(Duration::ZERO),
         caller_request: "".into(),
     })
 }
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -108,6 +108,7 @@
             unsupported: None,
         },
         caller_timeout: ms(2_000),
+        max_age: Some(Duration::ZERO),
         caller_request: "".into(),
     })
 }
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -106,6 +106,7 @@
             unsupported: None,
         },
         caller_timeout: ms(3_000),
+        max_age: Some(Duration::ZERO),
         caller_request: "".into(),
     })
 }
--- a/lib/tests/test_entry_witness.rs
+++ b/lib/tests/test_entry_witness.rs
@@ -184,6 +184,7 @@
                 unsupported: None,
             },
             caller_timeout: ms(60_000),
+            max_age: Some(Duration::ZERO),
             caller_request: "".into(),
         }));
     }
--- a/lib/tests/test_odd_numbers.rs
+++ b/lib/tests/test_odd_numbers.rs
@@ -80,6 +80,7 @@
             unsupported: None,
         },
         caller_timeout,
+        max_age: Some(Duration::ZERO),
         caller_request: "".into(),
     })
 }
--- a/lib/testutils/src/bin/measure-batch.rs
+++ b/lib/testutils/src/bin/measure-batch.rs
@@ -230,6 +230,7 @@
             path: format!("/q/{number:016x}"),
             spec,
             caller_timeout: Duration::from_millis(1_500),
+            max_age: Some(Duration::ZERO),
             caller_request: "r-1".into(),
         };
         let (core, now) = (&mut self.core, self.now);
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -174,6 +174,7 @@
             path: format!("{}{id:016x}", queue.path_prefix),
             spec,
             caller_timeout: time_left,
+            max_age: Some(Duration::ZERO),
             caller_request: "".into(),
         };
         if leaves_unnoticed {
