--- a/lib/src/active_batch.rs
+++ b/lib/src/active_batch.rs
@@ -124,6 +124,10 @@
     pub is_overdue: bool,
     /// Time at which the caller stops waiting.
     pub caller_deadline: Now,
+    /// Until when its caller can't have given it to another entry since it sent the request.
+    pub proven_until: Now,
+    /// Until when no other entry holds it, as its witnesses have granted.
+    pub granted_until: Now,
     /// Latest first placement that still lets it finish by `due`.
     pub latest_on_time_start: Now,
     /// Time at which it is refused if none of its tasks has been placed.
@@ -174,6 +178,8 @@
             due: times.due,
             is_overdue: times.is_overdue,
             caller_deadline: times.caller_deadline,
+            proven_until: times.proven_until,
+            granted_until: Now::ZERO,
             latest_on_time_start: times.latest_on_time_start,
             placement_deadline: times.placement_deadline,
             was_dispatched: false,
@@ -185,6 +191,11 @@
         }
     }
 
+    /// Whether tasks may start without asking whether another entry holds it.
+    pub fn is_vouched_for(&self, now: Now) -> bool {
+        self.proven_until.max(self.granted_until) > now
+    }
+
     /// Returns the batch's current position in the placement order.
     pub fn placement_order(&self) -> PlacementOrder {
         PlacementOrder {
@@ -319,6 +330,8 @@
     pub is_overdue: bool,
     /// Same as [`Batch::caller_deadline`].
     pub caller_deadline: Now,
+    /// Same as [`Batch::proven_until`].
+    pub proven_until: Now,
     /// Same as [`Batch::latest_on_time_start`].
     pub latest_on_time_start: Now,
     /// Same as [`Batch::placement_deadline`].
--- a/lib/src/batch_entry.rs
+++ b/lib/src/batch_entry.rs
@@ -12,6 +12,7 @@
 mod agents;
 mod callers;
 mod cancels;
+mod claims;
 mod crashes;
 mod handover;
 mod lease_renewals;
@@ -41,6 +42,7 @@
 use crate::handover_share::{HandoverShare, UnreportedWork};
 use crate::ids::{NodeName, Now, SessionId};
 use crate::link_load::LinkLoad;
+use crate::own_claims::OwnClaims;
 use crate::payload::PayloadPacker;
 use crate::retry_detector::RetryDetector;
 use crate::run::{BatchId, RunKey, TaskKey};
@@ -95,6 +97,7 @@
     parted_agents: BTreeMap<NodeName, witness::Parting>,
     dispatch_reports: DispatchReports,
     witnessed: WitnessedRuns,
+    claims: OwnClaims,
     needs_placing: bool,
     drain: EntryDrain,
     /// Batches that arrived before the first configuration.
@@ -146,6 +149,10 @@
             parted_agents: BTreeMap::new(),
             dispatch_reports: DispatchReports::default(),
             witnessed: WitnessedRuns::default(),
+            claims: OwnClaims::new(
+                options.timings.caller_retry_interval / claims::PATIENCE_DIVISOR,
+                claims::HELD_RETRY_PAUSE,
+            ),
             needs_placing: false,
             drain: EntryDrain::new(&options.timings),
             deferred: DeferredBatches::default(),
@@ -202,6 +209,7 @@
         self.check_hand_overs();
         self.check_witnessed();
         self.settle_deferred();
+        self.settle_claims();
         if self.unread_until.is_some_and(|until| until <= self.now) {
             self.unread_until = None;
             self.needs_placing = true;
@@ -248,6 +256,7 @@
             self.next_hand_over_check(),
             self.next_witness_check(),
             self.dispatch_reports.next_wake(),
+            self.claims.next_wake(),
         ];
         let soonest = times.into_iter().flatten().min()?;
         Some(soonest.max(self.now + self.min_wake_pause()))
@@ -374,6 +383,7 @@
         }
         self.needs_placing = false;
         self.refuse_unplaceable_batches();
+        self.claim_unproven();
         self.targets.compare_speeds(self.now);
         let ids: Vec<BatchId> = self.table.in_placement_order().collect();
         let directory = &self.directory;
@@ -396,7 +406,9 @@
             if round.link_load.full_until(self.now).is_some() {
                 break;
             }
-            let is_blocked = directory.has_runs_elsewhere(self.now, id)
+            let batch = round.table.get(id);
+            let is_blocked = batch.is_some_and(|b| !b.is_vouched_for(self.now))
+                || directory.has_runs_elsewhere(self.now, id)
                 || giver.has_ended(id)
                 || receiver.has_runs_left(id);
             if !is_blocked && !round.place(id) {
@@ -521,6 +533,9 @@
             .note_entries(self.directory.entries_per_target());
         self.announce_entries(effects.entries);
         self.needs_placing |= effects.may_place;
+        if effects.is_introduced && self.claims.witness_joined() {
+            self.needs_placing = true;
+        }
         for notice in effects.runs_left {
             self.check_for_late_notice(notice);
             self.note_owner_suspected(notice);
@@ -537,6 +552,9 @@
         for id in effects.cancelled {
             self.cancel_held(id);
         }
+        for news in effects.claims {
+            self.handle_claim_news(link, news);
+        }
         for message in effects.hand_overs {
             self.handle_hand_over(link, message);
         }
--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -9,10 +9,10 @@
 use super::starvation::UNREAD_INPUT_EXTENSION;
 use crate::active_batch::{Batch, BatchState, BatchTimes, CloseReason, PlacementOrder};
 use crate::batch::{BatchSpec, Unsupported};
-use crate::batch_event::{BatchQuery, EntryAction, Refusal, Reply, Submission};
+use crate::batch_event::{BatchQuery, CallerWait, EntryAction, Refusal, Reply, Submission};
 use crate::events::EventCode;
 use crate::handover_receiver::is_giver;
-use crate::ids::{Now, RequestId};
+use crate::ids::RequestId;
 use crate::queue::Queue;
 use crate::run::BatchId;
 use crate::wait_forecast;
@@ -41,12 +41,15 @@
     }
 
     pub(super) fn submit(&mut self, submission: Submission) {
-        let deadline = self.caller_deadline(submission.caller_timeout);
+        let wait = CallerWait {
+            deadline: self.caller_deadline(submission.caller_timeout),
+            proven_until: self.proven_until(submission.max_age),
+        };
         let has_config = self.directory.config().table().is_some();
         if !has_config && self.deferred.has_capacity() {
-            self.deferred.hold(self.now, (submission, deadline));
+            self.deferred.hold(self.now, (submission, wait));
         } else {
-            self.admit_or_refuse(submission, deadline);
+            self.admit_or_refuse(submission, wait);
         }
     }
 
@@ -59,16 +62,16 @@
         } else {
             self.deferred.take_expired(self.now)
         };
-        for (submission, deadline) in ready {
-            self.admit_or_refuse(submission, deadline);
+        for (submission, wait) in ready {
+            self.admit_or_refuse(submission, wait);
         }
     }
 
-    pub(super) fn admit_or_refuse(&mut self, submission: Submission, deadline: Now) {
+    pub(super) fn admit_or_refuse(&mut self, submission: Submission, wait: CallerWait) {
         let request = submission.request;
         let id = submission.spec.id;
         let caller_request = submission.caller_request.clone();
-        match self.admit(submission, deadline) {
+        match self.admit(submission, wait) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
                 self.end_earlier_request(id);
@@ -99,7 +102,7 @@
         }
     }
 
-    fn admit(&mut self, submission: Submission, deadline: Now) -> Result<(), Reply> {
+    fn admit(&mut self, submission: Submission, wait: CallerWait) -> Result<(), Reply> {
         let Submission {
             request,
             host,
@@ -133,11 +136,11 @@
         let is_retry = self
             .retry_detector
             .is_retry(&queue.name, caller_timeout, caller_return);
-        if deadline <= self.now {
+        if wait.deadline <= self.now {
             // Its caller has left, and may be back at another entry.
             return Err(self.busy_reply());
         }
-        let times = self.batch_times(&spec, &queue, deadline, is_retry);
+        let times = self.batch_times(&spec, &queue, wait, is_retry);
         if self.table.get(spec.id).is_some() {
             self.resubmit(&spec, request, &queue, times, &caller_request);
             return Ok(());
@@ -151,7 +154,7 @@
             max_age,
             caller_request,
         };
-        let Some(kept) = self.keep_or_hand_over(submission, &queue, deadline, is_retry) else {
+        let Some(kept) = self.keep_or_hand_over(submission, &queue, wait, is_retry) else {
             return Ok(());
         };
         let (spec, caller_request) = (kept.spec, kept.caller_request);
@@ -182,6 +185,7 @@
         let mut batch = Batch::new(&spec, payload, queue, request, times);
         if self.add_known_crashes(spec.id, &mut batch, request) {
             self.table.insert(spec.id, batch);
+            self.report_held(spec.id);
         }
         Ok(())
     }
@@ -294,16 +298,16 @@
         &self,
         spec: &BatchSpec,
         queue: &Queue,
-        caller_deadline: Now,
+        wait: CallerWait,
         is_retry: bool,
     ) -> BatchTimes {
         let arrived = self.now;
         let critical_path = spec.critical_path();
         let objective = queue.objective(critical_path);
         let slack = objective.saturating_sub(critical_path.mul_f64(SLOWEST_HEALTHY_FACTOR));
-        let mut wait = self.backlog.max_wait(arrived, slack);
+        let mut longest_wait = self.backlog.max_wait(arrived, slack);
         if self.targets.usable(self.now) == 0 {
-            wait = wait.max(MIN_WAIT_WITHOUT_TARGETS);
+            longest_wait = longest_wait.max(MIN_WAIT_WITHOUT_TARGETS);
         }
         let age = if is_retry {
             self.options.timings.caller_retry_interval
@@ -311,16 +315,17 @@
             Duration::ZERO
         };
         // A batch that starts later can't be answered before the caller leaves.
-        let last_start = caller_deadline.saturating_sub(arrived + critical_path);
+        let last_start = wait.deadline.saturating_sub(arrived + critical_path);
         let left = objective.saturating_sub(age);
         let is_overdue = left.is_zero();
         BatchTimes {
             arrived,
             due: arrived + if is_overdue { objective } else { left },
             is_overdue,
-            caller_deadline,
+            caller_deadline: wait.deadline,
+            proven_until: wait.proven_until,
             latest_on_time_start: arrived + slack,
-            placement_deadline: arrived + wait.min(last_start),
+            placement_deadline: arrived + longest_wait.min(last_start),
         }
     }
 
@@ -383,6 +388,7 @@
     pub(super) fn remove_batch(&mut self, id: BatchId) -> Option<Batch> {
         let batch = self.table.remove(self.now, id)?;
         self.dispatch_reports.note_ended(self.now, id);
+        self.claims.remove(id);
         // Runs that a receiver had of it may be left.
         if !self.giver.has_ended(id) {
             self.directory.tell_runs_over(self.now, id);
@@ -464,6 +470,8 @@
             } else if batch.placement_deadline <= self.now && !batch.was_dispatched {
                 if batch.has_declined && !batch.takes_any_target {
                     self.place_on_any_target(id);
+                } else if let Some(due) = self.claims.answer_due(id) {
+                    self.table.postpone(id, due + LINK_WAIT_EXTENSION);
                 } else if self.may_wait_for_unread_input(batch) {
                     self.table.postpone(id, self.now + UNREAD_INPUT_EXTENSION);
                 } else if self.link_full_until.is_some() && !self.lacks_capacity() {
@@ -490,8 +498,8 @@
     /// Answers all open requests, so that no connection ends without a reply. Agents stop the open
     /// runs of a process that has exited and doesn't reconnect in time.
     pub(super) fn answer_open_requests(&mut self) {
-        for (submission, deadline) in self.deferred.take_all() {
-            self.admit_or_refuse(submission, deadline);
+        for (submission, wait) in self.deferred.take_all() {
+            self.admit_or_refuse(submission, wait);
         }
         self.give_up_handed();
         for id in self.table.ids() {
--- a/lib/src/batch_entry/handover.rs
+++ b/lib/src/batch_entry/handover.rs
@@ -8,7 +8,7 @@
 use super::{BatchEntryCore, UNREAD_INPUT_GRACE};
 use crate::active_batch::{Batch, BatchState, CloseReason};
 use crate::batch::BatchSpec;
-use crate::batch_event::{EntryAction, Refusal, Reply, Submission};
+use crate::batch_event::{CallerWait, EntryAction, Refusal, Reply, Submission};
 use crate::events::EventCode;
 use crate::handover_giver::HandedBatch;
 use crate::handover_receiver::{TakenBatch, is_giver};
@@ -49,13 +49,13 @@
         &mut self,
         submission: Submission,
         queue: &Arc<Queue>,
-        deadline: Now,
+        wait: CallerWait,
         is_retry: bool,
     ) -> Option<Submission> {
         let id = submission.spec.id;
         if let Some(service) = self.giver.service_of(id) {
             if *service == queue.service {
-                self.replace_handed_request(id, submission, deadline);
+                self.replace_handed_request(id, submission, wait);
                 return None;
             }
             // The receiver runs the batch at the service that its queue had before.
@@ -65,7 +65,7 @@
             return Some(submission);
         };
         let recipient = (&receiver, clock);
-        self.offer(submission, queue, recipient, deadline, is_retry);
+        self.offer(submission, queue, recipient, wait, is_retry);
         None
     }
 
@@ -101,7 +101,7 @@
         submission: Submission,
         queue: &Arc<Queue>,
         (receiver, clock): (&NeighbourLoad, EntryMillis),
-        deadline: Now,
+        wait: CallerWait,
         is_retry: bool,
     ) {
         let now = self.now;
@@ -120,8 +120,9 @@
             path: submission.path.clone(),
             steps: spec.steps.clone(),
             payload,
-            timeout_ms: deadline.saturating_sub(now).as_millis() as u32,
+            timeout_ms: wait.deadline.saturating_sub(now).as_millis() as u32,
             age_ms: age.as_millis() as u32,
+            proven_ms: wait.proven_until.saturating_sub(now).as_millis() as u32,
             request: submission.caller_request.clone(),
             start_by: clock + OFFER_WINDOW.as_millis() as EntryMillis,
         };
@@ -150,7 +151,8 @@
             queue: queue.clone(),
             offered: now,
             objective: queue.objective(spec.critical_path()),
-            caller_deadline: deadline,
+            caller_deadline: wait.deadline,
+            proven_until: wait.proven_until,
             submission,
         });
     }
@@ -167,9 +169,9 @@
 
     /// Answers the request of a caller that returned while its batch is handed over; the receiver's
     /// answer goes to the new request.
-    fn replace_handed_request(&mut self, id: BatchId, submission: Submission, deadline: Now) {
+    fn replace_handed_request(&mut self, id: BatchId, submission: Submission, wait: CallerWait) {
         let caller_request = submission.caller_request.clone();
-        if let Some(before) = self.giver.replace_request(id, submission, deadline) {
+        if let Some(before) = self.giver.replace_request(id, submission, wait) {
             self.actions.push(EntryAction::Reply(before, Reply::GaveUp));
         }
         self.log(
@@ -228,7 +230,11 @@
         );
         submission.caller_timeout = batch.caller_deadline.saturating_sub(self.now);
         self.declined = Some(id);
-        self.admit_or_refuse(submission, batch.caller_deadline);
+        let wait = CallerWait {
+            deadline: batch.caller_deadline,
+            proven_until: batch.proven_until,
+        };
+        self.admit_or_refuse(submission, wait);
         self.declined = None;
     }
 
@@ -361,7 +367,11 @@
         let timeout = Duration::from_millis(u64::from(offer.timeout_ms));
         let is_retry =
             u128::from(offer.age_ms) >= self.options.timings.caller_retry_interval.as_millis();
-        let times = self.batch_times(&spec, &queue, self.now + timeout, is_retry);
+        let wait = CallerWait {
+            deadline: self.now + timeout,
+            proven_until: offered_at(offer) + Duration::from_millis(u64::from(offer.proven_ms)),
+        };
+        let times = self.batch_times(&spec, &queue, wait, is_retry);
         if let Err(reply) = self.refuse_if_unplaceable(&spec, times) {
             return Err(outcome_of(&reply));
         }
@@ -393,6 +403,7 @@
         self.directory.set_carries_batches(link, true);
         if self.add_known_crashes(id, &mut batch, request) {
             self.table.insert(id, batch);
+            self.report_held(id);
         }
         Ok(())
     }
@@ -613,6 +624,11 @@
     }
 }
 
+/// When a batch was offered at the latest, on the receiver's clock.
+fn offered_at(offer: &HandOver) -> Now {
+    Now::from_millis(offer.start_by).saturating_sub(OFFER_WINDOW)
+}
+
 fn outcome_of(reply: &Reply) -> HandOverOutcome {
     match reply {
         Reply::Succeeded => HandOverOutcome::Succeeded,
--- a/lib/src/batch_entry/lease_renewals.rs
+++ b/lib/src/batch_entry/lease_renewals.rs
@@ -94,6 +94,14 @@
         arrived_after.unwrap_or(self.now).min(self.now) + timeout
     }
 
+    /// Until when the caller of a request that is read now can't have come to another entry since it sent
+    /// it. Callers return there after a fixed time at the soonest, whatever their time-out is.
+    pub(super) fn proven_until(&self, max_age: Option<Duration>) -> Now {
+        let returns_after = self.options.timings.caller_retry_interval;
+        let left = max_age.and_then(|age| returns_after.checked_sub(age));
+        left.map_or(Now::ZERO, |left| self.now + left)
+    }
+
     /// Logs that leases can't be renewed in time, if that lasts.
     pub(super) fn check_input_age(&mut self) {
         let limit = self.options.timings.max_lease_lead;
--- a/lib/src/batch_entry/witness.rs
+++ b/lib/src/batch_entry/witness.rs
@@ -4,6 +4,7 @@
 use super::BatchEntryCore;
 use crate::events::EventCode;
 use crate::ids::{NodeName, Now, SessionId};
+use crate::run::BatchId;
 use crate::run_message::{DispatchNotice, PeerNews, RunsNotice};
 use crate::target_registry::TargetView;
 use crate::witnessed_runs::{Hold, SuspectBatch};
@@ -33,10 +34,19 @@
         }
     }
 
+    /// Reports a new batch to its witness, unless claims to it are made first.
+    pub(super) fn report_held(&mut self, id: BatchId) {
+        let batch = self.table.get(id);
+        if batch.is_some_and(|b| b.is_vouched_for(self.now)) {
+            self.dispatch_reports.note_held(id);
+        }
+    }
+
     /// Handles a report of the entry behind a link.
     pub(super) fn note_dispatched(&mut self, link: SessionId, notice: DispatchNotice) {
         if let Some(owner) = self.directory.peer(link).map(|peer| peer.life) {
-            self.witnessed.note(link, owner, notice);
+            let new = self.witnessed.note(link, owner, notice);
+            self.note_new_holder(owner, new);
         }
     }
 
@@ -44,6 +54,7 @@
     pub(super) fn note_peer_link_down(&mut self, link: SessionId) {
         self.dispatch_reports.witness_lost(link);
         self.witnessed.link_down(self.now, link);
+        self.claims.link_down(link);
     }
 
     /// Handles an agent's announcement, which it makes when the owner has been silent for a while.
--- a/lib/src/batch_event.rs
+++ b/lib/src/batch_event.rs
@@ -62,6 +62,15 @@
     pub caller_request: Arc<str>,
 }
 
+/// What is known of the caller of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CallerWait {
+    /// When it stops waiting, at the latest.
+    pub deadline: Now,
+    /// Until when it can't have given the batch to another entry since it sent the request.
+    pub proven_until: Now,
+}
+
 /// A caller's query about a queue or a batch, or its request to cancel a batch.
 #[derive(Debug, Clone)]
 pub struct BatchQuery {
--- a/lib/src/batch_table.rs
+++ b/lib/src/batch_table.rs
@@ -183,6 +183,7 @@
         batch.due = times.due;
         batch.is_overdue = times.is_overdue;
         batch.caller_deadline = times.caller_deadline;
+        batch.proven_until = times.proven_until;
         batch.latest_on_time_start = times.latest_on_time_start;
         batch.placement_deadline = times.placement_deadline;
         self.by_request.insert(request, id);
--- a/lib/src/deferred_batches.rs
+++ b/lib/src/deferred_batches.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use crate::batch_event::Submission;
+use crate::batch_event::{CallerWait, Submission};
 use crate::ids::{Now, RequestId};
 
 /// Longest time for which a batch is held: well above the usual wait for the first configuration.
@@ -16,8 +16,8 @@
 /// Largest number of held batches. Twice what the busiest entry gets in that time.
 const MAX_HELD: usize = 200;
 
-/// A batch and when its caller stops waiting.
-pub type TimedSubmission = (Submission, Now);
+/// A batch and what is known of its caller.
+pub type TimedSubmission = (Submission, CallerWait);
 
 /// Held batches with the time at which each expires, in order of arrival.
 #[derive(Debug, Default)]
--- a/lib/src/dispatch_reports.rs
+++ b/lib/src/dispatch_reports.rs
@@ -1,4 +1,4 @@
-//! What an entry reports to the witnesses of its batches: where runs of each batch may be.
+//! What an entry reports to the witnesses of its batches: which it holds, and where runs of each may be.
 //!
 //! The witness of a batch is another entry. If this entry is lost while an agent's VM is suspended, no
 //! other process knows of the runs there, and the witness announces them (`witnessed_runs`). Invariant:
@@ -39,6 +39,12 @@
 }
 
 impl DispatchReports {
+    /// Records that a batch is held, of which no task is ordered yet.
+    pub fn note_held(&mut self, batch: BatchId) {
+        self.batches.entry(batch).or_default();
+        self.untold.insert(batch);
+    }
+
     /// Records that tasks of a batch are ordered from an agent.
     pub fn note_order(&mut self, batch: BatchId, agent: &NodeName) {
         let reported = self.batches.entry(batch).or_default();
--- a/lib/src/entry_directory.rs
+++ b/lib/src/entry_directory.rs
@@ -56,6 +56,10 @@
     pub cancelled: Vec<BatchId>,
     /// Messages on batches that are handed over, in order.
     pub hand_overs: Vec<PeerNews>,
+    /// Messages on claims to batches, in order.
+    pub claims: Vec<PeerNews>,
+    /// Whether the entry has introduced itself.
+    pub is_introduced: bool,
 }
 
 impl PeerEffects {
@@ -195,6 +199,16 @@
         self.peers.witness_of(batch)
     }
 
+    /// Same as [`PeerTable::lost_lately`].
+    pub fn lost_peer_lately(&self, now: Now) -> bool {
+        self.peers.lost_lately(now)
+    }
+
+    /// Same as [`PeerTable::claim_witnesses`].
+    pub fn claim_witnesses(&self, batch: BatchId) -> Vec<SessionId> {
+        self.peers.claim_witnesses(batch)
+    }
+
     /// Returns a packet with news for one neighbour, to be sent before all others. It replaces no
     /// heartbeat, as those carry this entry's load.
     pub fn urgent_packet(&self, now: Now, link: SessionId, news: PeerNews) -> Option<EntryAction> {
@@ -320,7 +334,7 @@
     pub fn link_down(&mut self, now: Now, link: SessionId) {
         self.neighbours.link_down(now, link);
         self.config_fetch.forget(link);
-        if let Some(peer) = self.peers.leave(link) {
+        if let Some(peer) = self.peers.leave(now, link) {
             self.log(EventCode::PeerLost, format!("entry={}", peer.name));
         }
     }
@@ -343,6 +357,7 @@
         for news in packet.news {
             match news {
                 PeerNews::Hello(intro) => {
+                    effects.is_introduced = true;
                     effects.entries.extend(self.peer_joined(now, link, &intro));
                 }
                 PeerNews::ConfigVersion(version) => self.note_config(now, link, version),
@@ -388,6 +403,9 @@
                 | PeerNews::HandOverReply(_)
                 | PeerNews::HandOverEnd(_)
                 | PeerNews::HandOverClosed(_) => effects.hand_overs.push(news),
+                PeerNews::Claim(_) | PeerNews::ClaimReply(_) | PeerNews::Superseded(_) => {
+                    effects.claims.push(news);
+                }
             }
         }
         effects
--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -125,6 +125,8 @@
     BatchHeld = 1915, Info, "new batch held, runs of an earlier attempt may be left elsewhere";
     RunsLeftHeardLate = 1916, Warn, "runs of a batch may be left elsewhere, but its tasks were already started here";
     CancelRemembered = 1917, Info, "cancel of a batch that is not held here, remembered and passed on";
+    ClaimRefused = 1918, Info, "another entry may hold a batch, it does not start here";
+    ClaimUnanswered = 1919, Info, "witness of a batch does not answer, the batch starts";
     CrashesKnown = 1920, Warn, "new batch whose earlier runs crashed targets, its tasks begin as suspects";
     TargetReported = 2001, Info, "target reported its state";
     TargetLeaving = 2002, Info, "target says that it leaves";
--- a/lib/src/handover_giver.rs
+++ b/lib/src/handover_giver.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::batch_event::Submission;
+use crate::batch_event::{CallerWait, Submission};
 use crate::ids::{NodeName, Now, RequestId, SessionId};
 use crate::link_uses::LinkUses;
 use crate::queue::Queue;
@@ -39,6 +39,8 @@
     pub objective: Duration,
     /// When the caller stops waiting.
     pub caller_deadline: Now,
+    /// Until when the caller can't have given it to another entry since it sent the request.
+    pub proven_until: Now,
 }
 
 /// A batch that ended before all its runs were known to be over.
@@ -101,6 +103,16 @@
         self.handed.contains_key(&id)
     }
 
+    /// Whether a batch is handed over on this link and not answered.
+    pub fn is_handed_to(&self, id: BatchId, link: SessionId) -> bool {
+        self.handed.get(&id).is_some_and(|batch| batch.link == link)
+    }
+
+    /// Same as [`HandedBatch::proven_until`]; none if the batch is not handed over.
+    pub fn proven_until(&self, id: BatchId) -> Option<Now> {
+        self.handed.get(&id).map(|batch| batch.proven_until)
+    }
+
     /// The service that the queue of a batch had when it was handed over; none if it is not handed
     /// over.
     pub fn service_of(&self, id: BatchId) -> Option<&Arc<str>> {
@@ -117,12 +129,13 @@
         &mut self,
         id: BatchId,
         submission: Submission,
-        caller_deadline: Now,
+        wait: CallerWait,
     ) -> Option<RequestId> {
         let mut batch = self.remove(id)?;
         let before = batch.submission.request;
         // The receiver knows only the first deadline.
-        batch.caller_deadline = batch.caller_deadline.min(caller_deadline);
+        batch.caller_deadline = batch.caller_deadline.min(wait.deadline);
+        batch.proven_until = wait.proven_until;
         batch.submission = submission;
         self.insert(batch);
         Some(before)
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -102,6 +102,7 @@
 pub mod node_links;
 pub mod node_metrics;
 pub mod outbox;
+pub mod own_claims;
 pub mod payload;
 pub mod payload_cache;
 pub mod peer_table;
--- a/lib/src/peer_table.rs
+++ b/lib/src/peer_table.rs
@@ -11,7 +11,7 @@
 use crate::queue::ConfigVersion;
 use crate::run::BatchId;
 use crate::run_message::{
-    CANCEL_NOTICE_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice,
+    CANCEL_NOTICE_PROTOCOL, CLAIM_PROTOCOL, CRASH_NOTICE_PROTOCOL, CancelNotice, CrashNotice,
     DISPATCH_NOTICE_PROTOCOL, EntryMillis, NoticeNumber, PeerIntro, PeerNews, ProtocolVersion,
     RUNS_NOTICE_PROTOCOL, RunsNotice,
 };
@@ -37,6 +37,12 @@
 const REPORTED_CHANGE_PERCENT: u16 = 15;
 /// Shortest interval between two such packets.
 const REPORT_INTERVAL: Duration = Duration::from_millis(100);
+/// How long after the loss of a link to an entry a new one may be expected. Longer than machines are
+/// cut off or suspended.
+const RETURN_WINDOW: Duration = Duration::from_secs(10);
+/// Number of witnesses that are asked about a batch. With two, an entry whose own witness is not linked
+/// here, or that is its batch's first witness itself, is found as well.
+const CLAIM_WITNESSES: usize = 2;
 /// Odd factor that spreads the bits of a number (Fibonacci hashing).
 const RANK_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 
@@ -180,6 +186,11 @@
     }
 }
 
+/// Rank of an entry as a witness of a batch; the highest comes first.
+fn witness_rank(batch: BatchId, life: Incarnation) -> u64 {
+    (batch ^ life).wrapping_mul(RANK_FACTOR) >> 32
+}
+
 /// Whether the end of `later` is also the end of `notice`.
 fn is_covered(notice: RunsNotice, later: RunsNotice) -> bool {
     let key = |n: RunsNotice| (n.batch, n.holder, n.owner);
@@ -191,6 +202,8 @@
 pub struct PeerTable {
     links: BTreeMap<SessionId, Peer>,
     known: BTreeSet<SocketAddr>,
+    /// When the last link was lost.
+    last_lost: Option<Now>,
 }
 
 impl PeerTable {
@@ -240,8 +253,15 @@
     }
 
     /// Removes a closed link and returns its entry.
-    pub fn leave(&mut self, link: SessionId) -> Option<Peer> {
-        self.links.remove(&link)
+    pub fn leave(&mut self, now: Now, link: SessionId) -> Option<Peer> {
+        let peer = self.links.remove(&link)?;
+        self.last_lost = Some(now);
+        Some(peer)
+    }
+
+    /// Whether the link to an entry was lost a short time ago, so that it may be back soon.
+    pub fn lost_lately(&self, now: Now) -> bool {
+        self.last_lost.is_some_and(|at| at + RETURN_WINDOW > now)
     }
 
     /// The entry behind a link.
@@ -268,11 +288,22 @@
     pub fn witness_of(&self, batch: BatchId) -> Option<SessionId> {
         let links = self.links.iter();
         let able = links.filter(|(_, p)| p.protocol >= DISPATCH_NOTICE_PROTOCOL);
-        let rank = |life: Incarnation| (batch ^ life).wrapping_mul(RANK_FACTOR) >> 32;
-        let chosen = able.max_by_key(|(_, p)| rank(p.life));
+        let chosen = able.max_by_key(|(_, p)| witness_rank(batch, p.life));
         chosen.map(|(link, _)| *link)
     }
 
+    /// Links to the witnesses that a claim to a batch is sent to, the first one first: the witness of this
+    /// entry's reports, and the one that takes its place where this one is not linked.
+    pub fn claim_witnesses(&self, batch: BatchId) -> Vec<SessionId> {
+        let mut able: Vec<(&SessionId, &Peer)> = self.links.iter().collect();
+        able.retain(|(_, p)| p.protocol >= CLAIM_PROTOCOL);
+        able.sort_by_key(|(_, p)| std::cmp::Reverse(witness_rank(batch, p.life)));
+        // Two entries may have two links.
+        able.dedup_by_key(|(_, p)| p.life);
+        let first = able.into_iter().take(CLAIM_WITNESSES);
+        first.map(|(link, _)| *link).collect()
+    }
+
     /// Number of linked entries; one with two links counts once.
     pub fn linked(&self) -> usize {
         let names: BTreeSet<&NodeName> = self.links.values().map(|p| &p.name).collect();
--- a/lib/src/run_message.rs
+++ b/lib/src/run_message.rs
@@ -32,7 +32,7 @@
 pub type ProtocolVersion = u32;
 
 /// Version of the messages of this build. Builds that announce none count as version 0.
-pub const PROTOCOL_VERSION: ProtocolVersion = 4;
+pub const PROTOCOL_VERSION: ProtocolVersion = 5;
 
 fn is_default<T: Default + PartialEq>(value: &T) -> bool {
     *value == T::default()
@@ -441,8 +441,47 @@
     /// A caller has cancelled a batch: it is closed, and starts nowhere. Sent only to processes of
     /// protocol 3 and later.
     Cancelled(CancelNotice),
-    /// The sender is about to order tasks. Sent only to processes of protocol 4 and later.
+    /// The sender holds batches, or is about to order tasks of them. Sent only to processes of protocol 4
+    /// and later.
     Dispatched(DispatchNotice),
+    /// Asks for batches whose callers may be at another entry by now. This and the following are sent only
+    /// to processes of protocol 5 and later.
+    Claim(ClaimNotice),
+    /// The answer to [`PeerNews::Claim`].
+    ClaimReply(ClaimReply),
+    /// The caller of this batch has come to another entry since it came to the receiver.
+    Superseded(BatchId),
+}
+
+/// Lowest protocol version of entries that understand [`ClaimNotice`].
+pub const CLAIM_PROTOCOL: ProtocolVersion = 5;
+
+/// Number of a claim notice, rising within one incarnation of the entry that sends it.
+pub type ClaimNumber = u64;
+
+/// Asks a witness whether another entry may hold batches. The sender starts none of them before the answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimNotice {
+    /// Number of the notice.
+    #[serde(rename = "n")]
+    pub number: ClaimNumber,
+    /// Batches of which the receiver is the first witness. It grants one to no other entry for a while.
+    #[serde(rename = "c", default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<BatchId>,
+    /// Batches of which another entry is the first witness.
+    #[serde(rename = "k", default, skip_serializing_if = "Vec::is_empty")]
+    pub checks: Vec<BatchId>,
+}
+
+/// A witness's answer to a [`ClaimNotice`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimReply {
+    /// Number of the notice.
+    #[serde(rename = "n")]
+    pub number: ClaimNumber,
+    /// Batches that another entry may hold. The witness knows of no other holder of the rest.
+    #[serde(rename = "h", default, skip_serializing_if = "Vec::is_empty")]
+    pub held: Vec<BatchId>,
 }
 
 /// Lowest protocol version that has [`DispatchNotice`] and [`AgentNews::RunsListed`].
@@ -451,7 +490,7 @@
 /// Tells an entry, the witness, which agents may have runs of the sender's batches.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DispatchNotice {
-    /// Batches of which tasks are about to be ordered.
+    /// Batches that are held, or of which tasks are about to be ordered.
     #[serde(rename = "b", default, skip_serializing_if = "Vec::is_empty")]
     pub batches: Vec<DispatchedBatch>,
     /// Batches of earlier notices that have ended. No run of them is left.
@@ -512,6 +551,10 @@
     /// giver knows.
     #[serde(rename = "a")]
     pub age_ms: u32,
+    /// For how long from the offer no other entry can have been given the batch by its caller, in
+    /// milliseconds.
+    #[serde(rename = "x", default, skip_serializing_if = "is_default")]
+    pub proven_ms: u32,
     /// The caller's id of its request, for the log.
     #[serde(rename = "r")]
     pub request: Arc<str>,
@@ -582,6 +625,10 @@
                 let ids = notice.batches.len() + notice.ended.len();
                 name_bytes + (ids + 1) * size_of::<BatchId>()
             }
+            Self::Claim(notice) => {
+                (notice.claims.len() + notice.checks.len() + 1) * size_of::<BatchId>()
+            }
+            Self::ClaimReply(reply) => (reply.held.len() + 1) * size_of::<BatchId>(),
             _ => SMALL_ITEM_BYTES,
         }
     }
--- a/lib/src/witnessed_runs.rs
+++ b/lib/src/witnessed_runs.rs
@@ -3,8 +3,11 @@
 //! If the owner is lost, its callers return to other entries. By then the agents that are awake have
 //! stopped its runs or announced them. An agent whose VM is suspended can do neither, and its target's
 //! lease does not lapse meanwhile. The witness announces the runs in its place, until the agent is back.
+//!
+//! An entry whose caller may be at another entry by now asks the witnesses of the batch before it starts
+//! it: a claim. So an entry also reports the batches that it holds without having ordered their tasks.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
 use crate::ids::{Incarnation, NodeName, Now, SessionId};
@@ -57,6 +60,21 @@
     reports: Reports,
 }
 
+/// Batches that an entry held when its link was lost.
+#[derive(Debug)]
+struct DepartedOwner {
+    since: Now,
+    owner: Incarnation,
+    batches: BTreeSet<BatchId>,
+}
+
+/// An entry's claim to a batch.
+#[derive(Debug, Clone, Copy)]
+struct Claim {
+    until: Now,
+    is_granted: bool,
+}
+
 /// Reports of other entries, and the announcements that followed from them.
 #[derive(Debug, Default)]
 pub struct WitnessedRuns {
@@ -65,11 +83,22 @@
     /// Linked entries that agents suspect to be lost, and since when.
     suspected: BTreeMap<Incarnation, Now>,
     holds: Vec<Hold>,
+    /// Their batches may still be run, until `max_age` has passed since.
+    departed: VecDeque<DepartedOwner>,
+    claims: BTreeMap<(BatchId, Incarnation), Claim>,
+    /// When claims expire, in order. A claim that was renewed stands here more than once.
+    claim_ends: VecDeque<(Now, BatchId, Incarnation)>,
 }
 
 impl WitnessedRuns {
-    /// Records the report of an entry.
-    pub fn note(&mut self, link: SessionId, owner: Incarnation, notice: DispatchNotice) {
+    /// Records the report of an entry. Returns the batches that were not known to be held by it.
+    pub fn note(
+        &mut self,
+        link: SessionId,
+        owner: Incarnation,
+        notice: DispatchNotice,
+    ) -> Vec<BatchId> {
+        let mut new = Vec::new();
         let reports = self.by_link.entry(link).or_insert(Reports {
             owner,
             agents: BTreeMap::new(),
@@ -79,15 +108,76 @@
             if is_known || reports.agents.len() < MAX_BATCHES_PER_LINK {
                 reports.agents.entry(batch).or_default().extend(agents);
             }
+            if !is_known {
+                new.push(batch);
+            }
         }
         for batch in notice.ended {
             reports.agents.remove(&batch);
         }
+        new
+    }
+
+    /// Whether an entry other than `owner` has reported a batch, or had when it was lost.
+    pub fn is_held_by_another(&self, batch: BatchId, owner: Incarnation) -> bool {
+        let mut reports = self.by_link.values();
+        let mut departed = self.departed.iter();
+        reports.any(|r| r.owner != owner && r.agents.contains_key(&batch))
+            || departed.any(|d| d.owner != owner && d.batches.contains(&batch))
+    }
+
+    /// Links to the entries other than `owner` that have reported a batch.
+    pub fn other_holders(&self, batch: BatchId, owner: Incarnation) -> Vec<SessionId> {
+        let reports = self.by_link.iter();
+        let others = reports.filter(|(_, r)| r.owner != owner && r.agents.contains_key(&batch));
+        others.map(|(link, _)| *link).collect()
+    }
+
+    /// Records an entry's claim to a batch until `until`.
+    pub fn note_claim(&mut self, batch: BatchId, owner: Incarnation, until: Now, is_granted: bool) {
+        let claim = Claim { until, is_granted };
+        self.claims.insert((batch, owner), claim);
+        self.claim_ends.push_back((until, batch, owner));
+    }
+
+    /// Whether an entry has claimed a batch lately, with or without success.
+    pub fn has_claimed(&self, batch: BatchId, owner: Incarnation) -> bool {
+        self.claims.contains_key(&(batch, owner))
+    }
+
+    /// Whether an entry other than `owner` was granted its claim to a batch.
+    pub fn is_granted_to_another(&self, batch: BatchId, owner: Incarnation) -> bool {
+        let (first, last) = (Incarnation::MIN, Incarnation::MAX);
+        let mut claims = self.claims.range((batch, first)..=(batch, last));
+        claims.any(|((_, by), claim)| *by != owner && claim.is_granted)
+    }
+
+    /// Forgets claims that have expired, and batches of entries that were lost before `lost_before`.
+    pub fn forget_expired(&mut self, now: Now, lost_before: Now) {
+        while let Some((until, batch, owner)) = self.claim_ends.front().copied() {
+            if until > now {
+                break;
+            }
+            self.claim_ends.pop_front();
+            let claim = self.claims.get(&(batch, owner));
+            if claim.is_some_and(|claim| claim.until <= now) {
+                self.claims.remove(&(batch, owner));
+            }
+        }
+        let is_old = |d: &DepartedOwner| d.since < lost_before;
+        while self.departed.front().is_some_and(is_old) {
+            self.departed.pop_front();
+        }
     }
 
     /// Records that a link is gone. The batches that were reported on it are to be checked.
     pub fn link_down(&mut self, now: Now, link: SessionId) {
         if let Some(reports) = self.by_link.remove(&link) {
+            self.departed.push_back(DepartedOwner {
+                since: now,
+                owner: reports.owner,
+                batches: reports.agents.keys().copied().collect(),
+            });
             self.lost.push(LostOwner {
                 lost_at: now,
                 reports,
--- a/lib/tests/test_batch_entry.rs
+++ b/lib/tests/test_batch_entry.rs
@@ -629,6 +629,7 @@
         is_overdue: false,
         caller_deadline: ms(2_000),
         latest_on_time_start: ms(50),
+        proven_until: ms(1_000),
         placement_deadline: ms(50),
     };
     let queue = table.queues[0].clone();
--- a/lib/tests/test_entry_witness.rs
+++ b/lib/tests/test_entry_witness.rs
@@ -6,14 +6,14 @@
 
 use trestleknot_lib::batch::{BatchSpec, StepSpec};
 use trestleknot_lib::batch_entry::BatchEntryCore;
-use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Submission};
-use trestleknot_lib::ids::{Incarnation, Now, SessionId};
+use trestleknot_lib::batch_event::{EntryAction, EntryEvent, EntryOptions, Reply, Submission};
+use trestleknot_lib::ids::{Incarnation, Now, RequestId, SessionId};
 use trestleknot_lib::queue::{Queue, QueueTable, RequestLimits};
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::{BatchId, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, DispatchNotice, DispatchedBatch, Order, Packet, PeerIntro,
-    PeerNews, PeerPacket, RunsNotice, TargetInfo,
+    AgentIntro, AgentNews, AgentPacket, ClaimNotice, ClaimReply, DispatchNotice, DispatchedBatch,
+    Order, Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice, TargetInfo,
 };
 use trestleknot_lib::target_health::HealthReport;
 use trestleknot_lib::target_incarnation::TargetIncarnation;
@@ -45,6 +45,9 @@
     /// Agents that send packets while time passes.
     heard: Vec<SessionId>,
     sent: Vec<(SessionId, Packet)>,
+    replies: Vec<(RequestId, Reply)>,
+    /// Estimate of submitted tasks.
+    estimate: Duration,
 }
 
 impl Fixture {
@@ -67,6 +70,8 @@
             now: ms(1),
             heard: Vec::new(),
             sent: Vec::new(),
+            replies: Vec::new(),
+            estimate: ms(60),
         };
         let queue = Queue {
             name: "queue".into(),
@@ -95,8 +100,10 @@
 
     fn handle(&mut self, event: EntryEvent) {
         for action in self.entry.handle(self.now, event) {
-            if let EntryAction::Send(link, packet) = action {
-                self.sent.push((link, packet));
+            match action {
+                EntryAction::Send(link, packet) => self.sent.push((link, packet)),
+                EntryAction::Reply(request, reply) => self.replies.push((request, reply)),
+                _ => {}
             }
         }
     }
@@ -164,17 +171,21 @@
     }
 
     fn submit(&mut self) {
+        self.submit_request(7, Some(Duration::ZERO));
+    }
+
+    fn submit_request(&mut self, request: RequestId, max_age: Option<Duration>) {
         let step = StepSpec {
             count: 1,
             size: Resources::NONE,
-            estimate: ms(60),
+            estimate: self.estimate,
             after: Vec::new(),
             required_label: None,
             preferred_rack: None,
             most_per_target: None,
         };
         self.handle(EntryEvent::Submit(Submission {
-            request: 7,
+            request,
             host: HOST.to_owned(),
             path: "/q/0000000000000005".to_owned(),
             spec: BatchSpec {
@@ -184,7 +195,7 @@
                 unsupported: None,
             },
             caller_timeout: ms(60_000),
-            max_age: Some(Duration::ZERO),
+            max_age,
             caller_request: "".into(),
         }));
     }
@@ -223,6 +234,54 @@
         })
     }
 
+    /// The claim notices that were sent, and to whom.
+    fn claims(&self) -> Vec<(SessionId, ClaimNotice)> {
+        let news = self.news_to_entries();
+        let claims = news.filter_map(|(link, news)| match news {
+            PeerNews::Claim(notice) => Some((link, notice.clone())),
+            _ => None,
+        });
+        claims.collect()
+    }
+
+    /// The answers to claims that were sent, and to whom.
+    fn claim_replies(&self) -> Vec<(SessionId, Vec<BatchId>)> {
+        let news = self.news_to_entries();
+        let replies = news.filter_map(|(link, news)| match news {
+            PeerNews::ClaimReply(reply) => Some((link, reply.held.clone())),
+            _ => None,
+        });
+        replies.collect()
+    }
+
+    /// Answers the last claim notice to each entry.
+    fn answer_claims(&mut self, held: &[BatchId]) {
+        let claims = self.claims();
+        for (link, notice) in &claims[claims.len() - 2..] {
+            let reply = ClaimReply {
+                number: notice.number,
+                held: held.to_vec(),
+            };
+            self.peer_news(*link, vec![PeerNews::ClaimReply(reply)]);
+        }
+    }
+
+    fn claim_from(&mut self, link: SessionId) {
+        let notice = ClaimNotice {
+            number: 1,
+            claims: vec![BATCH],
+            checks: Vec::new(),
+        };
+        self.peer_news(link, vec![PeerNews::Claim(notice)]);
+    }
+
+    /// Links on which it was told that the caller is at another entry.
+    fn told_superseded(&self) -> Vec<SessionId> {
+        let news = self.news_to_entries();
+        let told = news.filter(|(_, news)| **news == PeerNews::Superseded(BATCH));
+        told.map(|(link, _)| link).collect()
+    }
+
     /// Notices to the other entry that runs of the lost one are left, and that they are over.
     fn notices(&self) -> (usize, usize) {
         let is_meant = |n: &RunsNotice| (n.batch, n.holder, n.owner) == (BATCH, 1, OWNER_LIFE);
@@ -451,3 +510,197 @@
     fixture.submit();
     assert_eq!(fixture.starts().len(), 1);
 }
+
+/// Lowest protocol version with claims.
+const CLAIMS: u32 = 5;
+/// Longer than callers take to come to another entry.
+const OLD: Option<Duration> = Some(ms(1_300));
+
+// Guards against a task that runs twice at once: the request was held up, and its caller has come to
+// another entry.
+#[test]
+fn test_handle_old_request_starts_once_its_witnesses_have_answered() {
+    for max_age in [OLD, None] {
+        let mut fixture = Fixture::new(CLAIMS);
+        fixture.submit_request(7, max_age);
+        assert_eq!(fixture.claims().len(), 2, "{max_age:?}");
+        assert!(fixture.starts().is_empty(), "{max_age:?}");
+        fixture.answer_claims(&[]);
+        assert_eq!(fixture.starts().len(), 1, "{max_age:?}");
+    }
+}
+
+#[test]
+fn test_handle_recent_request_asks_no_witness() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, Some(ms(1_299)));
+    assert!(fixture.claims().is_empty());
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+#[test]
+fn test_handle_old_request_of_a_batch_that_is_held_waits() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.estimate = ms(2_000);
+    fixture.submit_request(7, OLD);
+    fixture.answer_claims(&[BATCH]);
+    assert!(fixture.starts().is_empty());
+    // Its witnesses are asked again.
+    fixture.pass(ms(100));
+    assert_eq!(fixture.claims().len(), 4);
+    fixture.answer_claims(&[]);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+#[test]
+fn test_handle_answer_to_an_earlier_claim_grants_nothing() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, OLD);
+    let (link, notice) = fixture.claims().remove(0);
+    fixture.answer_claims(&[BATCH]);
+    fixture.pass(ms(100));
+    for link in [link, OWNER, OTHER] {
+        let reply = ClaimReply {
+            number: notice.number,
+            held: Vec::new(),
+        };
+        fixture.peer_news(link, vec![PeerNews::ClaimReply(reply)]);
+    }
+    assert!(fixture.starts().is_empty());
+}
+
+// Guards against a caller that waits for an entry which is lost.
+#[test]
+fn test_handle_old_request_starts_if_its_witnesses_do_not_answer() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, OLD);
+    fixture.pass(ms(120));
+    assert!(fixture.starts().is_empty());
+    fixture.pass(ms(20));
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+#[test]
+fn test_handle_entries_of_an_older_protocol_are_not_asked() {
+    let mut fixture = Fixture::new(REPORTS);
+    fixture.submit_request(7, OLD);
+    assert!(fixture.claims().is_empty());
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+// Guards against a further start for a caller that may have left long ago.
+#[test]
+fn test_handle_further_attempt_of_an_old_request_is_claimed() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit();
+    let (_, agent) = fixture.starts()[0];
+    fixture.pass(ms(1_300));
+    let key = RunKey {
+        task: TaskKey {
+            batch: BATCH,
+            time: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+    };
+    fixture.hear(agent, vec![failed(key)]);
+    assert_eq!(fixture.claims().len(), 2);
+    assert_eq!(fixture.starts().len(), 1);
+    fixture.answer_claims(&[]);
+    assert_eq!(fixture.starts().len(), 2);
+}
+
+#[test]
+fn test_handle_claim_to_a_reported_batch_is_refused() {
+    let mut fixture = Fixture::new(CLAIMS);
+    let news = PeerNews::Dispatched(orders_at(&[]));
+    fixture.peer_news(OWNER, vec![news]);
+    fixture.claim_from(OTHER);
+    assert_eq!(fixture.claim_replies(), [(OTHER, vec![BATCH])]);
+    // Its owner may claim it, and the other one once it has ended.
+    fixture.claim_from(OWNER);
+    let ended = DispatchNotice {
+        batches: Vec::new(),
+        ended: vec![BATCH],
+    };
+    fixture.peer_news(OWNER, vec![PeerNews::Dispatched(ended)]);
+    fixture.pass(ms(1_400));
+    fixture.claim_from(OTHER);
+    assert_eq!(fixture.claim_replies()[1], (OWNER, Vec::new()));
+    assert_eq!(fixture.claim_replies()[2], (OTHER, Vec::new()));
+}
+
+#[test]
+fn test_handle_claim_to_a_batch_of_a_lost_entry_is_refused() {
+    let mut fixture = Fixture::new(CLAIMS);
+    let news = PeerNews::Dispatched(orders_at(&[AWAKE]));
+    fixture.peer_news(OWNER, vec![news]);
+    fixture.handle(EntryEvent::LinkDown(OWNER));
+    fixture.claim_from(OTHER);
+    assert_eq!(fixture.claim_replies(), [(OTHER, vec![BATCH])]);
+}
+
+// Guards against two entries that start a batch at once, and against two that wait for each other.
+#[test]
+fn test_handle_claims_of_two_entries_one_is_granted() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.claim_from(OWNER);
+    fixture.claim_from(OTHER);
+    let replies = [(OWNER, Vec::new()), (OTHER, vec![BATCH])];
+    assert_eq!(fixture.claim_replies(), replies);
+    // A claim that leads to nothing expires.
+    fixture.pass(ms(1_400));
+    fixture.claim_from(OTHER);
+    assert_eq!(fixture.claim_replies()[2], (OTHER, Vec::new()));
+}
+
+#[test]
+fn test_handle_claims_that_cross_one_gives_way() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, OLD);
+    // The other entry has a higher incarnation.
+    fixture.claim_from(OWNER);
+    assert_eq!(fixture.claim_replies(), [(OWNER, vec![BATCH])]);
+    fixture.answer_claims(&[]);
+    assert_eq!(fixture.starts().len(), 1);
+}
+
+// Guards against an entry that goes on for a caller who has come to another one.
+#[test]
+fn test_handle_report_of_a_recent_request_supersedes_older_ones() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, OLD);
+    fixture.answer_claims(&[]);
+    let news = PeerNews::Dispatched(orders_at(&[AWAKE]));
+    fixture.peer_news(OWNER, vec![news.clone()]);
+    assert_eq!(fixture.replies, [(7, Reply::GaveUp)]);
+    fixture.peer_news(OTHER, vec![news]);
+    assert_eq!(fixture.told_superseded(), [OWNER]);
+}
+
+#[test]
+fn test_handle_superseded_batch_of_a_recent_request_goes_on() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit();
+    fixture.peer_news(OTHER, vec![PeerNews::Superseded(BATCH)]);
+    assert!(fixture.replies.is_empty());
+}
+
+#[test]
+fn test_handle_report_after_a_claim_supersedes_nothing() {
+    let mut fixture = Fixture::new(CLAIMS);
+    let news = PeerNews::Dispatched(orders_at(&[AWAKE]));
+    fixture.peer_news(OTHER, vec![news.clone()]);
+    fixture.claim_from(OWNER);
+    fixture.peer_news(OWNER, vec![news]);
+    assert!(fixture.told_superseded().is_empty());
+}
+
+fn failed(key: RunKey) -> AgentNews {
+    AgentNews::Ended {
+        key,
+        end: RunEnd::Failed,
+        ran_ms: 10,
+    }
+}
--- a/lib/tests/test_outward_names.rs
+++ b/lib/tests/test_outward_names.rs
@@ -68,10 +68,10 @@
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_event::{AgentOptions, RenewalAnswer, StartAnswer, StartCall};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, CancelNotice, ClosingBatch, CrashNotice, DispatchNotice,
-    DispatchedBatch, EntryPacket, HandOver, HandOverDecline, HandOverOutcome, HandOverReply, Order,
-    Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice, StartOrder, TargetInfo,
-    Welcome as RunWelcome,
+    AgentIntro, AgentNews, AgentPacket, CancelNotice, ClaimNotice, ClaimReply, ClosingBatch,
+    CrashNotice, DispatchNotice, DispatchedBatch, EntryPacket, HandOver, HandOverDecline,
+    HandOverOutcome, HandOverReply, Order, Packet, PeerIntro, PeerNews, PeerPacket, RunsNotice,
+    StartOrder, TargetInfo, Welcome as RunWelcome,
 };
 use trestleknot_lib::settings::{self, AgentSettings, Checked, EntrySettings};
 use trestleknot_lib::status::{EntryStatus, TargetState, TargetStatus};
@@ -745,6 +745,7 @@
         payload: packed(),
         timeout_ms: 1_500,
         age_ms: 20,
+        proven_ms: 0,
         request: "request-1".into(),
         start_by: 7_300,
     };
@@ -908,6 +909,45 @@
     }
 }
 
+/// Packets of protocol version 5.
+fn claim_packets() -> Vec<Packet> {
+    let notice = ClaimNotice {
+        number: 7,
+        claims: vec![0xaa01],
+        checks: vec![0xaa02, 0xaa03],
+    };
+    let reply = ClaimReply {
+        number: 7,
+        held: vec![0xaa02],
+    };
+    let mut news = hand_over_news();
+    let Some(PeerNews::HandOver(offer)) = news.first_mut() else {
+        panic!("an offer comes first");
+    };
+    offer.proven_ms = 1_250;
+    let offer = news.swap_remove(0);
+    let news = [
+        PeerNews::Claim(notice),
+        PeerNews::ClaimReply(reply),
+        PeerNews::Superseded(0xaa01),
+        offer,
+    ];
+    news.map(peer_packet).to_vec()
+}
+
+#[test]
+fn test_encode_value_claims() {
+    let packets = claim_packets();
+    let encoded: Vec<Encoded> = packets
+        .iter()
+        .map(|p| encoded("claim", p.kind(), p))
+        .collect();
+    insta::assert_snapshot!(page(&encoded));
+    for one in &encoded {
+        assert_eq!(again::<Packet>(&one.bytes), one.bytes);
+    }
+}
+
 fn again<T: Serialize + DeserializeOwned>(bytes: &[u8]) -> Vec<u8> {
     let value: T = codec::decode_value(bytes).expect("kept bytes can be read");
     codec::encode_value(&value)
--- a/lib/tests/test_run_fleet.rs
+++ b/lib/tests/test_run_fleet.rs
@@ -199,6 +199,9 @@
         FleetFault::Freeze(n, t) => FleetFault::Freeze(pick(n), t),
         FleetFault::Cut(n, t) => FleetFault::Cut(pick(n), t),
         FleetFault::CutBetween(a, b, t) => FleetFault::CutBetween(pick(a), pick(b), t),
+        FleetFault::CutCallers(_, t, close_delay) => {
+            FleetFault::CutCallers(rng.random_range(0..ENTRIES), t, close_delay)
+        }
         FleetFault::CutOneWay(a, b, t) => FleetFault::CutOneWay(pick(a), pick(b), t),
         FleetFault::Lossy(n, percent, t) => FleetFault::Lossy(pick(n), percent, t),
         FleetFault::SilenceBetween(a, b, s) => FleetFault::SilenceBetween(pick(a), pick(b), s),
--- a/lib/testutils/src/run_fleet.rs
+++ b/lib/testutils/src/run_fleet.rs
@@ -3,6 +3,7 @@
 //! One event queue drives the production cores, so a seed determines the whole run. Faults are
 //! injected at given times; [`invariants`] checks what callers and targets observed.
 
+mod caller_path;
 mod callers;
 mod entry_traffic;
 mod fault;
@@ -46,6 +47,7 @@
 use trestleknot_lib::timings::{PlatformBounds, Timings};
 
 use crate::run_target::{RunTarget, SERVICE};
+use caller_path::CallerPath;
 use entry_traffic::EntryTraffic;
 use links::Links;
 use operators::Operators;
@@ -97,8 +99,8 @@
     Submit(BatchId),
     /// A caller's connection breaks.
     Disconnect(BatchId),
-    /// A caller's request reached an entry.
-    RequestArrived(usize, u64, Submission),
+    /// A caller's request, sent at this time, reached an entry.
+    RequestArrived(usize, u64, Now, Submission),
     /// An entry's reply reached the caller.
     ReplyArrived(usize, RequestId, Reply),
     /// A caller has waited for the reply to a request as long as it does.
@@ -152,6 +154,8 @@
     agents: Vec<Process<RunAgentCore>>,
     processors: Vec<Processor>,
     links: Links,
+    /// The network between each entry and its callers.
+    caller_paths: Vec<CallerPath>,
     targets: Vec<targets::SimulatedTarget>,
     /// Callers by batch.
     pub callers: BTreeMap<BatchId, Caller>,
@@ -209,6 +213,7 @@
                 .map(|_| Processor::default())
                 .collect(),
             links: Links::default(),
+            caller_paths: vec![CallerPath::default(); fleet_config.entries],
             targets: Vec::new(),
             callers: BTreeMap::new(),
             by_request: BTreeMap::new(),
@@ -463,8 +468,8 @@
             }
             Event::Submit(id) => self.submit(id),
             Event::Disconnect(id) => self.disconnect_caller(id),
-            Event::RequestArrived(entry, incarnation, submission) => {
-                self.request_arrived(entry, incarnation, submission)
+            Event::RequestArrived(entry, incarnation, sent, submission) => {
+                self.request_arrived(entry, incarnation, sent, submission)
             }
             Event::ReplyArrived(entry, request, reply) => self.reply_arrived(entry, request, reply),
             Event::ReplyTimedOut(id, request) => self.reply_timed_out(id, request),
--- a/lib/testutils/src/run_fleet/callers.rs
+++ b/lib/testutils/src/run_fleet/callers.rs
@@ -45,6 +45,8 @@
     pub max_requests: usize,
     /// Longest time that it waits for the reply to one request.
     pub reply_timeout: Duration,
+    /// How long its connection was idle before its first request; the later ones come on new connections.
+    pub idle: Duration,
     /// Whether it ends its requests itself after `reply_timeout`, which its entry does not notice.
     pub leaves_unnoticed: bool,
     /// Replies received, by request.
@@ -82,6 +84,7 @@
             entry: None,
             max_requests: 3,
             reply_timeout: REPLY_TIMEOUT,
+            idle: Duration::ZERO,
             leaves_unnoticed: false,
             replies: Vec::new(),
             requests: Vec::new(),
@@ -144,6 +147,12 @@
         let entry = preferred.unwrap_or_else(|| alive[self.rng.random_range(0..alive.len())]);
         caller.open_request = Some((entry, self.entries[entry].incarnation, request));
         let leaves_unnoticed = caller.leaves_unnoticed;
+        let is_first = caller.requests.len() == 1;
+        let idle = if is_first {
+            caller.idle
+        } else {
+            Duration::ZERO
+        };
         // Most estimates are within 40% of the work; every 16th is far too low.
         let ratio = match caller.guess {
             Some(ratio) => ratio,
@@ -174,14 +183,20 @@
             path: format!("{}{id:016x}", queue.path_prefix),
             spec,
             caller_timeout: time_left,
-            max_age: Some(Duration::ZERO),
+            max_age: Some(idle),
             caller_request: "".into(),
         };
+        if let Some(arrival) = self.caller_paths[entry].hold_up(self.now, request) {
+            self.schedule_after(time_left, Event::ReplyTimedOut(id, request));
+            let incarnation = self.entries[entry].incarnation;
+            let event = Event::RequestArrived(entry, incarnation, self.now, submission);
+            return self.schedule_at(arrival, event);
+        }
         if leaves_unnoticed {
             self.schedule_after(time_left, Event::ReplyTimedOut(id, request));
             // The system accepts the connection to a stalled entry.
             let incarnation = self.entries[entry].incarnation;
-            let event = Event::RequestArrived(entry, incarnation, submission);
+            let event = Event::RequestArrived(entry, incarnation, self.now, submission);
             return self.schedule_after(Duration::ZERO, event);
         }
         if self.stalled_until(Node::Entry(entry)) > self.now {
@@ -196,12 +211,15 @@
         let Some(caller) = self.callers.get_mut(&id) else {
             return;
         };
-        if caller
-            .open_request
-            .take_if(|(_, _, r)| *r == request)
-            .is_some()
-            && caller.requests.len() < caller.max_requests
-        {
+        let open_request = caller.open_request.take_if(|(_, _, r)| *r == request);
+        let Some((entry, incarnation, _)) = open_request else {
+            return;
+        };
+        let may_return = caller.requests.len() < caller.max_requests;
+        if let Some(at) = self.caller_paths[entry].close_arrival(self.now, request) {
+            self.schedule_at(at, Event::CallerGone(entry, incarnation, request));
+        }
+        if may_return {
             self.schedule_after(self.timings.caller_retry_interval, Event::Submit(id));
         }
     }
--- a/lib/testutils/src/run_fleet/entry_traffic.rs
+++ b/lib/testutils/src/run_fleet/entry_traffic.rs
@@ -93,7 +93,7 @@
         let incarnation = self.entries[entry].incarnation;
         let bytes = submission.spec.payload.len() + REQUEST_OVERHEAD_BYTES;
         if self.traffic.bytes_per_second.is_none() {
-            let event = Event::RequestArrived(entry, incarnation, submission);
+            let event = Event::RequestArrived(entry, incarnation, self.now, submission);
             if let Some(event) = self.queue_at_processor(entry, event) {
                 self.handle_event(event);
             }
@@ -101,7 +101,8 @@
         }
         self.traffic.count("request", bytes);
         let at = self.traffic.transmit(self.now, entry, Direction::In, bytes);
-        self.schedule_at(at, Event::RequestArrived(entry, incarnation, submission));
+        let event = Event::RequestArrived(entry, incarnation, self.now, submission);
+        self.schedule_at(at, event);
     }
 
     /// Delivers a request, unless that incarnation of the entry has ended.
@@ -109,8 +110,11 @@
         &mut self,
         entry: usize,
         incarnation: u64,
-        submission: Submission,
+        sent: Now,
+        mut submission: Submission,
     ) {
+        let took = self.now.saturating_sub(sent);
+        submission.max_age = submission.max_age.map(|age| age + took);
         if self.entries[entry].incarnation == incarnation {
             self.tell_entry(entry, EntryEvent::Submit(submission));
         }
--- a/lib/testutils/src/run_fleet/fault.rs
+++ b/lib/testutils/src/run_fleet/fault.rs
@@ -33,6 +33,9 @@
     Cut(Node, Duration),
     /// Two processes are partitioned from each other.
     CutBetween(Node, Node, Duration),
+    /// An entry is partitioned from its callers for the first duration. Bytes that are sent meanwhile arrive
+    /// at the next retransmission, and a close arrives later than the bytes before it by the second.
+    CutCallers(usize, Duration, Duration),
     /// Packets from one process to another wait, and new connections fail; the other way works.
     CutOneWay(Node, Node, Duration),
     /// This percentage of a process's packets arrives only after a retransmission.
--- a/lib/testutils/src/run_fleet/fault_injection.rs
+++ b/lib/testutils/src/run_fleet/fault_injection.rs
@@ -37,6 +37,9 @@
             }
             FleetFault::Cut(node, length) => self.cut(node, length),
             FleetFault::CutBetween(a, b, length) => self.links.cut(a, b, self.now + length),
+            FleetFault::CutCallers(i, length, close_delay) => {
+                self.caller_paths[i].cut(self.now, length, close_delay);
+            }
             FleetFault::CutOneWay(from, to, length) => {
                 self.links.cut_one_way(from, to, self.now + length);
             }
