entry: a request that was held up does not replace a recent one

A caller that came back to the same entry on another connection lost its place to its own earlier request if that arrived after it: the recent request was answered 504, and the batch stopped with the close of the old connection. Found by reading, not seen at a caller.

Cause: the request that was read last counted as the one that was sent last. A request that is not proven recent is now answered 504 if one that is waits for the same batch, so that the recent one keeps it.

--- a/lib/src/batch_entry/callers.rs
+++ b/lib/src/batch_entry/callers.rs
@@ -71,6 +71,15 @@
         let request = submission.request;
         let id = submission.spec.id;
         let caller_request = submission.caller_request.clone();
+        if self.is_outdated(id, wait) {
+            self.log(
+                EventCode::BatchRefused,
+                format!("job={id:016x} request={caller_request} why=outdated"),
+            );
+            self.actions
+                .push(EntryAction::Reply(request, Reply::GaveUp));
+            return;
+        }
         match self.admit(submission, wait) {
             Ok(()) => self.needs_placing = true,
             Err(reply) => {
@@ -87,6 +96,15 @@
         }
     }
 
+    /// Whether the caller has sent a later request for a batch, which waits here for its answer: that one is
+    /// proven to be recent, and this one is not.
+    fn is_outdated(&self, id: BatchId, wait: CallerWait) -> bool {
+        let held = self.table.get(id).filter(|batch| batch.request.is_some());
+        let held = held.map(|batch| batch.proven_until);
+        let proven_until = held.or(self.giver.proven_until(id));
+        wait.proven_until <= self.now && proven_until.is_some_and(|at| at > self.now)
+    }
+
     /// Gives up a batch whose caller is back and is refused: it waits for no answer to its earlier
     /// request, and may go to another entry.
     fn end_earlier_request(&mut self, id: BatchId) {
--- a/lib/tests/test_entry_witness.rs
+++ b/lib/tests/test_entry_witness.rs
@@ -697,6 +697,18 @@
     assert!(fixture.told_superseded().is_empty());
 }
 
+// Guards against a caller that loses its place to its own earlier request, which arrives late.
+#[test]
+fn test_handle_old_request_does_not_replace_a_recent_one() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit();
+    fixture.submit_request(8, OLD);
+    assert_eq!(fixture.replies, [(8, Reply::GaveUp)]);
+    fixture.handle(EntryEvent::CallerGone(8));
+    fixture.submit_request(9, Some(Duration::ZERO));
+    assert_eq!(fixture.replies[1..], [(7, Reply::GaveUp)]);
+}
+
 fn failed(key: RunKey) -> AgentNews {
     AgentNews::Ended {
         key,
