entry: a receiver's report does not supersede its giver

An entry whose batch is handed over would have given it up, and answered 504, when the receiver reported the batch to it as a new holder: the receiver's witness was lost and the giver is the next one.

Cause: the first report of an unclaimed batch supersedes older holders, and the receiver, which runs the batch for the giver, counted as another one. A report on the link to the receiver leaves the handed batch alone now.

--- a/lib/src/batch_entry/claims.rs
+++ b/lib/src/batch_entry/claims.rs
@@ -141,19 +141,27 @@
         !is_undecided || self.options.incarnation < asker
     }
 
-    /// Handles the first report of an entry on batches. It has claimed none of those that it was given
-    /// later than any other entry was.
-    pub(super) fn note_new_holder(&mut self, owner: Incarnation, batches: Vec<BatchId>) {
+    /// Handles the first report on batches by the entry behind a link. Those that it has not claimed came to
+    /// it later than to any other entry.
+    pub(super) fn note_new_holder(
+        &mut self,
+        link: SessionId,
+        owner: Incarnation,
+        batches: Vec<BatchId>,
+    ) {
         for batch in batches {
             if self.witnessed.has_claimed(batch, owner) {
                 continue;
             }
-            for link in self.witnessed.other_holders(batch, owner) {
+            for other in self.witnessed.other_holders(batch, owner) {
                 let news = PeerNews::Superseded(batch);
-                let packet = self.directory.urgent_packet(self.now, link, news);
+                let packet = self.directory.urgent_packet(self.now, other, news);
                 self.actions.extend(packet);
             }
-            self.handle_superseded(batch);
+            // The receiver of a batch runs it for this entry.
+            if !self.giver.is_handed_to(batch, link) {
+                self.handle_superseded(batch);
+            }
         }
     }
 
--- a/lib/src/batch_entry/witness.rs
+++ b/lib/src/batch_entry/witness.rs
@@ -46,7 +46,7 @@
     pub(super) fn note_dispatched(&mut self, link: SessionId, notice: DispatchNotice) {
         if let Some(owner) = self.directory.peer(link).map(|peer| peer.life) {
             let new = self.witnessed.note(link, owner, notice);
-            self.note_new_holder(owner, new);
+            self.note_new_holder(link, owner, new);
         }
     }
 
--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -14,8 +14,9 @@
 use trestleknot_lib::resources::Resources;
 use trestleknot_lib::run::{NotStarted, RunEnd, RunKey, TaskKey};
 use trestleknot_lib::run_message::{
-    AgentIntro, AgentNews, AgentPacket, HandOver, HandOverDecline, HandOverOutcome, HandOverReply,
-    Order, Packet, PeerNews, PeerPacket, ProtocolVersion, StartOrder, TargetInfo,
+    AgentIntro, AgentNews, AgentPacket, DispatchNotice, DispatchedBatch, HandOver, HandOverDecline,
+    HandOverOutcome, HandOverReply, Order, Packet, PeerNews, PeerPacket, ProtocolVersion,
+    StartOrder, TargetInfo,
 };
 use trestleknot_lib::target_health::HealthReport;
 use trestleknot_lib::target_incarnation::TargetIncarnation;
@@ -930,3 +931,26 @@
     pair.wait(ms(100));
     assert_eq!(notices_of_giver(&pair), [false]);
 }
+
+// Guards against a caller whose batch is given up at its entry: the receiver reports it anew, because its
+// witness was lost, and the giver is the next one.
+#[test]
+fn test_handle_report_of_the_receiver_does_not_supersede_the_giver() {
+    let (mut pair, _) = Pair::with_run();
+    pair.pass(ms(1_400));
+    let notice = DispatchNotice {
+        batches: Vec::new(),
+        ended: vec![BATCH],
+    };
+    let again = DispatchNotice {
+        batches: vec![DispatchedBatch {
+            batch: BATCH,
+            agents: vec!["agent".into()],
+        }],
+        ended: Vec::new(),
+    };
+    let news = [notice, again].map(PeerNews::Dispatched).to_vec();
+    let packet = Packet::BetweenEntries(PeerPacket { clock: 1, news });
+    pair.give(EntryEvent::Packet(PEER, packet));
+    assert!(replies(&pair.giver_actions).is_empty());
+}
