entry: tests for the end of a grant and for offers of old requests

Mutations of the claims, each alone, showed two that no test caught: a grant without end, and a receiver that takes any offered batch for proven. No product code changes.

--- a/lib/tests/test_batch_handover.rs
+++ b/lib/tests/test_batch_handover.rs
@@ -954,3 +954,26 @@
     pair.give(EntryEvent::Packet(PEER, packet));
     assert!(replies(&pair.giver_actions).is_empty());
 }
+
+// Guards against a task that runs twice at once: the request of a batch that is handed over was held up.
+#[test]
+fn test_handle_offer_of_an_old_request_is_claimed_by_the_receiver() {
+    for max_age in [None, Some(ms(1_300)), Some(Duration::ZERO)] {
+        let mut pair = Pair::new();
+        let EntryEvent::Submit(submission) = submission(100, BATCH) else {
+            panic!("a submission");
+        };
+        let submission = Submission {
+            max_age,
+            ..submission
+        };
+        pair.give(EntryEvent::Submit(submission));
+        pair.deliver();
+        let packets = between_entries(&pair.receiver_actions);
+        let mut news = packets.iter().flat_map(|packet| &packet.news);
+        let is_claimed = news.any(|news| matches!(news, PeerNews::Claim(_)));
+        assert_eq!(is_claimed, max_age != Some(Duration::ZERO), "{max_age:?}");
+        // The giver is not another holder.
+        assert_eq!(starts(&pair.receiver_actions).len(), 1, "{max_age:?}");
+    }
+}
--- a/lib/tests/test_entry_witness.rs
+++ b/lib/tests/test_entry_witness.rs
@@ -595,22 +595,27 @@
     fixture.submit();
     let (_, agent) = fixture.starts()[0];
     fixture.pass(ms(1_300));
-    let key = RunKey {
-        task: TaskKey {
-            batch: BATCH,
-            time: 0,
-            step: 0,
-            index: 0,
-        },
-        run: 1,
-    };
-    fixture.hear(agent, vec![failed(key)]);
+    fixture.hear(agent, vec![failed(first_run())]);
     assert_eq!(fixture.claims().len(), 2);
     assert_eq!(fixture.starts().len(), 1);
     fixture.answer_claims(&[]);
     assert_eq!(fixture.starts().len(), 2);
 }
 
+#[test]
+fn test_handle_further_attempt_long_after_a_grant_is_claimed_again() {
+    let mut fixture = Fixture::new(CLAIMS);
+    fixture.submit_request(7, OLD);
+    fixture.answer_claims(&[]);
+    let (_, agent) = fixture.starts()[0];
+    fixture.pass(ms(1_300));
+    fixture.hear(agent, vec![failed(first_run())]);
+    assert_eq!(fixture.claims().len(), 4);
+    assert_eq!(fixture.starts().len(), 1);
+    fixture.answer_claims(&[]);
+    assert_eq!(fixture.starts().len(), 2);
+}
+
 #[test]
 fn test_handle_claim_to_a_reported_batch_is_refused() {
     let mut fixture = Fixture::new(CLAIMS);
@@ -709,6 +714,16 @@
     assert_eq!(fixture.replies[1..], [(7, Reply::GaveUp)]);
 }
 
+fn first_run() -> RunKey {
+    let task = TaskKey {
+        batch: BATCH,
+        time: 0,
+        step: 0,
+        index: 0,
+    };
+    RunKey { task, run: 1 }
+}
+
 fn failed(key: RunKey) -> AgentNews {
     AgentNews::Ended {
         key,
